--- /dev/null
+++ b/hawthornfold/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail of changes and the journal of requests."""
--- /dev/null
+++ b/hawthornfold/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Exchanges with backend servers over HTTP."""
--- /dev/null
+++ b/hawthornfold/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers and for operators."""
--- /dev/null
+++ b/hawthornfold/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/hawthornfold/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration revisions and their spread over nodes."""
--- /dev/null
+++ b/hawthornfold/documents/__init__.py
@@ -0,0 +1,1 @@
+"""JSON with comments: bounded parsing with positions."""
--- /dev/null
+++ b/hawthornfold/draining/__init__.py
@@ -0,0 +1,1 @@
+"""Drain state of backend servers from several signals."""
--- /dev/null
+++ b/hawthornfold/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated platform and backend servers, load and experiments."""
--- /dev/null
+++ b/hawthornfold/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Hedge delays and the budgets of hedges and retries."""
--- /dev/null
+++ b/hawthornfold/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, connection shares, queues and token buckets."""
--- /dev/null
+++ b/hawthornfold/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured log lines for changes of state."""
--- /dev/null
+++ b/hawthornfold/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are alive, by probing."""
--- /dev/null
+++ b/hawthornfold/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, gauges and histograms."""
--- /dev/null
+++ b/hawthornfold/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring and life cycle of one node."""
--- /dev/null
+++ b/hawthornfold/owners/__init__.py
@@ -0,0 +1,1 @@
+"""The owner side: queues and dispatch to backend servers."""
--- /dev/null
+++ b/hawthornfold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links and messages between nodes."""
--- /dev/null
+++ b/hawthornfold/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the platform's configuration service and VM list."""
--- /dev/null
+++ b/hawthornfold/queries/__init__.py
@@ -0,0 +1,1 @@
+"""One query end to end: fan-out, hedging, merge."""
--- /dev/null
+++ b/hawthornfold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Owners of backend servers, replica ranking and fan-out plans."""
--- /dev/null
+++ b/hawthornfold/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' when-then rules: compile, match and explain."""
--- /dev/null
+++ b/hawthornfold/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Node settings: schema, defaults and checks."""
--- /dev/null
+++ b/hawthornfold/shedding/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of whole queries at the entry node."""
--- /dev/null
+++ b/hawthornfold/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,81 @@
+"""Runs every unit test and docstring example of the project.
+
+Tests named in KNOWN-RED.txt (one dotted test id a line that starts with
+``test:``) are not run and are printed, so that a known fault stays visible
+without failing the run.
+"""
+
+import doctest
+import importlib
+import pathlib
+import pkgutil
+import sys
+import unittest
+import warnings
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+warnings.filterwarnings('ignore', category=DeprecationWarning)
+
+
+def read_known_red():
+    """Return the ids of the tests listed in KNOWN-RED.txt."""
+    path = ROOT / 'KNOWN-RED.txt'
+    if not path.exists():
+        return frozenset()
+    lines = path.read_text().splitlines()
+    return frozenset(
+        line.split(':', 1)[1].strip()
+        for line in lines
+        if line.startswith('test:')
+    )
+
+
+def collect_tests(suite):
+    """Yield the single tests of a nested suite."""
+    for entry in suite:
+        if isinstance(entry, unittest.TestSuite):
+            yield from collect_tests(entry)
+        else:
+            yield entry
+
+
+def load_suite(patterns):
+    """Load unit tests and docstring examples, narrowed by `patterns`."""
+    package = importlib.import_module('hawthornfold')
+    loader = unittest.TestLoader()
+    suite = unittest.TestSuite()
+    for module_info in pkgutil.walk_packages(
+        package.__path__, prefix='hawthornfold.'
+    ):
+        name = module_info.name
+        if name.endswith('__main__'):
+            continue
+        module = importlib.import_module(name)
+        if name.rsplit('.', 1)[-1].startswith('test_'):
+            suite.addTests(loader.loadTestsFromModule(module))
+        else:
+            suite.addTests(doctest.DocTestSuite(module))
+    tests = list(collect_tests(suite))
+    if patterns:
+        tests = [t for t in tests if any(p in t.id() for p in patterns)]
+    return tests
+
+
+def main():
+    """Run the tests; return the process's exit status."""
+    known_red = read_known_red()
+    tests = load_suite(sys.argv[1:])
+    skipped = [test for test in tests if test.id() in known_red]
+    suite = unittest.TestSuite(t for t in tests if t.id() not in known_red)
+    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
+    for test in skipped:
+        print(f'known red, not run: {test.id()}')
+    failed = len(outcome.failures) + len(outcome.errors)
+    passed = outcome.testsRun - failed
+    print(f'{passed} passed, {failed} failed')
+    return 0 if outcome.wasSuccessful() and outcome.testsRun else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
