--- /dev/null
+++ b/hawthornfold/audit/journal.py
@@ -0,0 +1,78 @@
+"""The journal: what this node did for each recent request."""
+
+import collections
+import typing
+
+CAPACITY = 4096
+# A query to 60 shards with hedges writes about 150 events; more than this
+# many would only repeat them.
+MAX_EVENTS = 1024
+
+
+class JournalEvent(typing.NamedTuple):
+    """One step of a request.
+
+    Parameters
+    ----------
+    offset_ms : float
+        Time since the request arrived.
+    action : str
+        What was done, such as ``send``, ``hedge``, ``answer`` or ``cancel``.
+    subject : str
+        The server, shard or node concerned.
+    detail : str
+        Why, or with what result.
+    """
+
+    offset_ms: float
+    action: str
+    subject: str
+    detail: str
+
+
+class _Record(typing.NamedTuple):
+    started_ms: float
+    events: list[JournalEvent]
+
+
+class RequestJournal:
+    """Events of the most recent requests, oldest request dropped first."""
+
+    def __init__(self, clock, capacity):
+        self._clock = clock
+        self._capacity = capacity
+        self._records = collections.OrderedDict()
+
+    def events(self, request_id):
+        """Return the events of a request, or None when none are held."""
+        record = self._records.get(request_id)
+        return None if record is None else list(record.events)
+
+    def open(self, request_id):
+        """Start the record of a request; events before it are refused."""
+        self._records[request_id] = _Record(self._clock.now_ms(), [])
+        while len(self._records) > self._capacity:
+            self._records.popitem(last=False)
+
+    def add(self, request_id, action, subject, detail=''):
+        """Append an event to a request's record."""
+        record = self._records.get(request_id)
+        if record is None or len(record.events) >= MAX_EVENTS:
+            return
+        offset_ms = self._clock.now_ms() - record.started_ms
+        record.events.append(JournalEvent(offset_ms, action, subject, detail))
+
+
+def create_request_journal(clock, capacity=CAPACITY):
+    """Create an empty journal.
+
+    Examples
+    --------
+    >>> from hawthornfold.clock import create_manual_clock
+    >>> journal = create_request_journal(create_manual_clock())
+    >>> journal.open('r1')
+    >>> journal.add('r1', 'send', 'server-1', 'shard a')
+    >>> journal.events('r1')[0].action
+    'send'
+    """
+    return RequestJournal(clock, capacity)
--- /dev/null
+++ b/hawthornfold/audit/trail.py
@@ -0,0 +1,95 @@
+"""The audit trail: every change this node made or learned of.
+
+The trail lives in memory only, because VMs keep nothing; an operator who
+needs it for longer reads it from the operators' port.
+"""
+
+import collections
+import typing
+
+import logbook
+
+CAPACITY = 4096
+
+_LOG = logbook.Logger('audit')
+
+
+class AuditEntry(typing.NamedTuple):
+    """One change.
+
+    Parameters
+    ----------
+    sequence : int
+        Grows by one with each entry, so that readers notice a gap.
+    time_ms : int
+        Wall-clock time, milliseconds since the Unix epoch.
+    kind : str
+        What changed: ``configuration``, ``membership``, ``drain``,
+        ``snapshot``, ``breaker``, ``ownership`` or ``lifecycle``.
+    subject : str
+        The key, member or server concerned.
+    before, after : str
+        The state on both sides of the change.
+    cause : str
+        Why the node made the change.
+    """
+
+    sequence: int
+    time_ms: int
+    kind: str
+    subject: str
+    before: str
+    after: str
+    cause: str
+
+
+class AuditTrail:
+    """A bounded list of changes, oldest dropped first."""
+
+    def __init__(self, clock, capacity):
+        self._clock = clock
+        self._entries = collections.deque(maxlen=capacity)
+        self._sequence = 0
+
+    def entries(self, limit=CAPACITY):
+        """Return the newest `limit` entries, oldest first."""
+        if limit <= 0:
+            return []
+        return list(self._entries)[-limit:]
+
+    def record(self, kind, subject, before, after, cause):
+        """Append a change and write its log line."""
+        self._sequence += 1
+        entry = AuditEntry(
+            self._sequence,
+            self._clock.wall_ms(),
+            kind,
+            subject,
+            str(before),
+            str(after),
+            cause,
+        )
+        self._entries.append(entry)
+        _LOG.info(
+            'kind={} subject={} before={} after={} cause="{}"',
+            kind,
+            subject,
+            before,
+            after,
+            cause,
+        )
+
+
+def create_audit_trail(clock, capacity=CAPACITY):
+    """Create an empty audit trail.
+
+    Examples
+    --------
+    >>> from hawthornfold.clock import create_manual_clock
+    >>> trail = create_audit_trail(create_manual_clock(7))
+    >>> with logbook.NullHandler():
+    ...     trail.record('drain', 's1', 'active', 'draining', 'server flag')
+    >>> trail.entries()[0].after
+    'draining'
+    """
+    return AuditTrail(clock, capacity)
--- /dev/null
+++ b/hawthornfold/limits/bucket.py
@@ -0,0 +1,43 @@
+"""A token bucket that is filled by work, not by time.
+
+Filling by a fraction of the primary work bounds the extra load as a share of
+the load itself: when every node stays below 5% of its own work, the fleet
+stays below 5% of all work, with no coordination.
+"""
+
+
+class TokenBucket:
+    """Holds up to `capacity` tokens; each unit of work adds a fraction."""
+
+    def __init__(self, capacity, initial):
+        self._capacity = capacity
+        self._tokens = initial
+
+    @property
+    def tokens(self):
+        """Tokens at hand."""
+        return self._tokens
+
+    def add(self, amount):
+        """Add tokens for primary work, up to the capacity."""
+        self._tokens = min(self._capacity, self._tokens + amount)
+
+    def take(self, amount=1.0):
+        """Take `amount` tokens; return whether there were enough."""
+        if self._tokens < amount:
+            return False
+        self._tokens -= amount
+        return True
+
+
+def create_token_bucket(capacity, initial=0.0):
+    """Create a bucket.
+
+    Examples
+    --------
+    >>> bucket = create_token_bucket(capacity=2.0)
+    >>> bucket.add(1.0)
+    >>> bucket.take(), bucket.take()
+    (True, False)
+    """
+    return TokenBucket(capacity, initial)
--- /dev/null
+++ b/hawthornfold/limits/queue.py
@@ -0,0 +1,168 @@
+"""The queue of one backend server, held by its owner.
+
+Items are ordered by urgency, then deadline, then the hash of the request id.
+The order depends only on the query, so under overload the owners of all
+servers drop the sub-requests of the same queries.
+"""
+
+import heapq
+import typing
+
+QUEUE_CAPACITY = 256
+SERVICE_SMOOTHING = 0.1
+
+
+class QueueItem(typing.NamedTuple):
+    """A waiting sub-request; compares by dispatch order.
+
+    Parameters
+    ----------
+    urgency : int
+        0 is the most urgent.
+    deadline_ms : float
+        Owner's clock.
+    order : int
+        Hash of the request id.
+    sequence : int
+        Breaks ties, so that the payload is never compared.
+    queued_ms : float
+        When the item arrived.
+    payload : object
+        What the owner dispatches.
+    """
+
+    urgency: int
+    deadline_ms: float
+    order: int
+    sequence: int
+    queued_ms: float
+    payload: object
+
+
+class ServerQueue:
+    """Waiting and running sub-requests of one server."""
+
+    def __init__(self, slots, capacity):
+        self._slots = slots
+        self._capacity = capacity
+        self._heap = []
+        self._cancelled = set()
+        self._running = 0
+        self._sequence = 0
+        self._service_ms = 0.0
+
+    @property
+    def depth(self):
+        """Sub-requests waiting or running."""
+        return len(self._heap) - len(self._cancelled) + self._running
+
+    @property
+    def running(self):
+        """Sub-requests in flight to the server."""
+        return self._running
+
+    @property
+    def slots(self):
+        """Sub-requests that may be in flight at once."""
+        return self._slots
+
+    @property
+    def service_ms(self):
+        """Smoothed time of an exchange in milliseconds, 0 at first."""
+        return self._service_ms
+
+    def set_slots(self, slots):
+        """Change the number of slots (ramp-up, changed layout)."""
+        self._slots = max(1, slots)
+
+    def push(self, urgency, deadline_ms, order, now_ms, payload):
+        """Queue an item.
+
+        Returns
+        -------
+        tuple of (int or None, QueueItem or None)
+            The sequence number for `cancel`, None when the item was refused;
+            and a waiting item of lower rank that had to give way.
+        """
+        item = QueueItem(
+            urgency, deadline_ms, order, self._sequence, now_ms, payload
+        )
+        self._sequence += 1
+        evicted = None
+        if len(self._heap) - len(self._cancelled) >= self._capacity:
+            last = max(
+                x for x in self._heap if x.sequence not in self._cancelled
+            )
+            if last < item:
+                return None, None
+            self._heap.remove(last)
+            heapq.heapify(self._heap)
+            evicted = last
+        heapq.heappush(self._heap, item)
+        return item.sequence, evicted
+
+    def cancel(self, sequence):
+        """Drop a waiting item; it is skipped when its turn comes."""
+        self._cancelled.add(sequence)
+
+    def pop(self, now_ms):
+        """Take the next item to run.
+
+        Returns
+        -------
+        tuple of (QueueItem or None, list of QueueItem)
+            The item, None while no slot is free or nothing waits; and the
+            items that could no longer finish by their deadline.
+        """
+        expired = []
+        if self._running >= self._slots:
+            return None, expired
+        while self._heap:
+            item = heapq.heappop(self._heap)
+            if item.sequence in self._cancelled:
+                self._cancelled.discard(item.sequence)
+                continue
+            # Half the smoothed service time: work that has no fair chance
+            # to finish would take a slot from work that has.
+            if now_ms + 0.5 * self._service_ms >= item.deadline_ms:
+                expired.append(item)
+                continue
+            self._running += 1
+            return item, expired
+        return None, expired
+
+    def finish(self, service_ms=None):
+        """Free a slot; `service_ms` is None for an aborted exchange."""
+        self._running -= 1
+        if service_ms is None:
+            return
+        if self._service_ms == 0.0:
+            self._service_ms = service_ms
+        else:
+            self._service_ms += SERVICE_SMOOTHING * (
+                service_ms - self._service_ms
+            )
+
+    def clear(self):
+        """Remove and return all waiting items."""
+        waiting = [x for x in self._heap if x.sequence not in self._cancelled]
+        self._heap = []
+        self._cancelled = set()
+        return sorted(waiting)
+
+
+def create_server_queue(slots, capacity=QUEUE_CAPACITY):
+    """Create the queue of a server with `slots` slots.
+
+    Examples
+    --------
+    >>> queue = create_server_queue(slots=1)
+    >>> _ = queue.push(1, 900.0, 5, 0.0, 'ordinary')
+    >>> _ = queue.push(0, 900.0, 9, 0.0, 'urgent')
+    >>> item, expired = queue.pop(1.0)
+    >>> item.payload, expired
+    ('urgent', [])
+    >>> queue.pop(1.0)
+    (None, [])
+    """
+    return ServerQueue(slots, capacity)
--- /dev/null
+++ b/hawthornfold/routing/owners.py
@@ -0,0 +1,171 @@
+"""Which nodes may send work to a backend server.
+
+With the rendezvous policy a server has a few owners, whatever the size of
+the fleet; the first of them holds the server's only queue. With the direct
+policy every node talks to every server and the limits are divided by the
+number of nodes. docs/decisions/owners.md compares the two.
+"""
+
+import abc
+
+import xxhash
+
+# A partitioned fleet has two sides that each elect their own owners; the
+# shares of all of them together must stay below the server's limit.
+PARTITION_SIDES = 2
+
+
+class OwnerPolicy(abc.ABC):
+    """Maps a backend server to the nodes that may send work to it."""
+
+    @abc.abstractmethod
+    def owners(self, server):
+        """Return the names of the owners of `server`, preferred first."""
+
+    @abc.abstractmethod
+    def connection_share(self, server):
+        """Return how many connections one owner may open to `server`."""
+
+    @abc.abstractmethod
+    def slot_share(self, server):
+        """Return how many requests one owner may have in flight."""
+
+    @abc.abstractmethod
+    def update_members(self, members):
+        """Replace the live members."""
+
+
+def compute_score(member_name, server_name):
+    """Return the rendezvous score of a member for a server.
+
+    Examples
+    --------
+    >>> compute_score('a', 's') == compute_score('a', 's')
+    True
+    """
+    return xxhash.xxh3_64_intdigest(f'{member_name}/{server_name}')
+
+
+class RendezvousPolicy(OwnerPolicy):
+    """The members of highest score, those of the server's data centre first.
+
+    The result of each server is kept. When a member leaves, only the servers
+    it owned are computed again; when one joins, each kept server costs one
+    hash. Both matter at 7,200 members and 58,000 servers.
+    """
+
+    def __init__(self, owners_per_server):
+        self._owners_per_server = owners_per_server
+        self._members = {}
+        self._by_data_centre = {}
+        self._cache = {}
+
+    def owners(self, server):
+        """Return the names of the owners of `server`, preferred first."""
+        cached = self._cache.get(server.name)
+        if cached is None:
+            cached = self._compute(server)
+            self._cache[server.name] = (server, cached)
+            return cached
+        return cached[1]
+
+    def connection_share(self, server):
+        """Return how many connections one owner may open to `server`."""
+        owners = PARTITION_SIDES * self._owners_per_server
+        return max(1, server.connections // owners)
+
+    def slot_share(self, server):
+        """Return how many requests one owner may have in flight."""
+        return server.slots
+
+    def update_members(self, members):
+        """Replace the live members and repair the kept results."""
+        current = {member.name: member.data_centre for member in members}
+        removed = [
+            name
+            for name, centre in self._members.items()
+            if current.get(name) != centre
+        ]
+        added = [
+            name
+            for name, centre in current.items()
+            if self._members.get(name) != centre
+        ]
+        self._members = current
+        self._by_data_centre = {}
+        for name, data_centre in current.items():
+            self._by_data_centre.setdefault(data_centre, []).append(name)
+        if removed:
+            self._forget_owned_by(frozenset(removed))
+        for name in added:
+            self._consider(name)
+
+    def _forget_owned_by(self, names):
+        self._cache = {
+            server_name: entry
+            for server_name, entry in self._cache.items()
+            if names.isdisjoint(entry[1])
+        }
+
+    def _consider(self, name):
+        """Give a new member its place among the kept owners."""
+        for server_name, (server, owners) in self._cache.items():
+            ranked = sorted(
+                {*owners, name},
+                key=lambda owner: self._rank(server, owner),
+            )
+            kept = tuple(ranked[: self._owners_per_server])
+            self._cache[server_name] = (server, kept)
+
+    def _rank(self, server, name):
+        is_remote = self._members[name] != server.data_centre
+        return (is_remote, -compute_score(name, server.name))
+
+    def _compute(self, server):
+        local = self._by_data_centre.get(server.data_centre, ())
+        candidates = local
+        if len(local) < self._owners_per_server:
+            candidates = self._members
+        ranked = sorted(candidates, key=lambda name: self._rank(server, name))
+        return tuple(ranked[: self._owners_per_server])
+
+
+class DirectPolicy(OwnerPolicy):
+    """Every node sends its own work, with an equal share of each limit."""
+
+    def __init__(self, node_name):
+        self._node_name = node_name
+        self._member_count = 1
+
+    def owners(self, server):
+        """Return this node alone."""
+        return (self._node_name,)
+
+    def connection_share(self, server):
+        """Return the limit divided by the number of nodes, at least 1."""
+        return max(1, server.connections // self._member_count)
+
+    def slot_share(self, server):
+        """Return the slots divided by the number of nodes, at least 1."""
+        return max(1, server.slots // self._member_count)
+
+    def update_members(self, members):
+        """Count the live members."""
+        self._member_count = max(1, len(members))
+
+
+def create_rendezvous_policy(owners_per_server=2):
+    """Create the policy with a few owners for each server."""
+    return RendezvousPolicy(owners_per_server)
+
+
+def create_direct_policy(node_name):
+    """Create the policy in which every node owns every server."""
+    return DirectPolicy(node_name)
+
+
+def create_owner_policy(settings):
+    """Create the policy that the settings name."""
+    if settings.routing.owner_policy == 'direct':
+        return create_direct_policy(settings.node.name)
+    return create_rendezvous_policy(settings.routing.owners_per_server)
