Fix the rendezvous hash and cancelled queue items

Cause: xxhash 4 takes bytes only, and a cancel of an item that already ran stayed in the cancelled set and made the depth wrong. Ruled out: a stale docstring example. Change: encode the key; keep waiting items in a dictionary.

--- a/hawthornfold/limits/queue.py
+++ b/hawthornfold/limits/queue.py
@@ -45,8 +45,10 @@
     def __init__(self, slots, capacity):
         self._slots = slots
         self._capacity = capacity
+        # Cancelled items leave `_waiting` at once and the heap when their
+        # turn comes.
         self._heap = []
-        self._cancelled = set()
+        self._waiting = {}
         self._running = 0
         self._sequence = 0
         self._service_ms = 0.0
@@ -54,7 +56,7 @@
     @property
     def depth(self):
         """Sub-requests waiting or running."""
-        return len(self._heap) - len(self._cancelled) + self._running
+        return len(self._waiting) + self._running
 
     @property
     def running(self):
@@ -89,21 +91,18 @@
         )
         self._sequence += 1
         evicted = None
-        if len(self._heap) - len(self._cancelled) >= self._capacity:
-            last = max(
-                x for x in self._heap if x.sequence not in self._cancelled
-            )
-            if last < item:
+        if len(self._waiting) >= self._capacity:
+            evicted = max(self._waiting.values())
+            if evicted < item:
                 return None, None
-            self._heap.remove(last)
-            heapq.heapify(self._heap)
-            evicted = last
+            del self._waiting[evicted.sequence]
+        self._waiting[item.sequence] = item
         heapq.heappush(self._heap, item)
         return item.sequence, evicted
 
     def cancel(self, sequence):
-        """Drop a waiting item; it is skipped when its turn comes."""
-        self._cancelled.add(sequence)
+        """Drop a waiting item; return whether it was waiting."""
+        return self._waiting.pop(sequence, None) is not None
 
     def pop(self, now_ms):
         """Take the next item to run.
@@ -119,8 +118,7 @@
             return None, expired
         while self._heap:
             item = heapq.heappop(self._heap)
-            if item.sequence in self._cancelled:
-                self._cancelled.discard(item.sequence)
+            if self._waiting.pop(item.sequence, None) is None:
                 continue
             # Half the smoothed service time: work that has no fair chance
             # to finish would take a slot from work that has.
@@ -145,10 +143,10 @@
 
     def clear(self):
         """Remove and return all waiting items."""
-        waiting = [x for x in self._heap if x.sequence not in self._cancelled]
+        waiting = sorted(self._waiting.values())
         self._heap = []
-        self._cancelled = set()
-        return sorted(waiting)
+        self._waiting = {}
+        return waiting
 
 
 def create_server_queue(slots, capacity=QUEUE_CAPACITY):
--- a/hawthornfold/routing/owners.py
+++ b/hawthornfold/routing/owners.py
@@ -43,7 +43,8 @@
     >>> compute_score('a', 's') == compute_score('a', 's')
     True
     """
-    return xxhash.xxh3_64_intdigest(f'{member_name}/{server_name}')
+    key = f'{member_name}/{server_name}'.encode()
+    return xxhash.xxh3_64_intdigest(key)
 
 
 class RendezvousPolicy(OwnerPolicy):
