--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,8 @@
 	$(BIN)/flake8 hawthornfold tools
 
 format: $(VENV)/.installed
-	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m hawthornfold.emulator bench --seconds $(SECONDS)
--- /dev/null
+++ b/hawthornfold/backends/connection.py
@@ -0,0 +1,231 @@
+"""One HTTP connection to a backend server, by urllib3.
+
+The connection is used directly, not through a urllib3 pool, so that the
+tier decides on each connection: a connection whose reply was abandoned is
+never used again, and urllib3's own retries and redirects never run.
+"""
+
+import errno
+import socket
+import typing
+
+from result import Err
+from result import Ok
+import urllib3
+import urllib3.connection
+import urllib3.exceptions
+
+from hawthornfold.backends import codec
+from hawthornfold.codes import ResultCode
+
+SEARCH_PATH = '/v1/search'
+HEALTH_PATH = '/v1/health'
+CONNECT_TIMEOUT_S = 1.0
+_HEADERS = {'Content-Type': 'application/json', 'Accept-Encoding': 'identity'}
+
+
+class ExchangeFailure(typing.NamedTuple):
+    """An exchange without an answer.
+
+    Parameters
+    ----------
+    code : ResultCode
+        What went wrong.
+    ran : codec.Ran
+        Whether the server executed the request.
+    detail : str
+        The error, for the journal.
+    incarnation : str
+        The server's incarnation where it said.
+    held : tuple of str
+        Snapshots that the server says it holds.
+    """
+
+    code: ResultCode
+    ran: codec.Ran
+    detail: str
+    incarnation: str = ''
+    held: tuple[str, ...] = ()
+
+
+class BackendConnection:
+    """A connection that carries one exchange at a time."""
+
+    def __init__(self, host, port, now_ms):
+        self._connection = urllib3.connection.HTTPConnection(
+            host,
+            port,
+            timeout=CONNECT_TIMEOUT_S,
+            socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
+        )
+        self._opened_ms = now_ms
+        self._is_reusable = True
+        self._is_aborted = False
+
+    @property
+    def opened_ms(self):
+        """When the connection was created."""
+        return self._opened_ms
+
+    @property
+    def is_reusable(self):
+        """Whether another exchange may use the connection.
+
+        Looks at the socket without blocking: a readable idle connection was
+        closed by the server or carries bytes that nobody asked for.
+        """
+        sock = self._connection.sock
+        if not self._is_reusable or sock is None:
+            return False
+        raw = getattr(sock, 'fd', sock)
+        try:
+            raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except OSError as error:
+            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+        return False
+
+    def open(self):
+        """Connect; Err with an `ExchangeFailure` when that fails."""
+        try:
+            self._connection.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            self.close()
+            return Err(
+                ExchangeFailure(
+                    ResultCode.BACKEND_UNREACHABLE, codec.Ran.NO, str(error)
+                )
+            )
+        return Ok(None)
+
+    def search(self, request, timeout_ms):
+        """Execute a sub-request.
+
+        Parameters
+        ----------
+        request : codec.SubRequest
+            What to execute.
+        timeout_ms : float
+            Longest silence on the socket, in milliseconds.
+
+        Returns
+        -------
+        result.Result
+            Ok with a `codec.BackendReply`, or Err with an `ExchangeFailure`.
+        """
+        outcome = self._exchange(
+            'POST',
+            SEARCH_PATH,
+            codec.encode_sub_request(request),
+            timeout_ms,
+        )
+        if outcome.is_err():
+            return outcome
+        status, data = outcome.ok_value
+        if status == 200:
+            reply = codec.decode_reply(request, data)
+            if reply.is_ok():
+                return reply
+            detail = reply.err_value.detail
+        else:
+            refusal = codec.decode_refusal(request, data)
+            if refusal is not None:
+                return Err(
+                    ExchangeFailure(
+                        refusal.code,
+                        refusal.ran,
+                        f'status {status}',
+                        refusal.incarnation,
+                        refusal.held,
+                    )
+                )
+            detail = f'status {status} without a valid refusal'
+        # The stream can no longer be trusted to be in step.
+        self.close()
+        return self._fail(ResultCode.BACKEND_BAD_REPLY, detail)
+
+    def health(self, timeout_ms):
+        """Read the health report.
+
+        Returns
+        -------
+        result.Result
+            Ok with a `codec.BackendHealth`, or Err with a failure.
+        """
+        outcome = self._exchange('GET', HEALTH_PATH, None, timeout_ms)
+        if outcome.is_err():
+            return outcome
+        status, data = outcome.ok_value
+        if status != 200:
+            return self._fail(
+                ResultCode.BACKEND_BAD_REPLY, f'health status {status}'
+            )
+        return codec.decode_health(data)
+
+    def abort(self):
+        """End a running exchange from another green thread.
+
+        The server sees the connection close and stops the work.
+        """
+        self._is_aborted = True
+        self._is_reusable = False
+        sock = self._connection.sock
+        if sock is not None:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # The server closed it first.
+                return
+
+    def close(self):
+        """Close the connection; it is never used again."""
+        self._is_reusable = False
+        self._connection.close()
+
+    def _exchange(self, method, path, body, timeout_ms):
+        if self._connection.sock is None:
+            opened = self.open()
+            if opened.is_err():
+                return opened
+        try:
+            self._connection.sock.settimeout(max(timeout_ms, 1.0) / 1000.0)
+            self._connection.request(method, path, body=body, headers=_HEADERS)
+            response = self._connection.getresponse()
+            data = response.read(codec.MAX_REPLY_BYTES + 1)
+            if len(data) > codec.MAX_REPLY_BYTES:
+                self.close()
+                return self._fail(
+                    ResultCode.BACKEND_BAD_REPLY, 'reply is too large'
+                )
+            if response.headers.get('Connection', '').lower() == 'close':
+                self.close()
+        except TimeoutError as error:
+            self.close()
+            return self._fail(ResultCode.BACKEND_SILENT, str(error))
+        except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
+            self.close()
+            return self._classify(error)
+        except Exception as error:  # noqa: BLE001
+            # http.client raises its own hierarchy for malformed replies.
+            self.close()
+            return self._classify(error)
+        return Ok((response.status, data))
+
+    def _classify(self, error):
+        if self._is_aborted:
+            return self._fail(ResultCode.CANCELLED, 'cancelled')
+        if isinstance(error, urllib3.exceptions.TimeoutError):
+            return self._fail(ResultCode.BACKEND_SILENT, str(error))
+        return self._fail(
+            ResultCode.BACKEND_BAD_REPLY, f'{type(error).__name__}: {error}'
+        )
+
+    def _fail(self, code, detail):
+        # Bytes were sent, so only the server itself can say that the
+        # request did not run.
+        return Err(ExchangeFailure(code, codec.Ran.UNKNOWN, detail))
+
+
+def open_connection(address, now_ms):
+    """Create a connection to ``host:port``; it connects on first use."""
+    host, _, port = address.rpartition(':')
+    return BackendConnection(host, int(port), now_ms)
--- /dev/null
+++ b/hawthornfold/backends/pool.py
@@ -0,0 +1,92 @@
+"""The connections of one owner to one backend server."""
+
+from hawthornfold.backends import connection as connections
+
+
+class ConnectionPool:
+    """Idle and busy connections, bounded by the owner's share."""
+
+    def __init__(self, address, limit, clock):
+        self._address = address
+        self._limit = limit
+        self._clock = clock
+        self._idle = []
+        self._busy = set()
+        self._oldest_usable_ms = 0.0
+
+    @property
+    def count(self):
+        """Connections open, idle and busy together."""
+        return len(self._idle) + len(self._busy)
+
+    @property
+    def idle_count(self):
+        """Connections open and idle."""
+        return len(self._idle)
+
+    @property
+    def limit(self):
+        """Connections this owner may open."""
+        return self._limit
+
+    def set_limit(self, limit):
+        """Change the limit; surplus idle connections are closed."""
+        self._limit = limit
+        while self._idle and self.count > limit:
+            self._idle.pop(0).close()
+
+    def acquire(self):
+        """Take an idle connection or a new one; None at the limit."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                self._busy.add(connection)
+                return connection
+            connection.close()
+        return self.acquire_fresh()
+
+    def acquire_fresh(self):
+        """Take a connection that was never used; None at the limit.
+
+        An idle connection makes room where the limit is reached.
+        """
+        if self.count >= self._limit and self._idle:
+            self._idle.pop(0).close()
+        if self.count >= self._limit:
+            return None
+        connection = connections.open_connection(
+            self._address, self._clock.now_ms()
+        )
+        self._busy.add(connection)
+        return connection
+
+    def release(self, connection):
+        """Give a connection back; it is closed unless it can be reused."""
+        self._busy.discard(connection)
+        is_current = connection.opened_ms >= self._oldest_usable_ms
+        if connection.is_reusable and is_current and self.count < self._limit:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def discard_older(self, now_ms):
+        """Stop using every connection opened before `now_ms`.
+
+        Used when a fresh connection works while an established one is
+        silent: whatever lost track of one has likely lost the others too.
+        """
+        self._oldest_usable_ms = now_ms
+        for connection in self._idle:
+            connection.close()
+        self._idle = []
+
+    def close(self):
+        """Close all idle connections and abort the busy ones."""
+        self.discard_older(self._clock.now_ms())
+        for connection in list(self._busy):
+            connection.abort()
+
+
+def create_connection_pool(address, limit, clock):
+    """Create the empty pool of one server."""
+    return ConnectionPool(address, limit, clock)
--- a/hawthornfold/codes/registry.py
+++ b/hawthornfold/codes/registry.py
@@ -50,6 +50,7 @@
     TICKET_INVALID = 309, 'the ticket is not one this fleet issued'
     TICKET_EXPIRED = 310, 'the ticket is too old to be used'
     TICKET_CONFLICT = 311, 'the ticket was used with another request'
+    TICKET_REQUIRED = 313, 'a non-idempotent request needs a ticket'
     REQUEST_ID_UNKNOWN = 312, 'no record of this request id is held'
 
     NOT_READY = 401, 'the node holds no configuration yet'
--- a/hawthornfold/draining/__init__.py
+++ b/hawthornfold/draining/__init__.py
@@ -1,1 +1,6 @@
 """Drain state of backend servers from several signals."""
+
+from hawthornfold.draining.tracker import DrainTracker
+from hawthornfold.draining.tracker import create_drain_tracker
+
+__all__ = ['DrainTracker', 'create_drain_tracker']
--- /dev/null
+++ b/hawthornfold/nodes/node.py
@@ -0,0 +1,238 @@
+"""Creates the services of one node and runs it until its planned stop."""
+
+import contextlib
+import os
+import signal
+
+import eventlet
+import eventlet.event
+import logbook
+import xxhash
+
+from hawthornfold.audit import create_audit_trail
+from hawthornfold.audit import create_request_journal
+from hawthornfold.callers.application import create_caller_application
+from hawthornfold.callers.application import create_operator_application
+from hawthornfold.callers.handling import RequestHandler
+from hawthornfold.callers.server import serve_application
+from hawthornfold.clock import create_system_clock
+from hawthornfold.configuration import create_configuration_service
+from hawthornfold.draining import create_drain_tracker
+from hawthornfold.logs import setup_logs
+from hawthornfold.membership import create_membership_service
+from hawthornfold.metrics import create_metrics
+from hawthornfold.nodes import lifecycle as lifecycles
+from hawthornfold.nodes import status
+from hawthornfold.nodes.context import NodeContext
+from hawthornfold.nodes.pause import create_pause_guard
+from hawthornfold.nodes.wiring import connect_services
+from hawthornfold.owners import create_owner_service
+from hawthornfold.peers import open_peer_links
+from hawthornfold.platforms import create_platform_reader
+from hawthornfold.queries.groups import create_group_registry
+from hawthornfold.queries.runner import create_query_runner
+from hawthornfold.routing import create_owner_policy
+from hawthornfold.rules import compile_rules
+from hawthornfold.snapshots import parse_service_group
+from hawthornfold.tickets.service import create_ticket_service
+
+_LOG = logbook.Logger('node')
+_POLL_MS = 20.0
+
+
+def create_incarnation(clock):
+    """Return a name for this process; later ones sort after earlier ones.
+
+    The wall clock orders incarnations; the process id tells apart two that
+    start within the same millisecond.
+    """
+    return f'{clock.wall_ms():013d}-{os.getpid()}'
+
+
+def derive_secret(settings):
+    """Return the key of ticket signatures, shared by the cluster.
+
+    Without encryption there is no secret to protect; the signature then
+    only detects damaged tickets.
+    """
+    if settings.peers.encryption and settings.peers.keys:
+        return settings.peers.keys[0].secret.encode()
+    return xxhash.xxh3_128_digest(settings.cluster.encode())
+
+
+def _create_base(settings):
+    clock = create_system_clock()
+    metrics = create_metrics()
+    audit = create_audit_trail(clock)
+    return NodeContext(
+        settings=settings,
+        incarnation=create_incarnation(clock),
+        clock=clock,
+        metrics=metrics,
+        audit=audit,
+        journal=create_request_journal(clock),
+        policy=create_owner_policy(settings),
+        groups=create_group_registry(audit),
+        drains=create_drain_tracker(),
+        pause_guard=create_pause_guard(clock, metrics, audit),
+    )
+
+
+def create_context(base, links):
+    """Create all services of a node around its open links."""
+    settings = base.settings
+    membership = create_membership_service(
+        settings,
+        base.incarnation,
+        base.clock,
+        links,
+        base.audit,
+        base.metrics,
+    )
+    reader = create_platform_reader(settings, base.clock, base.metrics)
+    configuration = create_configuration_service(
+        settings,
+        base.clock,
+        links,
+        membership,
+        reader,
+        [
+            ('rules', lambda name, data: compile_rules(data)),
+            (
+                'services/',
+                lambda name, data: parse_service_group(
+                    name.removeprefix('services/'), data
+                ),
+            ),
+        ],
+        base.audit,
+        base.metrics,
+    )
+    lifecycle = lifecycles.create_lifecycle(
+        base.audit, lambda: configuration.is_ready
+    )
+    context = base._replace(
+        links=links,
+        membership=membership,
+        configuration=configuration,
+        lifecycle=lifecycle,
+    )
+    context = context._replace(owner_service=create_owner_service(context))
+    context = context._replace(query_runner=create_query_runner(context))
+    return context._replace(
+        ticket_service=create_ticket_service(context, derive_secret(settings))
+    )
+
+
+@contextlib.contextmanager
+def open_node(settings):
+    """Run a node's services while the context is active.
+
+    Yields
+    ------
+    tuple of (NodeContext, function)
+        The services, and a function that stops accepting callers.
+    """
+    base = _create_base(settings)
+    with contextlib.ExitStack() as stack:
+        links = stack.enter_context(
+            open_peer_links(
+                settings, base.incarnation, base.clock, base.metrics
+            )
+        )
+        context = create_context(base, links)
+        handler = RequestHandler(context)
+        connect_services(context, handler)
+        loops = [
+            eventlet.spawn(loop)
+            for loop in (
+                context.pause_guard.run,
+                context.membership.run,
+                context.configuration.run,
+                context.owner_service.run,
+            )
+        ]
+        stack.callback(lambda: [loop.kill() for loop in loops])
+        host = settings.node.host
+        stack.enter_context(
+            serve_application(
+                host,
+                settings.operators.port,
+                create_operator_application(
+                    context, lambda: status.describe_status(context)
+                ),
+                settings.callers,
+            )
+        )
+        stop_accepting = stack.enter_context(
+            serve_application(
+                host,
+                settings.callers.port,
+                create_caller_application(context, handler),
+                settings.callers,
+            )
+        )
+        yield context, stop_accepting
+
+
+def _count_in_flight(context):
+    return (
+        context.lifecycle.requests
+        + context.owner_service.in_flight
+        + context.query_runner.in_flight
+    )
+
+
+def stop_gracefully(context, stop_accepting, stop):
+    """Finish what is in flight; return how many requests were cut.
+
+    Parameters
+    ----------
+    stop : list
+        Receives an item for every further stop signal.
+    """
+    settings = context.settings.shutdown
+    clock = context.clock
+    started_ms = clock.now_ms()
+    context.lifecycle.begin_stop()
+    # The balancer lags behind readiness: callers still arrive and are
+    # served until the linger time is over.
+    while clock.now_ms() - started_ms < settings.linger_ms and len(stop) < 2:
+        clock.sleep_ms(_POLL_MS)
+    stop_accepting()
+    # Peers route new work to the next owners from here on; work that they
+    # sent before is still done.
+    context.membership.leave()
+    drain_started_ms = clock.now_ms()
+    quiet = 0
+    while len(stop) < 2:
+        if clock.now_ms() - drain_started_ms > settings.drain_limit_ms:
+            break
+        # Peers need a moment to learn of the leave; a single empty reading
+        # may fall between two pieces of their work.
+        quiet = quiet + 1 if _count_in_flight(context) == 0 else 0
+        if quiet * _POLL_MS >= settings.linger_ms:
+            break
+        clock.sleep_ms(_POLL_MS)
+    return _count_in_flight(context)
+
+
+def run_node(settings):
+    """Run a node until SIGTERM or SIGINT.
+
+    Returns
+    -------
+    int
+        Exit status: 0 after a graceful stop, 1 when requests were cut.
+    """
+    stop = []
+    with setup_logs(settings.node.name, settings.logs.level):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: stop.append(True))
+        with open_node(settings) as (context, stop_accepting):
+            while not stop:
+                context.clock.sleep_ms(_POLL_MS)
+                context.lifecycle.note_state()
+            cut = stop_gracefully(context, stop_accepting, stop)
+        _LOG.info('event=stopped cut_requests={}', cut)
+    return 1 if cut else 0
--- /dev/null
+++ b/hawthornfold/nodes/wiring.py
@@ -0,0 +1,63 @@
+"""Connects the services of a node: messages, subscriptions, callbacks."""
+
+from hawthornfold.configuration import VMS_KEY
+from hawthornfold.owners import CancelWork
+from hawthornfold.owners import DrainNotice
+from hawthornfold.owners import Work
+from hawthornfold.owners import WorkReply
+from hawthornfold.queries.groups import KEY_PREFIX
+from hawthornfold.tickets import messages as ticket_messages
+
+
+def connect_services(context, handler):
+    """Connect the services of `context`; `handler` answers requests."""
+    _register_messages(context)
+    context.owner_service.set_local_reply(context.query_runner.handle_reply)
+    context.ticket_service.set_handler(handler.handle)
+    context.pause_guard.set_confirmation(context.membership.is_confirmed)
+    context.membership.subscribe(lambda: _on_members(context))
+    context.configuration.subscribe(lambda key: _on_key(context, key))
+    _on_members(context)
+
+
+def _register_messages(context):
+    owner = context.owner_service
+    tickets = context.ticket_service
+    handlers = (
+        (Work, owner.handle_work),
+        (CancelWork, owner.handle_cancel),
+        (DrainNotice, owner.handle_drain_notice),
+        (
+            WorkReply,
+            lambda sender, body: context.query_runner.handle_reply(body),
+        ),
+        (ticket_messages.Forward, tickets.handle_forward),
+        (ticket_messages.ForwardReply, tickets.handle_forward_reply),
+    )
+    for body_type, handle in handlers:
+        context.links.register(body_type, handle)
+
+
+def _on_members(context):
+    context.policy.update_members(context.membership.members)
+    context.query_runner.refresh_members()
+    context.metrics.set_gauge('members', len(context.membership.members))
+
+
+def _on_key(context, key):
+    value = context.configuration.value(key)
+    if key.startswith(KEY_PREFIX):
+        context.groups.update(key, value)
+    elif key == VMS_KEY and value is not None:
+        _report_vms(context, value)
+
+
+def _report_vms(context, vms):
+    """Take over which backend servers the platform lists as leaving."""
+    revision = context.configuration.revision(VMS_KEY)
+    for vm in vms:
+        was_draining = context.drains.is_draining(vm.name)
+        is_leaving = vm.state == 'leaving'
+        context.drains.report_platform(vm.name, is_leaving, revision)
+        if not was_draining and context.drains.is_draining(vm.name):
+            context.owner_service.on_drain(vm.name, 'platform list')
--- /dev/null
+++ b/hawthornfold/owners/health.py
@@ -0,0 +1,216 @@
+"""Health reports, warm connections and path diagnosis of owned servers."""
+
+import eventlet
+from result import Err
+
+from hawthornfold.backends import ExchangeFailure
+from hawthornfold.backends import Ran
+from hawthornfold.backends import Verdict
+from hawthornfold.codes import ResultCode
+from hawthornfold.limits import create_token_bucket
+
+HEALTH_INTERVAL_MS = 1000.0
+HEALTH_TIMEOUT_MS = 500.0
+PROBE_TIMEOUT_MS = 250.0
+# Connections kept warm beyond the slots: one for a health report while all
+# slots are busy.
+SPARE_CONNECTIONS = 1
+# Repeats after a silent connection draw on their own budget, a part of the
+# work dispatched, so that a silent network cannot double the load.
+REPEAT_PERCENT = 2.0
+REPEAT_CAPACITY = 10.0
+
+
+class HealthMonitor:
+    """Watches the servers of one owner."""
+
+    def __init__(self, owner, context):
+        self._owner = owner
+        self._clock = context.clock
+        self._drains = context.drains
+        self._metrics = context.metrics
+        self._audit = context.audit
+        self._pause_guard = context.pause_guard
+        self._repeats = create_token_bucket(REPEAT_CAPACITY, REPEAT_CAPACITY)
+
+    # Exchanges
+
+    def exchange(self, state, job, connection, request):
+        """Run an exchange; replace a connection that turns out silent.
+
+        After a silence that is long for this server a probe on a fresh
+        connection decides. Where the server answers the probe, an idempotent
+        sub-request moves to a fresh connection before its deadline.
+        """
+        self._repeats.add(REPEAT_PERCENT / 100.0)
+        remaining_ms = job.deadline_ms - self._clock.now_ms()
+        silence_ms = state.diagnosis.silence_ms(state.queue.service_ms)
+        may_repeat = job.work.idempotent and silence_ms < remaining_ms
+        outcome = connection.search(
+            request, silence_ms if may_repeat else remaining_ms
+        )
+        state.pool.release(connection)
+        if outcome.is_ok():
+            self._record_answer(state)
+            return outcome
+        failure = outcome.err_value
+        if failure.code is ResultCode.BACKEND_SILENT:
+            return self._diagnose(state, job, request, outcome, may_repeat)
+        if failure.code is ResultCode.BACKEND_UNREACHABLE:
+            self._record_failure(state)
+        elif failure.ran is not Ran.UNKNOWN:
+            self._record_answer(state)
+        return outcome
+
+    def _diagnose(self, state, job, request, outcome, may_repeat):
+        verdict = self._probe(state)
+        if verdict is not Verdict.CONNECTION_SILENT:
+            return outcome
+        state.pool.discard_older(self._clock.now_ms())
+        self._metrics.count('silent_connections')
+        remaining_ms = job.deadline_ms - self._clock.now_ms()
+        if not may_repeat or job.is_cancelled or remaining_ms <= 0:
+            return outcome
+        if not self._repeats.take():
+            return outcome
+        connection = state.pool.acquire_fresh()
+        if connection is None:
+            return outcome
+        job.connection = connection
+        self._metrics.count('repeated_exchanges')
+        repeated = connection.search(
+            request._replace(deadline_ms=int(remaining_ms)), remaining_ms
+        )
+        state.pool.release(connection)
+        if repeated.is_err() and repeated.err_value.ran is Ran.NO:
+            # The first exchange may have run.
+            failure = repeated.err_value
+            return Err(failure._replace(ran=Ran.UNKNOWN))
+        return repeated
+
+    def _probe(self, state):
+        """Ask for health on a fresh connection."""
+        started_ms = self._clock.now_ms()
+        connection = state.pool.acquire_fresh()
+        if connection is None:
+            return None
+        report = connection.health(PROBE_TIMEOUT_MS)
+        state.pool.release(connection)
+        has_answered = report.is_ok()
+        if has_answered:
+            self._take_report(state, report.ok_value, started_ms)
+        was_open = state.diagnosis.is_open
+        verdict = state.diagnosis.judge_probe(
+            has_answered, self._clock.now_ms()
+        )
+        self._note_breaker(state, was_open)
+        return verdict
+
+    # Reports
+
+    def take_drain_flag(self, state, incarnation, is_draining):
+        """Take over the drain flag of a reply or health report."""
+        name = state.server.name
+        was_draining = self._drains.is_draining(name)
+        self._drains.report_health(
+            name, incarnation, is_draining, self._clock.now_ms()
+        )
+        is_now = self._drains.is_draining(name)
+        if is_now and not was_draining:
+            self._owner.on_drain(name, 'drain flag of the server')
+        elif was_draining and not is_now:
+            self._audit.record(
+                'drain', name, 'draining', 'active', 'server reports anew'
+            )
+
+    def _take_report(self, state, report, asked_ms):
+        now_ms = self._clock.now_ms()
+        state.last_health_ms = asked_ms
+        state.reported_load = report['load']
+        if state.learn(
+            report['incarnation'], report['held'], report['cold'], now_ms
+        ):
+            self._audit.record(
+                'snapshot',
+                state.server.name,
+                '',
+                ','.join(state.held),
+                'server restarted',
+            )
+        self.take_drain_flag(state, report['incarnation'], report['draining'])
+
+    def _record_answer(self, state):
+        was_open = state.diagnosis.is_open
+        state.diagnosis.record_success()
+        self._note_breaker(state, was_open)
+
+    def _record_failure(self, state):
+        was_open = state.diagnosis.is_open
+        state.diagnosis.record_failure(self._clock.now_ms())
+        self._note_breaker(state, was_open)
+
+    def _note_breaker(self, state, was_open):
+        is_open = state.diagnosis.is_open
+        if is_open == was_open:
+            return
+        before, after = ('closed', 'open') if is_open else ('open', 'closed')
+        self._audit.record(
+            'breaker', state.server.name, before, after, 'exchange results'
+        )
+
+    # Upkeep
+
+    def tick(self, now_ms):
+        """Start the health checks that are due."""
+        for state in list(self._owner.states.values()):
+            if state.is_probing or not self._is_due(state, now_ms):
+                continue
+            state.is_probing = True
+            eventlet.spawn_n(self._check, state)
+
+    def _is_due(self, state, now_ms):
+        if state.diagnosis.is_open:
+            return state.diagnosis.needs_probe(now_ms)
+        if state.last_health_ms is None:
+            return True
+        return now_ms - state.last_health_ms >= HEALTH_INTERVAL_MS
+
+    def _check(self, state):
+        try:
+            if state.diagnosis.is_open:
+                self._probe(state)
+                return
+            self._ask(state)
+            self._warm(state)
+        finally:
+            state.is_probing = False
+
+    def _ask(self, state):
+        """Ask for health on a pooled connection."""
+        asked_ms = self._clock.now_ms()
+        # Set first: a server that does not answer is not asked every tick.
+        state.last_health_ms = asked_ms
+        connection = state.pool.acquire()
+        if connection is None:
+            return
+        report = connection.health(HEALTH_TIMEOUT_MS)
+        state.pool.release(connection)
+        if report.is_ok():
+            self._take_report(state, report.ok_value, asked_ms)
+            return
+        if isinstance(report.err_value, ExchangeFailure):
+            self._record_failure(state)
+            if report.err_value.code is ResultCode.BACKEND_SILENT:
+                self._probe(state)
+
+    def _warm(self, state):
+        """Open connections ahead of use up to the slots and a spare one."""
+        wanted = min(state.queue.slots + SPARE_CONNECTIONS, state.pool.limit)
+        while state.pool.count < wanted and not state.diagnosis.is_open:
+            connection = state.pool.acquire_fresh()
+            if connection is None:
+                return
+            report = connection.health(HEALTH_TIMEOUT_MS)
+            state.pool.release(connection)
+            if report.is_err():
+                return
--- /dev/null
+++ b/hawthornfold/owners/state.py
@@ -0,0 +1,81 @@
+"""What an owner holds for one backend server."""
+
+import typing
+
+from hawthornfold.backends import create_connection_pool
+from hawthornfold.backends import create_path_diagnosis
+from hawthornfold.limits import create_server_queue
+from hawthornfold.limits import create_slot_ramp
+
+
+class JobKey(typing.NamedTuple):
+    """Identifies one attempt at its owner."""
+
+    entry: str
+    request_id: str
+    attempt: int
+
+
+class Job:
+    """Mutable record of one attempt that waits or runs."""
+
+    __slots__ = (
+        'connection',
+        'deadline_ms',
+        'is_cancelled',
+        'key',
+        'part',
+        'queued_ms',
+        'sender',
+        'sequence',
+        'work',
+    )
+
+    def __init__(self, sender, work, part, queued_ms):
+        self.key = JobKey(sender.name, work.request_id, part.attempt)
+        self.sender = sender
+        self.work = work
+        self.part = part
+        self.queued_ms = queued_ms
+        self.deadline_ms = queued_ms + work.remaining_ms
+        self.sequence = None
+        self.connection = None
+        self.is_cancelled = False
+
+
+class ServerState:
+    """Queue, connections and health of one owned server."""
+
+    def __init__(self, group, server, policy, clock):
+        self.group = group
+        self.server = server
+        slots = policy.slot_share(server)
+        self.queue = create_server_queue(slots)
+        self.ramp = create_slot_ramp(slots)
+        self.pool = create_connection_pool(
+            server.address, policy.connection_share(server), clock
+        )
+        self.diagnosis = create_path_diagnosis()
+        self.incarnation = ''
+        self.held = ()
+        self.reported_load = None
+        self.last_health_ms = None
+        self.unowned_since_ms = None
+        self.is_probing = False
+
+    def learn(self, incarnation, held, is_cold, now_ms):
+        """Take over a report of the server; return whether it restarted."""
+        is_restarted = bool(self.incarnation) and (
+            incarnation != self.incarnation
+        )
+        if is_cold and incarnation != self.incarnation:
+            self.ramp.start(now_ms)
+        self.incarnation = incarnation
+        self.held = tuple(held)
+        self.queue.set_slots(self.ramp.allowed(now_ms))
+        return is_restarted
+
+    def close(self):
+        """Close the connections; return the jobs that still waited."""
+        self.pool.close()
+        return [item.payload for item in self.queue.clear()]
--- /dev/null
+++ b/hawthornfold/queries/groups.py
@@ -0,0 +1,71 @@
+"""The service groups in force, with what this node has learnt of each."""
+
+import logbook
+
+from hawthornfold.hedging import create_hedge_delay
+from hawthornfold.shedding import create_admission_controller
+from hawthornfold.snapshots import create_snapshot_selector
+
+KEY_PREFIX = 'services/'
+
+_LOG = logbook.Logger('queries')
+
+
+class GroupState:
+    """A service group and this node's estimates for it."""
+
+    def __init__(self, group):
+        self.group = group
+        self.selector = create_snapshot_selector(group)
+        self.hedge_delay = create_hedge_delay()
+        self.admission = create_admission_controller()
+
+
+class GroupRegistry:
+    """Service groups by name, kept up to date by the configuration."""
+
+    def __init__(self, audit):
+        self._audit = audit
+        self._states = {}
+
+    def find(self, name):
+        """Return the `ServiceGroup` of this name, or None."""
+        state = self._states.get(name)
+        return None if state is None else state.group
+
+    def state(self, name):
+        """Return the `GroupState` of this name, or None."""
+        return self._states.get(name)
+
+    def all(self):
+        """Return all `ServiceGroup` objects."""
+        return [state.group for state in self._states.values()]
+
+    def update(self, key, group):
+        """Take over a configuration key; `group` is None when deleted."""
+        name = key.removeprefix(KEY_PREFIX)
+        if group is None:
+            self._states.pop(name, None)
+            return
+        state = self._states.get(name)
+        if state is None:
+            self._states[name] = GroupState(group)
+            return
+        state.group = group
+        state.selector.replace_group(group)
+
+    def advance(self, now_ms):
+        """Let every selector re-evaluate its snapshot."""
+        for name, state in self._states.items():
+            before = state.selector.current
+            state.selector.advance(now_ms)
+            after = state.selector.current
+            if before != after:
+                self._audit.record(
+                    'snapshot', name, before or '', after, 'reachable weight'
+                )
+
+
+def create_group_registry(audit):
+    """Create an empty registry."""
+    return GroupRegistry(audit)
--- a/hawthornfold/routing/ranking.py
+++ b/hawthornfold/routing/ranking.py
@@ -7,7 +7,6 @@
 """
 
 import random
-import typing
 
 # Weight of a new latency sample; about the last 10 samples count.
 SMOOTHING = 0.1
@@ -29,13 +28,6 @@
         self.excluded_until_ms = 0.0
 
 
-class RankedReplica(typing.NamedTuple):
-    """A replica with its estimated time to answer, in milliseconds."""
-
-    server: str
-    expected_ms: float
-
-
 class ReplicaRanker:
     """Orders the replicas of a shard, best first."""
 
@@ -56,33 +48,14 @@
         waiting = estimate.depth + estimate.sent_since
         return estimate.service_ms * (1.0 + waiting / slots)
 
-    def rank(self, replicas, servers, now_ms):
-        """Return `replicas` best first, those that refused last.
-
-        Parameters
-        ----------
-        replicas : sequence of str
-            Names of servers.
-        servers : dict of str to BackendServer
-            The group's servers.
-        now_ms : float
-            Current time.
+    def score(self, name, server):
+        """Return the sort key of a `BackendServer`, lower is better.
+
+        The random factor keeps nodes with equal estimates from all choosing
+        the same replica at the same moment.
         """
-        if len(replicas) == 1:
-            return list(replicas)
-        # The random factor keeps nodes with equal estimates from all
-        # choosing the same replica at the same moment.
-        keyed = [
-            (
-                self.is_excluded(name, now_ms),
-                self.expected_ms(name, servers[name].slots)
-                * (0.95 + 0.1 * self._generator.random()),
-                name,
-            )
-            for name in replicas
-        ]
-        keyed.sort()
-        return [name for _, _, name in keyed]
+        jitter = 0.95 + 0.1 * self._generator.random()
+        return self.expected_ms(name, server.slots) * jitter
 
     def record_sent(self, server):
         """Count a request sent to `server` since its last report."""
--- /dev/null
+++ b/hawthornfold/tickets/issuer.py
@@ -0,0 +1,91 @@
+"""Issues and reads tickets.
+
+A ticket is a request id that names the node and the incarnation that issued
+it. Only that incarnation may run the request, so no two nodes ever have to
+agree on who runs it, not even on the two sides of a network partition.
+"""
+
+import base64
+import hashlib
+import hmac
+import typing
+
+MAC_BYTES = 9
+MAX_TICKET_LENGTH = 256
+
+
+class Ticket(typing.NamedTuple):
+    """The parts of a valid ticket.
+
+    Parameters
+    ----------
+    text : str
+        The ticket as callers hold it; also the request id.
+    node, incarnation : str
+        The issuer.
+    counter : int
+        Number of the ticket within the incarnation.
+    """
+
+    text: str
+    node: str
+    incarnation: str
+    counter: int
+
+
+class TicketIssuer:
+    """Issues the tickets of one node incarnation."""
+
+    def __init__(self, node, incarnation, secret):
+        self._node = node
+        self._incarnation = incarnation
+        self._secret = secret
+        self._counter = 0
+
+    def read(self, text):
+        """Return the `Ticket` in `text`, or None when it is not genuine."""
+        if len(text) > MAX_TICKET_LENGTH:
+            return None
+        parts = text.split('~')
+        if len(parts) != 4 or not parts[2].isascii():
+            return None
+        node, incarnation, counter, mac = parts
+        if not counter.isdigit() or not mac.isascii():
+            return None
+        expected = self._sign(f'{node}~{incarnation}~{counter}')
+        if not hmac.compare_digest(mac, expected):
+            return None
+        return Ticket(text, node, incarnation, int(counter))
+
+    def issue(self):
+        """Issue the next ticket."""
+        self._counter += 1
+        stem = f'{self._node}~{self._incarnation}~{self._counter}'
+        text = f'{stem}~{self._sign(stem)}'
+        return Ticket(text, self._node, self._incarnation, self._counter)
+
+    def _sign(self, stem):
+        digest = hashlib.blake2b(
+            stem.encode(), digest_size=MAC_BYTES, key=self._secret
+        ).digest()
+        return base64.urlsafe_b64encode(digest).decode()
+
+
+def create_ticket_issuer(node, incarnation, secret):
+    """Create the issuer of one node incarnation.
+
+    Parameters
+    ----------
+    secret : bytes
+        Shared by the cluster, so that every node recognizes its tickets.
+
+    Examples
+    --------
+    >>> issuer = create_ticket_issuer('entry-1', 'i7', b'secret')
+    >>> ticket = issuer.issue()
+    >>> issuer.read(ticket.text) == ticket
+    True
+    >>> issuer.read(ticket.text[:-1] + '!') is None
+    True
+    """
+    return TicketIssuer(node, incarnation, secret[:64])
--- /dev/null
+++ b/hawthornfold/tickets/ledger.py
@@ -0,0 +1,172 @@
+"""What the issuing incarnation knows of its used tickets.
+
+An entry is kept until the ticket expires; a ticket that is older than that is
+refused, because the ledger could no longer tell whether it was used. Answers
+are kept within a byte limit and dropped before the entries are.
+"""
+
+import collections
+import enum
+import typing
+
+TICKET_LIFETIME_MS = 600_000.0
+MAX_ENTRIES = 100_000
+ISSUE_GRAIN_MS = 1000.0
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
+
+class AdmissionKind(enum.Enum):
+    """What to do with a request that carries a ticket of this node."""
+
+    START = 'start'
+    IN_PROGRESS = 'in-progress'
+    REPLAY = 'replay'
+    ANSWER_GONE = 'answer-gone'
+    CONFLICT = 'conflict'
+    EXPIRED = 'expired'
+    FULL = 'full'
+
+
+class Admission(typing.NamedTuple):
+    """Verdict on a request; `answer` is set for REPLAY."""
+
+    kind: AdmissionKind
+    answer: object = None
+
+
+class _Entry:
+    """Mutable record of one used ticket."""
+
+    __slots__ = ('answer', 'fingerprint', 'is_running', 'size', 'used_ms')
+
+    def __init__(self, fingerprint, used_ms):
+        self.fingerprint = fingerprint
+        self.used_ms = used_ms
+        self.is_running = True
+        self.answer = None
+        self.size = 0
+
+
+class TicketLedger:
+    """Used tickets of one node incarnation, by counter."""
+
+    def __init__(self, lifetime_ms, max_entries, max_answer_bytes):
+        self._lifetime_ms = lifetime_ms
+        self._max_entries = max_entries
+        self._max_answer_bytes = max_answer_bytes
+        self._entries = collections.OrderedDict()
+        self._issued = collections.deque()
+        self._oldest_valid = 1
+        self._answers = collections.OrderedDict()
+        self._answer_bytes = 0
+
+    @property
+    def size(self):
+        """Number of used tickets that are held."""
+        return len(self._entries)
+
+    @property
+    def answer_bytes(self):
+        """Bytes of answers that are held."""
+        return self._answer_bytes
+
+    def record_issue(self, counter, now_ms):
+        """Remember when a ticket was issued; its lifetime starts.
+
+        One record a second is enough: tickets issued within one second
+        expire together, and memory does not grow with unused tickets.
+        """
+        self._expire(now_ms)
+        if self._issued and now_ms - self._issued[-1][1] < ISSUE_GRAIN_MS:
+            return
+        self._issued.append((counter, now_ms))
+
+    def begin(self, counter, fingerprint, now_ms):
+        """Decide on a request; START marks the ticket as used.
+
+        Parameters
+        ----------
+        counter : int
+            Counter of a genuine ticket of this incarnation.
+        fingerprint : bytes
+            Hash of the request, so that one ticket cannot serve two.
+        """
+        self._expire(now_ms)
+        entry = self._entries.get(counter)
+        if entry is not None:
+            return self._judge(entry, fingerprint)
+        if counter < self._oldest_valid:
+            return Admission(AdmissionKind.EXPIRED)
+        if len(self._entries) >= self._max_entries:
+            return Admission(AdmissionKind.FULL)
+        self._entries[counter] = _Entry(fingerprint, now_ms)
+        return Admission(AdmissionKind.START)
+
+    def finish(self, counter, answer, size):
+        """Store the answer of a request that ran or may have run."""
+        entry = self._entries.get(counter)
+        if entry is None:
+            return
+        entry.is_running = False
+        entry.answer = answer
+        entry.size = size
+        self._answers[counter] = entry
+        self._answer_bytes += size
+        while self._answer_bytes > self._max_answer_bytes:
+            _, oldest = self._answers.popitem(last=False)
+            self._drop_answer(oldest)
+
+    def release(self, counter):
+        """Make a ticket unused again: its request surely did not run."""
+        self._entries.pop(counter, None)
+
+    def _judge(self, entry, fingerprint):
+        if entry.fingerprint != fingerprint:
+            return Admission(AdmissionKind.CONFLICT)
+        if entry.is_running:
+            return Admission(AdmissionKind.IN_PROGRESS)
+        if entry.answer is None:
+            return Admission(AdmissionKind.ANSWER_GONE)
+        return Admission(AdmissionKind.REPLAY, entry.answer)
+
+    def _drop_answer(self, entry):
+        self._answer_bytes -= entry.size
+        entry.answer = None
+        entry.size = 0
+
+    def _expire(self, now_ms):
+        horizon = now_ms - self._lifetime_ms
+        # A record covers all tickets up to the next record, so it expires
+        # when the next one does not lie after the horizon.
+        while len(self._issued) > 1 and self._issued[1][1] < horizon:
+            self._issued.popleft()
+            self._oldest_valid = self._issued[0][0]
+        while self._entries:
+            counter, entry = next(iter(self._entries.items()))
+            if entry.is_running or counter >= self._oldest_valid:
+                break
+            if entry.used_ms >= horizon:
+                break
+            del self._entries[counter]
+            if self._answers.pop(counter, None) is not None:
+                self._drop_answer(entry)
+
+
+def create_ticket_ledger(
+    lifetime_ms=TICKET_LIFETIME_MS,
+    max_entries=MAX_ENTRIES,
+    max_answer_bytes=MAX_ANSWER_BYTES,
+):
+    """Create an empty ledger.
+
+    Examples
+    --------
+    >>> ledger = create_ticket_ledger()
+    >>> ledger.record_issue(1, now_ms=0.0)
+    >>> ledger.begin(1, b'f', now_ms=5.0).kind.value
+    'start'
+    >>> ledger.finish(1, 'paid', size=4)
+    >>> ledger.begin(1, b'f', now_ms=9.0)
+    Admission(kind=<AdmissionKind.REPLAY: 'replay'>, answer='paid')
+    """
+    return TicketLedger(lifetime_ms, max_entries, max_answer_bytes)
--- /dev/null
+++ b/hawthornfold/tickets/service.py
@@ -0,0 +1,247 @@
+"""Tickets of one node: issuing, running once, forwarding to the issuer."""
+
+import enum
+
+import eventlet
+import eventlet.event
+import msgspec
+
+from hawthornfold.callers import requests
+from hawthornfold.codes import ResultCode
+from hawthornfold.tickets import messages
+from hawthornfold.tickets.issuer import create_ticket_issuer
+from hawthornfold.tickets.ledger import AdmissionKind
+from hawthornfold.tickets.ledger import create_ticket_ledger
+
+# Time beyond the rule's deadline that a forwarded request may take: two
+# messages between nodes.
+FORWARD_SLACK_MS = 100.0
+
+
+class TicketState(enum.Enum):
+    """Whether a request with a ticket is to be run now."""
+
+    START = 'start'
+    ANSWERED = 'answered'
+
+
+# What a caller is told when its ticket cannot start a run, and whether the
+# request ran as far as this incarnation knows.
+_REFUSALS = {
+    AdmissionKind.CONFLICT: (
+        ResultCode.TICKET_CONFLICT,
+        'the ticket was used with another request',
+        'no',
+    ),
+    AdmissionKind.EXPIRED: (
+        ResultCode.TICKET_EXPIRED,
+        'the ticket is too old; whether it was used is no longer known',
+        'unknown',
+    ),
+    AdmissionKind.FULL: (
+        ResultCode.OVERLOADED,
+        'too many tickets are in use',
+        'no',
+    ),
+    AdmissionKind.ANSWER_GONE: (
+        ResultCode.TICKET_ANSWER_GONE,
+        'the request was run; its answer is no longer held',
+        'unknown',
+    ),
+}
+
+
+class TicketService:
+    """Issues tickets and sees that each runs at most once."""
+
+    def __init__(self, context, secret):
+        self._node = context.settings.node.name
+        self._incarnation = context.incarnation
+        self._clock = context.clock
+        self._links = context.links
+        self._membership = context.membership
+        self._metrics = context.metrics
+        self._issuer = create_ticket_issuer(
+            self._node, self._incarnation, secret
+        )
+        self._ledger = create_ticket_ledger()
+        self._ends = {}
+        self._forwards = {}
+        self._forward_counter = 0
+        self._handler = None
+
+    @property
+    def ledger(self):
+        """The `TicketLedger` of this incarnation."""
+        return self._ledger
+
+    @property
+    def in_flight(self):
+        """Requests that wait for another node's answer."""
+        return len(self._forwards)
+
+    def set_handler(self, handler):
+        """Register ``handler(request)``, which answers forwarded requests."""
+        self._handler = handler
+
+    def read(self, text):
+        """Return the `Ticket` in `text`, or None."""
+        return self._issuer.read(text)
+
+    def is_own(self, ticket):
+        """Return whether this incarnation issued the ticket."""
+        return (ticket.node, ticket.incarnation) == (
+            self._node,
+            self._incarnation,
+        )
+
+    def issue(self):
+        """Issue a ticket."""
+        ticket = self._issuer.issue()
+        self._ledger.record_issue(ticket.counter, self._clock.now_ms())
+        return ticket
+
+    # Running once
+
+    def begin(self, ticket, fingerprint, deadline_ms):
+        """Claim a ticket of this incarnation.
+
+        A request that is sent again while the first is running waits for
+        the first one's answer.
+
+        Returns
+        -------
+        tuple of (TicketState, CallerAnswer or None)
+            START, or ANSWERED with what to tell the caller.
+        """
+        admission = self._ledger.begin(
+            ticket.counter, fingerprint, self._clock.now_ms()
+        )
+        self._metrics.count('tickets', verdict=admission.kind.value)
+        if admission.kind is AdmissionKind.START:
+            self._ends[ticket.counter] = eventlet.event.Event()
+            return TicketState.START, None
+        if admission.kind is AdmissionKind.REPLAY:
+            return TicketState.ANSWERED, admission.answer
+        if admission.kind is AdmissionKind.IN_PROGRESS:
+            return TicketState.ANSWERED, self._wait(ticket, deadline_ms)
+        code, detail, ran = _REFUSALS[admission.kind]
+        answer = requests.create_refusal(code, detail, ran, ticket=ticket.text)
+        return TicketState.ANSWERED, answer
+
+    def finish(self, ticket, answer, has_run):
+        """Record the end of a run; `answer` is None after an error."""
+        if has_run:
+            size = 0 if answer is None else len(answer.body)
+            self._ledger.finish(ticket.counter, answer, size)
+        else:
+            self._ledger.release(ticket.counter)
+        self._ends.pop(ticket.counter).send(answer)
+
+    def _wait(self, ticket, deadline_ms):
+        end = self._ends[ticket.counter]
+        answer = None
+        with eventlet.Timeout(deadline_ms / 1000.0, False):
+            answer = end.wait()
+        if answer is not None:
+            return answer
+        return requests.create_refusal(
+            ResultCode.TICKET_IN_PROGRESS,
+            'the first sending of this request has not ended',
+            'unknown',
+            ticket=ticket.text,
+        )
+
+    # Forwarding
+
+    def forward(self, ticket, request, deadline_ms):
+        """Ask the issuer of a ticket to run the request or to answer it."""
+        member = self._find_issuer(ticket)
+        if member is None:
+            return self._unreachable(ticket, 'the issuer is not a member')
+        self._forward_counter += 1
+        forward_id = f'{self._incarnation}~{self._forward_counter}'
+        message = messages.Forward(
+            forward_id,
+            ticket.incarnation,
+            ticket.text,
+            request.path,
+            request.headers,
+            request.body,
+        )
+        end = eventlet.event.Event()
+        self._forwards[forward_id] = end
+        self._metrics.count('forwards')
+        reply = None
+        try:
+            if self._links.send(member.name, member.address, message):
+                timeout_ms = deadline_ms + FORWARD_SLACK_MS
+                with eventlet.Timeout(timeout_ms / 1000.0, False):
+                    reply = end.wait()
+        finally:
+            del self._forwards[forward_id]
+        if reply is None:
+            return self._unreachable(ticket, 'the issuer did not answer')
+        document = msgspec.json.decode(reply.body)
+        return requests.CallerAnswer(reply.status, document)
+
+    def handle_forward(self, sender, message):
+        """Run a forwarded request in a green thread of its own."""
+        eventlet.spawn_n(self._answer_forward, sender, message)
+
+    def handle_forward_reply(self, sender, reply):
+        """Hand the issuer's answer to the request that waits for it."""
+        end = self._forwards.get(reply.forward_id)
+        if end is None or end.ready():
+            self._metrics.count('late_forward_replies')
+            return
+        end.send(reply)
+
+    def _answer_forward(self, sender, message):
+        ticket = self._issuer.read(message.ticket)
+        if ticket is None or not self.is_own(ticket):
+            # Never forwarded again: two nodes would pass it to and fro.
+            answer = requests.create_refusal(
+                ResultCode.TICKET_ISSUER_UNREACHABLE,
+                'the ticket is of another incarnation',
+                'unknown',
+            )
+        else:
+            headers = {**message.headers, 'x-ticket': message.ticket}
+            answer = self._handler(
+                requests.CallerRequest(
+                    'POST', message.path, headers, message.body
+                )
+            )
+        reply = messages.ForwardReply(
+            message.forward_id, answer.status, answer.body
+        )
+        self._links.send(sender.name, sender.address, reply)
+
+    def _find_issuer(self, ticket):
+        for member in self._membership.members:
+            if (member.name, member.incarnation) == (
+                ticket.node,
+                ticket.incarnation,
+            ):
+                return member
+        return None
+
+    def _unreachable(self, ticket, detail):
+        return requests.create_refusal(
+            ResultCode.TICKET_ISSUER_UNREACHABLE,
+            detail,
+            'unknown',
+            ticket=ticket.text,
+        )
+
+
+def create_ticket_service(context, secret):
+    """Create the ticket service from the node's context.
+
+    Parameters
+    ----------
+    secret : bytes
+        Shared by the cluster.
+    """
+    return TicketService(context, secret)
