Read the platform and spread the configuration between nodes

Ruled out: inferring deletions from keys absent in a full read, because one incomplete reply would delete the configuration.

--- /dev/null
+++ b/hawthornfold/configuration/pulls.py
@@ -0,0 +1,173 @@
+"""The puller's side: which documents to ask for, and whom."""
+
+import typing
+
+from hawthornfold.configuration import messages
+
+PULL_TIMEOUT_MS = 1500.0
+# A document that no source delivers is found again by the next comparison.
+MAX_ATTEMPTS = 8
+MAX_SOURCES = 4
+# Documents asked for at a time; 32 of 1 MB fit a link's queue.
+MAX_OUTSTANDING = 32
+# More keys than any fleet has; bounds what a faulty peer can make a node
+# store.
+MAX_KEYS = 10_000
+
+
+class _Search(typing.NamedTuple):
+    """A document known to exist that is not held yet."""
+
+    revision: int
+    good: int
+    sources: tuple[tuple[str, str], ...]
+    sent_ms: float | None = None
+    attempts: int = 0
+    in_full: bool = False
+
+
+class PullScheduler:
+    """Asks one source at a time for each missing document."""
+
+    def __init__(self, store, metrics):
+        self._store = store
+        self._metrics = metrics
+        self._searches = {}
+        # Revisions that peers hold in force and this node refuses. Nodes
+        # with different program versions may disagree; without this record
+        # they would pull the document with every comparison.
+        self._refused_good = {}
+
+    def __len__(self):
+        return len(self._searches)
+
+    def is_storable(self, key):
+        """Return True when the store takes the key."""
+        if not 0 < len(key) <= messages.MAX_NAME:
+            return False
+        return self._store.find(key) is not None or (
+            len(self._store.keys) < MAX_KEYS
+        )
+
+    def consider(self, version, source):
+        """Start a search when `version` is newer than what is held.
+
+        Parameters
+        ----------
+        version : Version
+            What the source holds.
+        source : (str, str)
+            Name and address of the source.
+        """
+        key = version.key
+        if not self._is_missing(key, version.revision, version.good):
+            self._store.compare(
+                key, version.revision, version.digest, f'peer {source[0]}'
+            )
+            return
+        if not self.is_storable(key):
+            self._metrics.count('configuration_keys_dropped')
+            return
+        search = self._searches.get(key)
+        if search is None:
+            if len(self._searches) < MAX_KEYS:
+                self._searches[key] = _Search(
+                    version.revision, version.good, (source,)
+                )
+            return
+        wanted = (version.revision, version.good)
+        if wanted > (search.revision, search.good):
+            # Earlier sources may not hold this one.
+            self._searches[key] = search._replace(
+                revision=version.revision,
+                good=max(version.good, search.good),
+                sources=(source,),
+                attempts=0,
+            )
+        elif (
+            wanted == (search.revision, search.good)
+            and source not in search.sources
+            and len(search.sources) < MAX_SOURCES
+        ):
+            sources = (*search.sources, source)
+            self._searches[key] = search._replace(sources=sources)
+
+    def collect(self, now_ms):
+        """Return the pulls that are due and mark them as sent.
+
+        Returns
+        -------
+        list of Message
+            At most one `Pull` for each source.
+        """
+        wants = {}
+        outstanding = 0
+        for key, search in list(self._searches.items()):
+            if outstanding >= MAX_OUTSTANDING:
+                break
+            outstanding += 1
+            sent_ms = search.sent_ms
+            if sent_ms is not None and now_ms - sent_ms < PULL_TIMEOUT_MS:
+                continue
+            if search.attempts >= MAX_ATTEMPTS:
+                del self._searches[key]
+                self._metrics.count('configuration_pulls_abandoned')
+                continue
+            source = search.sources[search.attempts % len(search.sources)]
+            self._searches[key] = search._replace(
+                sent_ms=now_ms, attempts=search.attempts + 1
+            )
+            wants.setdefault(source, []).append(self._make_want(key))
+        return [
+            messages.Message(*source, messages.Pull(tuple(listed)))
+            for source, listed in wants.items()
+        ]
+
+    def retry(self, key):
+        """Ask for `key` again and in full; its delta could not be used."""
+        search = self._searches.get(key)
+        if search is not None:
+            self._searches[key] = search._replace(sent_ms=None, in_full=True)
+
+    def note_arrival(self, key, revision):
+        """End or continue a search after a document was stored."""
+        search = self._searches.get(key)
+        if search is None:
+            return
+        entry = self._store.find(key)
+        good = entry.in_force.revision if entry.in_force else -1
+        if revision == search.good and good < revision:
+            self._refused_good[key] = revision
+        if not self._is_missing(key, search.revision, search.good):
+            del self._searches[key]
+        elif revision >= search.revision:
+            # The document in force follows in a message of its own.
+            return
+        else:
+            self._searches[key] = search._replace(sent_ms=None)
+
+    def discard_found(self, key):
+        """End a search whose document came from elsewhere."""
+        search = self._searches.get(key)
+        if search and not self._is_missing(key, search.revision, search.good):
+            del self._searches[key]
+
+    def _is_missing(self, key, revision, good):
+        entry = self._store.find(key)
+        if entry is None or revision > entry.newest.revision:
+            return True
+        held = entry.in_force.revision if entry.in_force else -1
+        return (
+            good > held
+            and good < entry.newest.revision
+            and good > self._refused_good.get(key, -1)
+        )
+
+    def _make_want(self, key):
+        entry = self._store.find(key)
+        if entry is None:
+            return messages.Want(key, -1, 0, -1)
+        good = entry.in_force.revision if entry.in_force else -1
+        newest = entry.newest
+        digest = 0 if self._searches[key].in_full else newest.digest
+        return messages.Want(key, newest.revision, digest, good)
--- /dev/null
+++ b/hawthornfold/configuration/service.py
@@ -0,0 +1,295 @@
+"""Drives the spread of the configuration on one node."""
+
+import random
+
+import eventlet
+import xxhash
+
+from hawthornfold.configuration import messages
+from hawthornfold.configuration import spread
+from hawthornfold.configuration import store as stores
+from hawthornfold.configuration import watchers
+from hawthornfold.platforms import encode_vms
+from hawthornfold.platforms import parse_vms
+
+VMS_KEY = 'vms'
+STEP_INTERVAL_MS = 100.0
+VMS_INTERVAL_MS = 1000.0
+MIN_BACKOFF_MS = 250.0
+# Two reads of each of 7,200 nodes that start at once stay below 1,300/s.
+MAX_BACKOFF_MS = 15_000.0
+# The few watchers return sooner, so that an outage ends for all nodes.
+MAX_WATCHER_BACKOFF_MS = 2_000.0
+# A node that hears of no platform read for this long reads by itself.
+FALLBACK_AGE_MS = 60_000.0
+# 7,200 nodes at one read pair in 60 s make 240 reads/s of the 2,000.
+FALLBACK_INTERVAL_MS = 60_000.0
+
+
+class ConfigurationService:
+    """Holds the configuration of one node and keeps it up to date."""
+
+    def __init__(
+        self, settings, clock, links, membership, reader, store, state, metrics
+    ):
+        self._name = settings.node.name
+        self._data_centre = settings.node.data_centre
+        self._watch_wait_ms = settings.platform.watch_wait_ms
+        self._clock = clock
+        self._links = links
+        self._membership = membership
+        self._reader = reader
+        self._store = store
+        self._state = state
+        self._metrics = metrics
+        self._random = random.Random(
+            xxhash.xxh3_64_intdigest(
+                f'{self._name}\0{clock.wall_ms()}'.encode()
+            )
+        )
+        # All nodes lose sight of the platform at the same time; the jitter
+        # lets the first that reaches it again inform the others.
+        self._fallback_age_ms = FALLBACK_AGE_MS * self._random.uniform(1, 2)
+        self._member_version = None
+        self._watches = False
+        self._failures = {'keys': 0, 'vms': 0}
+        self._started_ms = clock.now_ms()
+        self._subscribers = []
+        self._store.subscribe(self._note_change)
+        handlers = (
+            (messages.Announce, state.handle_announce),
+            (messages.Pull, state.handle_pull),
+            (messages.Delta, state.handle_delta),
+        )
+        for body_type, handle in handlers:
+            links.register(body_type, self._make_handler(handle))
+
+    @property
+    def is_ready(self):
+        """True once the rules and a service group have been in force."""
+        return self._state.is_ready
+
+    @property
+    def is_watcher(self):
+        """True while this node reads from the platform for the others."""
+        return self._watches
+
+    @property
+    def refusals(self):
+        """Documents that are not in force: key to (revision, Failure)."""
+        entries = ((key, self._store.find(key)) for key in self._store.keys)
+        return {
+            key: (entry.newest.revision, entry.refusal)
+            for key, entry in entries
+            if entry.refusal is not None
+        }
+
+    def value(self, key):
+        """Return the parsed object in force, or None."""
+        entry = self._store.find(key)
+        return entry.parsed if entry else None
+
+    def revision(self, key):
+        """Return the revision in force, 0 when there is none."""
+        entry = self._store.find(key)
+        if entry is None or entry.in_force is None:
+            return 0
+        return entry.in_force.revision
+
+    def keys(self):
+        """Return the names of the keys with an object in force, sorted."""
+        return tuple(
+            key
+            for key in self._store.keys
+            if self._store.find(key).parsed is not None
+        )
+
+    def age_ms(self, now_ms):
+        """Return the age of the last platform read known.
+
+        Before any is known, the time since the service was created.
+        """
+        age_ms = self._state.platform_age_ms(now_ms)
+        return now_ms - self._started_ms if age_ms is None else age_ms
+
+    def subscribe(self, callback):
+        """Call ``callback(key)`` after an object in force has changed."""
+        self._subscribers.append(callback)
+
+    def run(self):
+        """Run for ever; to be spawned in a green thread."""
+        readers = [
+            eventlet.spawn(self._repeat, self.read_keys),
+            eventlet.spawn(self._repeat, self.read_vms),
+        ]
+        try:
+            self._repeat(self.step)
+        finally:
+            for reader in readers:
+                reader.kill()
+
+    def step(self):
+        """Send the messages that are due.
+
+        Returns
+        -------
+        float
+            Milliseconds until the next call.
+        """
+        self._refresh_members()
+        now_ms = self._clock.now_ms()
+        self._send(self._state.step(now_ms))
+        self._metrics.set_gauge('configuration_age_ms', self.age_ms(now_ms))
+        return STEP_INTERVAL_MS
+
+    def read_keys(self):
+        """Read the keys from the platform if it is this node's turn.
+
+        Returns
+        -------
+        float
+            Milliseconds until the next call.
+        """
+        if not self._should_read():
+            return STEP_INTERVAL_MS
+        watches = self._watches
+        since = self._state.platform_revision
+        outcome = self._reader.read_keys(
+            since, self._watch_wait_ms if watches else 0
+        )
+        if outcome.is_err():
+            return self._back_off('keys')
+        reply = outcome.ok()
+        if reply.revision < since:
+            # A stale replica shows nothing new; its answer is no evidence
+            # that the configuration is up to date.
+            return self._back_off('keys')
+        self._failures['keys'] = 0
+        for key in sorted(reply.keys):
+            if key == VMS_KEY:
+                self._metrics.count('configuration_keys_dropped')
+                continue
+            found = reply.keys[key]
+            self._store.offer(key, found.revision, found.value, 'platform')
+        now_ms = self._clock.now_ms()
+        self._state.note_platform_read(now_ms, reply.revision)
+        self._send(self._state.step(now_ms))
+        if watches:
+            return 0.0
+        return STEP_INTERVAL_MS if self.is_ready else VMS_INTERVAL_MS
+
+    def read_vms(self):
+        """Read the VM list from the platform if it is this node's turn.
+
+        Returns
+        -------
+        float
+            Milliseconds until the next call.
+        """
+        if not self._should_read():
+            return STEP_INTERVAL_MS
+        outcome = self._reader.read_vms()
+        if outcome.is_err():
+            return self._back_off('vms')
+        self._failures['vms'] = 0
+        reply = outcome.ok()
+        value = encode_vms(reply.vms)
+        self._store.offer(VMS_KEY, reply.revision, value, 'platform')
+        self._send(self._state.step(self._clock.now_ms()))
+        if self._watches or not self.is_ready:
+            return VMS_INTERVAL_MS * self._random.uniform(0.9, 1.1)
+        return FALLBACK_INTERVAL_MS * self._random.uniform(0.5, 1.5)
+
+    def _repeat(self, work):
+        while True:
+            # A pause of 0 still lets other green threads run.
+            self._clock.sleep_ms(work())
+
+    def _should_read(self):
+        """Return True for a watcher, at start, and as the last resort."""
+        self._refresh_members()
+        if self._watches or not self.is_ready:
+            return True
+        return self.age_ms(self._clock.now_ms()) > self._fallback_age_ms
+
+    def _back_off(self, what):
+        self._failures[what] += 1
+        if self.is_ready and not self._watches:
+            return FALLBACK_INTERVAL_MS * self._random.uniform(0.5, 1.5)
+        most = MAX_WATCHER_BACKOFF_MS if self.is_ready else MAX_BACKOFF_MS
+        longest = MIN_BACKOFF_MS * 2.0 ** min(self._failures[what], 16)
+        # Jitter spreads the reads of nodes that start together.
+        return min(most, longest) * self._random.uniform(0.5, 1.0)
+
+    def _refresh_members(self):
+        version = self._membership.version
+        if version == self._member_version:
+            return
+        self._member_version = version
+        members = self._membership.members
+        self._state.set_members([(m.name, m.address) for m in members])
+        chosen = watchers.choose_watchers(members, self._data_centre)
+        self._watches = self._name in chosen
+        self._metrics.set_gauge('configuration_watcher', int(self._watches))
+
+    def _make_handler(self, handle):
+        def receive(sender, body):
+            self._metrics.count(
+                'configuration_received', type=type(body).__name__.lower()
+            )
+            self._send(handle(self._clock.now_ms(), sender, body))
+
+        return receive
+
+    def _send(self, outgoing):
+        for message in outgoing:
+            self._metrics.count(
+                'configuration_sent', type=type(message.body).__name__.lower()
+            )
+            self._links.send(message.name, message.address, message.body)
+
+    def _note_change(self, change):
+        before = change.before.in_force if change.before else None
+        if change.after.in_force is before:
+            return
+        if change.key == VMS_KEY:
+            self._membership.set_known_vms(change.after.parsed or ())
+        for callback in tuple(self._subscribers):
+            callback(change.key)
+
+
+def create_configuration_service(
+    settings, clock, links, membership, reader, validators, audit, metrics
+):
+    """Create the service of one node.
+
+    Parameters
+    ----------
+    settings : Settings
+        Uses ``node`` and ``platform.watch_wait_ms``.
+    clock : Clock
+        Time.
+    links : PeerLinks
+        Sends and receives messages.
+    membership : MembershipService
+        Live members; receives the VM list.
+    reader : PlatformReader
+        Reads the platform.
+    validators : iterable of (str, callable)
+        Key prefix and ``function(name, bytes) -> Result``.
+    audit : AuditTrail
+        Receives changes, refusals and conflicts.
+    metrics : Metrics
+        Counts everything.
+    """
+    store = stores.create_configuration_store(
+        ((VMS_KEY, parse_vms), *validators), audit, metrics
+    )
+    name = settings.node.name
+    seed = xxhash.xxh3_64_intdigest(
+        f'spread\0{name}\0{clock.wall_ms()}'.encode()
+    )
+    state = spread.SpreadState(name, store, random.Random(seed), metrics)
+    return ConfigurationService(
+        settings, clock, links, membership, reader, store, state, metrics
+    )
--- /dev/null
+++ b/hawthornfold/configuration/spread.py
@@ -0,0 +1,317 @@
+"""Spreads documents between nodes: announcements, pulls and deltas.
+
+A node that learns a newer document announces its version to a few random
+members, which pull it from the announcer and announce it in turn. Nodes
+that the announcements miss are found by comparing digests with one random
+member a second.
+"""
+
+import math
+import typing
+
+from hawthornfold.configuration import budgets
+from hawthornfold.configuration import deltas
+from hawthornfold.configuration import messages
+from hawthornfold.configuration import pulls
+from hawthornfold.configuration import serving
+from hawthornfold.configuration import store as stores
+
+# Eight announcements per node and change miss 0.03% of the nodes on average;
+# the comparison of digests reaches those.
+FANOUT = 4
+ROUNDS = 2
+ROUND_INTERVAL_MS = 400.0
+COMPARE_INTERVAL_MS = 1000.0
+# A node without a configuration is of no use, so it asks more often.
+BOOTSTRAP_INTERVAL_MS = 200.0
+# Half of the 4 KB/s of a node for either direction.
+BYTES_PER_SECOND = 2048.0
+# A full document of 1 MB passes without waiting for tokens.
+BURST_BYTES = float(2 << 20)
+MAX_VERSIONS = 1024
+
+
+class _Rumour(typing.NamedTuple):
+    """A change that is still announced."""
+
+    rounds_left: int
+    due_ms: float
+
+
+class SpreadState:
+    """The spread of one node's store, without sockets and timers.
+
+    Parameters
+    ----------
+    name : str
+        Name of this node; it sends nothing to itself.
+    store : ConfigurationStore
+        Receives the documents.
+    random : random.Random
+        Chooses members.
+    metrics : Metrics
+        Counts messages.
+    bytes_per_second : float
+        Rate of pulled bytes, and of full documents served.
+    use_deltas : bool
+        False sends every document in full, to measure the difference.
+    """
+
+    def __init__(
+        self,
+        name,
+        store,
+        random,
+        metrics,
+        bytes_per_second=BYTES_PER_SECOND,
+        use_deltas=True,
+    ):
+        self._name = name
+        self._store = store
+        self._random = random
+        self._metrics = metrics
+        self._members = ()
+        self._pulls = pulls.PullScheduler(store, metrics)
+        self._pulled = budgets.ByteBudget(bytes_per_second, BURST_BYTES)
+        self._server = serving.DocumentServer(
+            store,
+            budgets.ByteBudget(bytes_per_second, BURST_BYTES),
+            metrics,
+            use_deltas,
+        )
+        self._rumours = {}
+        self._compare_due_ms = None
+        self._platform_read_ms = None
+        self._platform_revision = 0
+        self._ready = False
+        store.subscribe(self._note_change)
+
+    @property
+    def is_ready(self):
+        """True once the rules and a service group have been in force."""
+        return self._ready
+
+    @property
+    def platform_revision(self):
+        """All platform changes up to this revision are held."""
+        return self._platform_revision
+
+    def platform_age_ms(self, now_ms):
+        """Return the age of the last platform read known, or None."""
+        if self._platform_read_ms is None:
+            return None
+        return max(now_ms - self._platform_read_ms, 0.0)
+
+    def set_members(self, members):
+        """Take over the live members, as (name, address) pairs."""
+        self._members = tuple(m for m in members if m[0] != self._name)
+
+    def note_platform_read(self, now_ms, revision):
+        """Record that all changes up to `revision` were read just now."""
+        self._platform_read_ms = now_ms
+        self._platform_revision = max(self._platform_revision, revision)
+
+    def step(self, now_ms):
+        """Return the messages that are due.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of Message
+        """
+        self._ready = self._ready or self._holds_required_keys()
+        outgoing = self._announce_rumours(now_ms)
+        outgoing.extend(self._collect_pulls(now_ms))
+        if self._compare_due_ms is None or now_ms >= self._compare_due_ms:
+            interval = COMPARE_INTERVAL_MS
+            if not self._ready:
+                interval = BOOTSTRAP_INTERVAL_MS
+            # The jitter keeps nodes that start together from comparing at
+            # the same instant for ever.
+            interval *= self._random.uniform(0.8, 1.2)
+            self._compare_due_ms = now_ms + interval
+            outgoing.extend(self._compare(now_ms))
+        return outgoing
+
+    def handle_announce(self, now_ms, sender, body):
+        """Return the messages that answer an `Announce`."""
+        same = body.digest == self._store.digest
+        self._note_platform(now_ms, body, same)
+        source = (sender.name, sender.address)
+        for version in body.versions:
+            self._pulls.consider(version, source)
+        outgoing = self._collect_pulls(now_ms)
+        reply = None
+        if body.complete:
+            newer = self._list_newer(body)
+            if newer:
+                reply = self._make_announce(now_ms, newer)
+        elif body.buckets:
+            reply = self._reply_versions(now_ms, body)
+        elif body.digest and not same:
+            reply = self._make_announce(
+                now_ms, (), self._store.digest, self._store.buckets
+            )
+        if reply is not None:
+            outgoing.append(messages.Message(*source, reply))
+        return outgoing
+
+    def handle_pull(self, now_ms, sender, body):
+        """Return the documents that answer a `Pull`."""
+        return [
+            messages.Message(sender.name, sender.address, delta)
+            for want in body.wants[: pulls.MAX_OUTSTANDING]
+            for delta in self._server.serve(now_ms, want)
+        ]
+
+    def handle_delta(self, now_ms, sender, body):
+        """Apply a document; return the messages that follow from it."""
+        payload = body.payload
+        size = len(payload or b'') + serving.DELTA_OVERHEAD_BYTES
+        self._pulled.spend(now_ms, size)
+        value = None
+        if payload is not None:
+            value = self._decode(body)
+        if (payload is not None and value is None) or (
+            not self._pulls.is_storable(body.key) or body.revision < 0
+        ):
+            self._metrics.count('configuration_bad_deltas')
+            self._pulls.retry(body.key)
+            return self._collect_pulls(now_ms)
+        self._store.offer(
+            body.key, body.revision, value, f'peer {sender.name}'
+        )
+        self._pulls.note_arrival(body.key, body.revision)
+        outgoing = self._announce_rumours(now_ms)
+        outgoing.extend(self._collect_pulls(now_ms))
+        return outgoing
+
+    def _decode(self, body):
+        base = None
+        if body.base_digest:
+            base = self._store.find_value(
+                body.key, body.base_revision, body.base_digest
+            )
+            if base is None:
+                return None
+        value = deltas.decode_document(body.payload, base).ok()
+        if value is None or stores.compute_digest(value) != body.digest:
+            return None
+        return value
+
+    def _holds_required_keys(self):
+        held = [
+            key
+            for key in self._store.keys
+            if self._store.find(key).parsed is not None
+        ]
+        return 'rules' in held and any(
+            key.startswith('services/') for key in held
+        )
+
+    def _note_change(self, change):
+        self._pulls.discard_found(change.key)
+        # What a starting node learns is known to the others already.
+        if self._ready:
+            self._rumours[change.key] = _Rumour(ROUNDS, -math.inf)
+
+    def _announce_rumours(self, now_ms):
+        due = [k for k, r in self._rumours.items() if r.due_ms <= now_ms]
+        if not due or not self._members:
+            return []
+        due = due[:MAX_VERSIONS]
+        for key in due:
+            rounds_left = self._rumours[key].rounds_left - 1
+            if rounds_left:
+                self._rumours[key] = _Rumour(
+                    rounds_left, now_ms + ROUND_INTERVAL_MS
+                )
+            else:
+                del self._rumours[key]
+        body = self._make_announce(now_ms, due)
+        amount = min(FANOUT, len(self._members))
+        return [
+            messages.Message(name, address, body)
+            for name, address in self._random.sample(self._members, amount)
+        ]
+
+    def _collect_pulls(self, now_ms):
+        if not len(self._pulls):
+            return []
+        # A node that is not ready serves nobody, so its bootstrapping is
+        # bounded by the budgets of those it pulls from only.
+        if self._ready and not self._pulled.has_tokens(now_ms):
+            self._metrics.count('configuration_pulls_delayed')
+            return []
+        return self._pulls.collect(now_ms)
+
+    def _compare(self, now_ms):
+        if not self._members:
+            return []
+        name, address = self._random.choice(self._members)
+        body = self._make_announce(now_ms, (), self._store.digest)
+        return [messages.Message(name, address, body)]
+
+    def _reply_versions(self, now_ms, body):
+        """Return the versions in the buckets that differ, or None."""
+        pairs = zip(self._store.buckets, body.buckets, strict=False)
+        differing = tuple(
+            index
+            for index, (ours, theirs) in enumerate(pairs)
+            if ours != theirs
+        )
+        if not differing:
+            return None
+        listed = [
+            key
+            for index in differing
+            for key in self._store.list_bucket(index)
+        ]
+        return self._make_announce(now_ms, listed, complete=differing)
+
+    def _list_newer(self, body):
+        """Return the keys of the buckets of which the sender lacks news."""
+        listed = {version.key: version for version in body.versions}
+        newer = []
+        for index in set(body.complete):
+            if not 0 <= index < stores.BUCKETS:
+                continue
+            for key in self._store.list_bucket(index):
+                ours = self._make_version(key)
+                theirs = listed.get(key)
+                if theirs is None or (
+                    (ours.revision, ours.good) > (theirs.revision, theirs.good)
+                ):
+                    newer.append(key)
+        return newer
+
+    def _make_announce(self, now_ms, keys, digest=0, buckets=(), complete=()):
+        age_ms = self.platform_age_ms(now_ms)
+        return messages.Announce(
+            tuple(self._make_version(key) for key in keys),
+            digest,
+            buckets,
+            complete,
+            -1.0 if age_ms is None else age_ms,
+            self._platform_revision,
+        )
+
+    def _make_version(self, key):
+        entry = self._store.find(key)
+        good = entry.in_force.revision if entry.in_force else -1
+        newest = entry.newest
+        return messages.Version(key, newest.revision, newest.digest, good)
+
+    def _note_platform(self, now_ms, body, same):
+        if not 0.0 <= body.platform_age_ms < math.inf:
+            return
+        read_ms = now_ms - body.platform_age_ms
+        if self._platform_read_ms is None or read_ms > self._platform_read_ms:
+            self._platform_read_ms = read_ms
+        # Equal stores hold the same changes.
+        if same and body.platform_revision > self._platform_revision:
+            self._platform_revision = body.platform_revision
--- /dev/null
+++ b/hawthornfold/platforms/reader.py
@@ -0,0 +1,181 @@
+"""Reads the platform over HTTP, one address after the other."""
+
+import result
+import urllib3
+
+from hawthornfold.codes import Failure
+from hawthornfold.codes import ResultCode
+from hawthornfold.platforms import replies
+
+# A full read of about 100 service groups of 50 KB takes 5 MB; the bound
+# keeps a broken reply from exhausting the 256 MB of the control plane.
+MAX_REPLY_BYTES = 32 << 20
+_CHUNK_BYTES = 1 << 16
+
+
+class _ReadError(Exception):
+    """A read that did not give a body; the message is for operators."""
+
+
+class PlatformReader:
+    """Reads keys and VMs from the first platform address that responds."""
+
+    def __init__(self, addresses, timeout_ms, clock, metrics):
+        self._addresses = tuple(addresses)
+        self._timeout_ms = timeout_ms
+        self._clock = clock
+        self._metrics = metrics
+        self._first = 0
+        self._pool = urllib3.PoolManager(
+            num_pools=len(self._addresses), maxsize=4, retries=False
+        )
+
+    @property
+    def address(self):
+        """The address that the next read tries first."""
+        return self._addresses[self._first]
+
+    def read_keys(self, since, wait_ms):
+        """Read the keys that are newer than `since`.
+
+        Parameters
+        ----------
+        since : int
+            Revision already held; 0 reads all keys.
+        wait_ms : float
+            How long the platform may wait for something newer; 0 returns
+            at once.
+
+        Returns
+        -------
+        Result
+            Ok of KeysReply, or Err of Failure 701 or 702. A reply with a
+            revision below `since` comes from a stale replica; the next read
+            starts with another address.
+        """
+        target = f'/v1/keys?since={since}&wait_ms={int(wait_ms)}'
+        reply = self._read('keys', target, wait_ms, replies.parse_keys_reply)
+        if reply.is_ok() and reply.ok().revision < since:
+            self._metrics.count('platform_reads_stale')
+            self._select_next()
+        return reply
+
+    def read_vms(self):
+        """Read the VM list.
+
+        Returns
+        -------
+        Result
+            Ok of VMsReply, or Err of Failure 701 or 702.
+        """
+        return self._read('vms', '/v1/vms', 0, replies.parse_vms_reply)
+
+    def _read(self, what, target, wait_ms, parse):
+        """Try every address once, starting with the last that responded."""
+        outcome = None
+        for _ in self._addresses:
+            outcome = self._read_one(what, target, wait_ms, parse)
+            if outcome.is_ok():
+                amount = len(outcome.ok().failures)
+                if amount:
+                    self._count_failure(
+                        ResultCode.PLATFORM_BAD_VALUE, what, amount
+                    )
+                return outcome
+            self._count_failure(outcome.err().code, what, 1)
+            self._select_next()
+        return outcome
+
+    def _read_one(self, what, target, wait_ms, parse):
+        address = self.address
+        started_ms = self._clock.now_ms()
+        try:
+            body = self._fetch(f'http://{address}{target}', wait_ms)
+        except (_ReadError, urllib3.exceptions.HTTPError, OSError) as error:
+            code = ResultCode.PLATFORM_UNREACHABLE
+            outcome = result.Err(Failure(code, f'{address}: {error}'))
+        else:
+            outcome = parse(body)
+        self._metrics.count(
+            'platform_reads',
+            what=what,
+            outcome='ok' if outcome.is_ok() else 'failed',
+        )
+        self._metrics.observe_ms(
+            'platform_read_ms', self._clock.now_ms() - started_ms, what=what
+        )
+        return outcome
+
+    def _fetch(self, url, wait_ms):
+        deadline_ms = self._clock.now_ms() + wait_ms + self._timeout_ms
+        response = self._pool.request(
+            'GET',
+            url,
+            redirect=False,
+            preload_content=False,
+            decode_content=False,
+            timeout=urllib3.Timeout(
+                connect=self._timeout_ms / 1000.0,
+                read=(wait_ms + self._timeout_ms) / 1000.0,
+            ),
+        )
+        complete = False
+        try:
+            if response.status != 200:
+                raise _ReadError(f'status {response.status}')
+            body = self._read_body(response, deadline_ms)
+            complete = True
+        finally:
+            # A connection with an unread body cannot carry another read.
+            if complete:
+                response.release_conn()
+            else:
+                response.close()
+        return body
+
+    def _read_body(self, response, deadline_ms):
+        """Read to the end, within the size and the deadline.
+
+        The socket's timeout restarts with each packet, so a body that
+        arrives byte by byte needs the deadline as well.
+        """
+        chunks = []
+        size = 0
+        while True:
+            chunk = response.read1(_CHUNK_BYTES)
+            if not chunk:
+                return b''.join(chunks)
+            size += len(chunk)
+            if size > MAX_REPLY_BYTES:
+                raise _ReadError(f'more than {MAX_REPLY_BYTES} bytes')
+            if self._clock.now_ms() > deadline_ms:
+                raise _ReadError('the body did not arrive in time')
+            chunks.append(chunk)
+
+    def _select_next(self):
+        self._first = (self._first + 1) % len(self._addresses)
+
+    def _count_failure(self, code, what, amount):
+        self._metrics.count(
+            'platform_failures', amount, code=int(code), what=what
+        )
+
+
+def create_platform_reader(settings, clock, metrics):
+    """Create the reader of the platform that the settings name.
+
+    Parameters
+    ----------
+    settings : Settings
+        Uses ``platform.addresses`` and ``platform.timeout_ms``.
+    clock : Clock
+        Bounds the time of a read.
+    metrics : Metrics
+        Counts every read.
+    """
+    return PlatformReader(
+        settings.platform.addresses,
+        settings.platform.timeout_ms,
+        clock,
+        metrics,
+    )
--- /dev/null
+++ b/hawthornfold/platforms/replies.py
@@ -0,0 +1,249 @@
+"""The platform's replies: schema, checks and the VM list's own encoding."""
+
+import ipaddress
+import typing
+
+import msgspec
+import result
+
+from hawthornfold.codes import Failure
+from hawthornfold.codes import ResultCode
+
+# The platform holds values up to this size.
+MAX_VALUE_BYTES = 1 << 20
+MAX_KEY_CHARACTERS = 256
+
+_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
+
+
+class KeyValue(typing.NamedTuple):
+    """One key as the platform holds it; `value` None is a deletion."""
+
+    revision: int
+    value: bytes | None
+
+
+class KeysReply(typing.NamedTuple):
+    """Keys that are newer than the revision asked for.
+
+    Parameters
+    ----------
+    revision : int
+        The platform's revision at the time of the read.
+    keys : dict of str to KeyValue
+        Valid keys.
+    failures : tuple of Failure
+        Keys that were left out because they are not valid.
+    """
+
+    revision: int
+    keys: dict[str, KeyValue]
+    failures: tuple[Failure, ...] = ()
+
+
+class VM(typing.NamedTuple):
+    """One VM of the fleet; `address` is ``ip:port`` of its peer link."""
+
+    name: str
+    address: str
+    data_centre: str
+    state: typing.Literal['live', 'leaving']
+
+
+class VMsReply(typing.NamedTuple):
+    """The platform's list of VMs, sorted by name."""
+
+    revision: int
+    vms: tuple[VM, ...]
+    failures: tuple[Failure, ...] = ()
+
+
+class _WireKeys(typing.TypedDict):
+    revision: _Revision
+    keys: dict[str, msgspec.Raw]
+
+
+class _WireKey(typing.TypedDict):
+    revision: _Revision
+    value: str | None
+
+
+class _WireVMs(typing.TypedDict):
+    revision: _Revision
+    vms: list[msgspec.Raw]
+
+
+class _WireVM(typing.TypedDict):
+    name: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    address: typing.Annotated[str, msgspec.Meta(max_length=64)]
+    data_centre: typing.Annotated[str, msgspec.Meta(max_length=256)]
+    state: typing.Literal['live', 'leaving']
+
+
+_KEYS_DECODER = msgspec.json.Decoder(_WireKeys)
+_KEY_DECODER = msgspec.json.Decoder(_WireKey)
+_VMS_DECODER = msgspec.json.Decoder(_WireVMs)
+_VM_DECODER = msgspec.json.Decoder(_WireVM)
+_VALUE_DECODER = msgspec.json.Decoder(tuple[VM, ...])
+
+
+def _refuse(detail, path=''):
+    return Failure(ResultCode.PLATFORM_BAD_VALUE, detail, path)
+
+
+def parse_keys_reply(data):
+    """Parse the body of ``GET /v1/keys``.
+
+    A key that is not valid is left out and reported, so that it does not
+    hold back the other keys of the reply.
+
+    Parameters
+    ----------
+    data : bytes
+        The body.
+
+    Returns
+    -------
+    Result
+        Ok of KeysReply, or Err of Failure 702.
+
+    Examples
+    --------
+    >>> parse_keys_reply(
+    ...     b'{"revision": 3, "keys": {"a": {"revision": 2, "value": "x"}}}'
+    ... ).ok().keys
+    {'a': KeyValue(revision=2, value=b'x')}
+    >>> parse_keys_reply(b'[]').err().code.name
+    'PLATFORM_BAD_VALUE'
+    """
+    try:
+        wire = _KEYS_DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Err(_refuse(f'not a list of keys: {error}'))
+    keys = {}
+    failures = []
+    for name, raw in wire['keys'].items():
+        parsed = _parse_key(name, raw)
+        if parsed.is_ok():
+            keys[name] = parsed.ok()
+        else:
+            failures.append(parsed.err())
+    return result.Ok(KeysReply(wire['revision'], keys, tuple(failures)))
+
+
+def _parse_key(name, raw):
+    path = f'keys.{name[:MAX_KEY_CHARACTERS]}'
+    if not 0 < len(name) <= MAX_KEY_CHARACTERS:
+        return result.Err(_refuse('the length of the name is invalid', path))
+    try:
+        wire = _KEY_DECODER.decode(raw)
+        text = wire['value']
+        value = None if text is None else text.encode()
+    except (msgspec.DecodeError, UnicodeError) as error:
+        return result.Err(_refuse(f'not a key: {error}', path))
+    if value is not None and len(value) > MAX_VALUE_BYTES:
+        detail = f'{len(value)} bytes exceed {MAX_VALUE_BYTES}'
+        return result.Err(_refuse(detail, path))
+    return result.Ok(KeyValue(wire['revision'], value))
+
+
+def parse_vms_reply(data):
+    """Parse the body of ``GET /v1/vms``.
+
+    Parameters
+    ----------
+    data : bytes
+        The body.
+
+    Returns
+    -------
+    Result
+        Ok of VMsReply, or Err of Failure 702.
+
+    Examples
+    --------
+    >>> parse_vms_reply(b'{"revision": 1, "vms": []}').ok()
+    VMsReply(revision=1, vms=(), failures=())
+    """
+    try:
+        wire = _VMS_DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Err(_refuse(f'not a list of VMs: {error}'))
+    vms = {}
+    failures = []
+    for index, raw in enumerate(wire['vms']):
+        path = f'vms[{index}]'
+        try:
+            fields = _VM_DECODER.decode(raw)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            failures.append(_refuse(f'not a VM: {error}', path))
+            continue
+        vm = VM(**fields)
+        if vm.name in vms:
+            failures.append(_refuse(f'{vm.name} is listed twice', path))
+        elif not _is_address(vm.address):
+            failures.append(_refuse(f'{vm.address} is not ip:port', path))
+        else:
+            vms[vm.name] = vm
+    ordered = tuple(vms[name] for name in sorted(vms))
+    return result.Ok(VMsReply(wire['revision'], ordered, tuple(failures)))
+
+
+def _is_address(text):
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < 65536
+
+
+def encode_vms(vms):
+    """Encode a VM list as the value of the key ``vms``.
+
+    Equal lists give equal bytes on every node, in any order of `vms`.
+
+    Parameters
+    ----------
+    vms : iterable of VM
+        The VMs.
+
+    Returns
+    -------
+    bytes
+        A JSON list of lists, which is half the size of a list of objects.
+
+    Examples
+    --------
+    >>> encode_vms([VM('a', '127.0.0.1:7000', 'dc', 'live')])
+    b'[["a","127.0.0.1:7000","dc","live"]]'
+    """
+    return msgspec.json.encode(sorted(vms))
+
+
+def parse_vms(name, value):
+    """Parse the value of the key ``vms``; the validator of that key.
+
+    Parameters
+    ----------
+    name : str
+        The key.
+    value : bytes
+        The value, as `encode_vms` returns it.
+
+    Returns
+    -------
+    Result
+        Ok of tuple of VM, or Err of list of Failure.
+
+    Examples
+    --------
+    >>> parse_vms('vms', b'[["a","127.0.0.1:7000","dc","live"]]').ok()[0].name
+    'a'
+    >>> parse_vms('vms', b'{}').is_err()
+    True
+    """
+    try:
+        return result.Ok(_VALUE_DECODER.decode(value))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Err([_refuse(f'not a list of VMs: {error}', name)])
