--- a/hawthornfold/configuration/service.py
+++ b/hawthornfold/configuration/service.py
@@ -15,6 +15,8 @@
 VMS_KEY = 'vms'
 STEP_INTERVAL_MS = 100.0
 VMS_INTERVAL_MS = 1000.0
+# Bounds the reads when the platform responds to a long poll at once.
+MIN_READ_INTERVAL_MS = 50.0
 MIN_BACKOFF_MS = 250.0
 # Two reads of each of 7,200 nodes that start at once stay below 1,300/s.
 MAX_BACKOFF_MS = 15_000.0
@@ -161,8 +163,7 @@
             return self._back_off('keys')
         reply = outcome.ok()
         if reply.revision < since:
-            # A stale replica shows nothing new; its answer is no evidence
-            # that the configuration is up to date.
+            self._metrics.count('configuration_stale_reads')
             return self._back_off('keys')
         self._failures['keys'] = 0
         for key in sorted(reply.keys):
@@ -172,10 +173,13 @@
             found = reply.keys[key]
             self._store.offer(key, found.revision, found.value, 'platform')
         now_ms = self._clock.now_ms()
-        self._state.note_platform_read(now_ms, reply.revision)
+        if reply.revision >= self._find_highest():
+            self._state.note_platform_read(now_ms, reply.revision)
+        else:
+            self._metrics.count('configuration_stale_reads')
         self._send(self._state.step(now_ms))
         if watches:
-            return 0.0
+            return MIN_READ_INTERVAL_MS
         return STEP_INTERVAL_MS if self.is_ready else VMS_INTERVAL_MS
 
     def read_vms(self):
@@ -202,7 +206,6 @@
 
     def _repeat(self, work):
         while True:
-            # A pause of 0 still lets other green threads run.
             self._clock.sleep_ms(work())
 
     def _should_read(self):
@@ -212,6 +215,21 @@
             return True
         return self.age_ms(self._clock.now_ms()) > self._fallback_age_ms
 
+    def _find_highest(self):
+        """Return the highest revision held.
+
+        A platform replica below it is stale; its reply is no evidence that
+        the configuration is up to date.
+        """
+        return max(
+            (
+                self._store.find(key).newest.revision
+                for key in self._store.keys
+                if key != VMS_KEY
+            ),
+            default=0,
+        )
+
     def _back_off(self, what):
         self._failures[what] += 1
         if self.is_ready and not self._watches:
@@ -227,7 +245,7 @@
             return
         self._member_version = version
         members = self._membership.members
-        self._state.set_members([(m.name, m.address) for m in members])
+        self._state.set_members(members)
         chosen = watchers.choose_watchers(members, self._data_centre)
         self._watches = self._name in chosen
         self._metrics.set_gauge('configuration_watcher', int(self._watches))
--- a/hawthornfold/configuration/spread.py
+++ b/hawthornfold/configuration/spread.py
@@ -103,8 +103,14 @@
         return max(now_ms - self._platform_read_ms, 0.0)
 
     def set_members(self, members):
-        """Take over the live members, as (name, address) pairs."""
-        self._members = tuple(m for m in members if m[0] != self._name)
+        """Take over the live members.
+
+        Parameters
+        ----------
+        members : sequence of Member
+            May include this node. The sequence is kept, not copied.
+        """
+        self._members = members
 
     def note_platform_read(self, now_ms, revision):
         """Record that all changes up to `revision` were read just now."""
@@ -221,7 +227,10 @@
 
     def _announce_rumours(self, now_ms):
         due = [k for k, r in self._rumours.items() if r.due_ms <= now_ms]
-        if not due or not self._members:
+        if not due:
+            return []
+        chosen = self._choose_members(FANOUT)
+        if not chosen:
             return []
         due = due[:MAX_VERSIONS]
         for key in due:
@@ -233,11 +242,14 @@
             else:
                 del self._rumours[key]
         body = self._make_announce(now_ms, due)
-        amount = min(FANOUT, len(self._members))
-        return [
-            messages.Message(name, address, body)
-            for name, address in self._random.sample(self._members, amount)
-        ]
+        return [messages.Message(x.name, x.address, body) for x in chosen]
+
+    def _choose_members(self, amount):
+        """Return up to `amount` random members besides this node."""
+        amount = min(amount + 1, len(self._members))
+        chosen = self._random.sample(self._members, amount)
+        others = [x for x in chosen if x.name != self._name]
+        return others[: max(amount - 1, 0)]
 
     def _collect_pulls(self, now_ms):
         if not len(self._pulls):
@@ -250,11 +262,11 @@
         return self._pulls.collect(now_ms)
 
     def _compare(self, now_ms):
-        if not self._members:
-            return []
-        name, address = self._random.choice(self._members)
         body = self._make_announce(now_ms, (), self._store.digest)
-        return [messages.Message(name, address, body)]
+        return [
+            messages.Message(x.name, x.address, body)
+            for x in self._choose_members(1)
+        ]
 
     def _reply_versions(self, now_ms, body):
         """Return the versions in the buckets that differ, or None."""
--- a/hawthornfold/platforms/reader.py
+++ b/hawthornfold/platforms/reader.py
@@ -2,6 +2,7 @@
 
 import result
 import urllib3
+import xxhash
 
 from hawthornfold.codes import Failure
 from hawthornfold.codes import ResultCode
@@ -20,21 +21,17 @@
 class PlatformReader:
     """Reads keys and VMs from the first platform address that responds."""
 
-    def __init__(self, addresses, timeout_ms, clock, metrics):
+    def __init__(self, addresses, first, timeout_ms, clock, metrics):
         self._addresses = tuple(addresses)
         self._timeout_ms = timeout_ms
         self._clock = clock
         self._metrics = metrics
-        self._first = 0
+        # The two kinds of read run at the same time in two green threads.
+        self._first = {'keys': first, 'vms': first}
         self._pool = urllib3.PoolManager(
             num_pools=len(self._addresses), maxsize=4, retries=False
         )
 
-    @property
-    def address(self):
-        """The address that the next read tries first."""
-        return self._addresses[self._first]
-
     def read_keys(self, since, wait_ms):
         """Read the keys that are newer than `since`.
 
@@ -57,7 +54,7 @@
         reply = self._read('keys', target, wait_ms, replies.parse_keys_reply)
         if reply.is_ok() and reply.ok().revision < since:
             self._metrics.count('platform_reads_stale')
-            self._select_next()
+            self._first['keys'] += 1
         return reply
 
     def read_vms(self):
@@ -72,22 +69,23 @@
 
     def _read(self, what, target, wait_ms, parse):
         """Try every address once, starting with the last that responded."""
+        first = self._first[what]
         outcome = None
-        for _ in self._addresses:
-            outcome = self._read_one(what, target, wait_ms, parse)
+        for index in range(first, first + len(self._addresses)):
+            address = self._addresses[index % len(self._addresses)]
+            outcome = self._read_one(what, address, target, wait_ms, parse)
             if outcome.is_ok():
+                self._first[what] = index
                 amount = len(outcome.ok().failures)
                 if amount:
                     self._count_failure(
                         ResultCode.PLATFORM_BAD_VALUE, what, amount
                     )
-                return outcome
+                break
             self._count_failure(outcome.err().code, what, 1)
-            self._select_next()
         return outcome
 
-    def _read_one(self, what, target, wait_ms, parse):
-        address = self.address
+    def _read_one(self, what, address, target, wait_ms, parse):
         started_ms = self._clock.now_ms()
         try:
             body = self._fetch(f'http://{address}{target}', wait_ms)
@@ -152,9 +150,6 @@
                 raise _ReadError('the body did not arrive in time')
             chunks.append(chunk)
 
-    def _select_next(self):
-        self._first = (self._first + 1) % len(self._addresses)
-
     def _count_failure(self, code, what, amount):
         self._metrics.count(
             'platform_failures', amount, code=int(code), what=what
@@ -167,14 +162,20 @@
     Parameters
     ----------
     settings : Settings
-        Uses ``platform.addresses`` and ``platform.timeout_ms``.
+        Uses ``node.name``, ``platform.addresses`` and
+        ``platform.timeout_ms``.
     clock : Clock
         Bounds the time of a read.
     metrics : Metrics
         Counts every read.
     """
+    addresses = settings.platform.addresses
+    # Nodes start with different addresses, so that one address that accepts
+    # connections and never responds does not delay all watchers.
+    first = xxhash.xxh3_64_intdigest(settings.node.name.encode())
     return PlatformReader(
-        settings.platform.addresses,
+        addresses,
+        first % len(addresses),
         settings.platform.timeout_ms,
         clock,
         metrics,
--- a/hawthornfold/platforms/replies.py
+++ b/hawthornfold/platforms/replies.py
@@ -234,7 +234,9 @@
     Returns
     -------
     Result
-        Ok of tuple of VM, or Err of list of Failure.
+        Ok of tuple of VM, or Err of list of Failure. An empty list is
+        refused: the node that reads it runs on a VM, and taking it over
+        would end the membership of the whole fleet.
 
     Examples
     --------
@@ -244,6 +246,9 @@
     True
     """
     try:
-        return result.Ok(_VALUE_DECODER.decode(value))
+        vms = _VALUE_DECODER.decode(value)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return result.Err([_refuse(f'not a list of VMs: {error}', name)])
+    if not vms:
+        return result.Err([_refuse('the list is empty', name)])
+    return result.Ok(vms)
