Fix a lint finding in the status document

Cause: ruff reads keys() of the configuration service as a dictionary's. Ruled out: iterating over the service. Change: keep the call, marked. Result: lint is clean.

--- a/hawthornfold/nodes/status.py
+++ b/hawthornfold/nodes/status.py
@@ -53,7 +53,8 @@
         'is_watcher': configuration.is_watcher,
         'age_ms': round(configuration.age_ms(now_ms)),
         'revisions': {
-            key: configuration.revision(key) for key in configuration.keys()
+            key: configuration.revision(key)
+            for key in context.configuration.keys()  # noqa: SIM118
         },
         'refused': {
             key: {
