Describe the deployments and run them as processes

Tests, the demo and experiments need the same fleet: platform, backend servers and entry nodes as processes on the loopback interface. The deployment holds no port; a plan picks free ones below the kernel's range for outgoing connections, because ports picked inside that range were open to being taken by a client socket before their use. Each process runs in a session of its own and is ended by its own id.

--- /dev/null
+++ b/hawthornfold/emulator/deployments.py
@@ -0,0 +1,402 @@
+"""Descriptions of the two deployments and of a small one for tests.
+
+A deployment describes service groups, the backend servers behind them, the
+rules document and the nodes' settings. Ports are not part of it: they are
+passed in by `hawthornfold.emulator.fleet` when the processes start.
+"""
+
+import json
+import typing
+
+FIRST_SNAPSHOT = 's1'
+
+# Mean service time of a small server. It is long enough that the emulated
+# servers' slots, not the emulator's processor time, are what saturates.
+SMALL_SERVICE_MS = 16.0
+LARGE_SERVICE_MS = 12.0
+
+
+class GroupSpec(typing.NamedTuple):
+    """One service group: its servers and how its shards spread over them.
+
+    Parameters
+    ----------
+    name : str
+        Name of the group; callers name it in the field ``service``.
+    shards : int
+        Number of shards of the first snapshot.
+    servers : int
+        Number of backend servers.
+    replicas : int
+        Servers that hold each shard.
+    slots : int
+        Requests a server executes at the same time.
+    connections : int
+        TCP connections a server accepts.
+    connect_ms : float
+        Cost of a new connection in ms.
+    service_ms : float
+        Mean service time in ms.
+    """
+
+    name: str
+    shards: int
+    servers: int
+    replicas: int
+    slots: int
+    connections: int
+    connect_ms: float
+    service_ms: float
+
+
+class Deployment(typing.NamedTuple):
+    """A cluster: data centres, service groups, rules and entry nodes."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    groups: tuple[GroupSpec, ...]
+    rules: tuple[dict, ...]
+    nodes: int
+    between_data_centres_ms: float
+    from_clients_ms: float
+
+    @property
+    def server_count(self):
+        """Number of backend servers over all groups."""
+        return sum(group.servers for group in self.groups)
+
+    def find_group(self, name):
+        """Return the group called `name`; `KeyError` when there is none."""
+        for group in self.groups:
+            if group.name == name:
+                return group
+        raise KeyError(name)
+
+
+def _small_group(name, services):
+    """Services of two small servers each: one shard per service."""
+    return GroupSpec(
+        name, services, 2 * services, 2, 2, 25, 6.0, SMALL_SERVICE_MS
+    )
+
+
+def _large_group(name, servers, slots, connections):
+    """One group of larger servers that share six shards."""
+    return GroupSpec(
+        name, 6, servers, 2, slots, connections, 1.0, LARGE_SERVICE_MS
+    )
+
+
+def _rule(name, service, kinds=None, **then):
+    when = {'service': service}
+    if kinds:
+        when['kind'] = list(kinds)
+    return {'name': name, 'when': when, 'then': then}
+
+
+def _urgent(**extra):
+    """Return the consequences of an urgent, repeatable request.
+
+    The deadline leaves room for a straggler of ten times the mean service
+    time: a shorter one would cap the naive version's tail and hide it.
+    """
+    then = {
+        'urgency': 'urgent',
+        'deadline_ms': 400,
+        'idempotent': True,
+        'coverage_percent': 95,
+        'below_coverage': 'partial',
+        'hedge': True,
+        'max_retries': 1,
+    }
+    return then | extra
+
+
+def _ordinary(**extra):
+    return _urgent() | {'urgency': 'ordinary', 'deadline_ms': 1000} | extra
+
+
+def _background(**extra):
+    return _ordinary(urgency='background', deadline_ms=2000, hedge=False)
+
+
+def _at_most_once(**extra):
+    return {
+        'urgency': 'ordinary',
+        'deadline_ms': 1000,
+        'idempotent': False,
+        'coverage_percent': 100,
+        'below_coverage': 'partial',
+    } | extra
+
+
+def create_lipovec(services=(20, 30)):
+    """Describe the Lipovec deployment.
+
+    Parameters
+    ----------
+    services : tuple of int
+        Services of the voter portal and of the results board.
+
+    Examples
+    --------
+    >>> create_lipovec().server_count
+    106
+    """
+    portal, board = services
+    return Deployment(
+        'lipovec',
+        ('zilina-1', 'zilina-2', 'zilina-3'),
+        (
+            _small_group('voter-portal', portal),
+            _small_group('results-board', board),
+            _large_group('clerk-desk', 3, 6, 100),
+            _large_group('notification', 3, 6, 100),
+        ),
+        (
+            _rule('ballot-status', 'voter-portal', ['status'], **_urgent()),
+            _rule('proposal-search', 'voter-portal', ['search'], **_urgent()),
+            _rule('results', 'results-board', **_ordinary()),
+            _rule('clerk-records', 'clerk-desk', **_at_most_once()),
+            _rule('notifications', 'notification', **_background()),
+        ),
+        7,
+        0.5,
+        3.0,
+    )
+
+
+def create_monterrey(services=(20, 30)):
+    """Describe the Monterrey deployment.
+
+    Examples
+    --------
+    >>> create_monterrey().server_count
+    108
+    """
+    desk, library = services
+    complete = {'coverage_percent': 100}
+    return Deployment(
+        'monterrey',
+        ('norte-1', 'norte-2', 'norte-3', 'norte-4'),
+        (
+            _small_group('approval-desk', desk),
+            _small_group('brief-library', library),
+            _large_group('payout-ledger', 4, 2, 35),
+            _large_group('ward-console', 4, 2, 35),
+        ),
+        (
+            _rule('approvals', 'approval-desk', **_urgent(**complete)),
+            _rule('briefs', 'brief-library', **_ordinary(**complete)),
+            _rule('payout-lookup', 'payout-ledger', **_at_most_once()),
+            _rule('ward-reads', 'ward-console', **_ordinary(**complete)),
+        ),
+        8,
+        1.5,
+        1.0,
+    )
+
+
+def create_small():
+    """Describe a deployment that fits into a test or a short experiment.
+
+    Six services of two small servers, a group of three larger servers and a
+    non-idempotent group.
+
+    Examples
+    --------
+    >>> create_small().server_count
+    19
+    """
+    return Deployment(
+        'small',
+        ('zilina-1', 'zilina-2', 'zilina-3'),
+        (
+            _small_group('voter-portal', 6),
+            _large_group('clerk-desk', 3, 6, 100),
+            _large_group('payout-ledger', 4, 2, 35),
+        ),
+        (
+            _rule('ballot-status', 'voter-portal', ['status'], **_urgent()),
+            _rule('proposal-search', 'voter-portal', **_ordinary()),
+            _rule('clerk-records', 'clerk-desk', **_ordinary()),
+            _rule('payout-lookup', 'payout-ledger', **_at_most_once()),
+        ),
+        3,
+        0.5,
+        3.0,
+    )
+
+
+DEPLOYMENTS = {
+    'lipovec': create_lipovec,
+    'monterrey': create_monterrey,
+    'small': create_small,
+}
+
+
+def create_deployment(name):
+    """Create the deployment called `name`; `KeyError` when unknown."""
+    return DEPLOYMENTS[name]()
+
+
+def server_names(group):
+    """Return the names of a group's servers, in order.
+
+    Examples
+    --------
+    >>> server_names(create_small().find_group('clerk-desk'))
+    ['clerk-desk-1', 'clerk-desk-2', 'clerk-desk-3']
+    """
+    if group.servers == group.replicas * group.shards:
+        return [
+            f'{group.name}-{shard}{"abcd"[replica]}'
+            for shard in range(1, group.shards + 1)
+            for replica in range(group.replicas)
+        ]
+    return [f'{group.name}-{i}' for i in range(1, group.servers + 1)]
+
+
+def build_layout(group, snapshot=FIRST_SNAPSHOT):
+    """Build one entry of ``snapshots`` of a service group document.
+
+    Replicas of shard i are the servers i * replicas, i * replicas + 1, ...
+    modulo the number of servers, which gives a small group two servers of
+    its own per shard and spreads the others evenly.
+
+    Examples
+    --------
+    >>> layout = build_layout(create_small().find_group('clerk-desk'))
+    >>> layout['shards'][1]['replicas']
+    ['clerk-desk-3', 'clerk-desk-1']
+    """
+    names = server_names(group)
+    shards = [
+        {
+            'name': f'{group.name}-shard-{index + 1}',
+            # Uneven weights keep coverage from being a count of shards.
+            'weight': 1000 + 50 * (index % 5),
+            'replicas': [
+                names[(index * group.replicas + i) % len(names)]
+                for i in range(group.replicas)
+            ],
+        }
+        for index in range(group.shards)
+    ]
+    return {'name': snapshot, 'shards': shards}
+
+
+def build_group_document(
+    deployment, group, addresses, snapshots=(FIRST_SNAPSHOT,)
+):
+    """Build the value of the key ``services/<group>``.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Supplies the data centres, dealt out to the servers in turn.
+    group : GroupSpec
+        Group of the deployment.
+    addresses : dict
+        ``host:port`` by server name, as seen by the nodes.
+    snapshots : tuple of str
+        Names of the snapshots, oldest first.
+    """
+    servers = [
+        {
+            'name': name,
+            'address': addresses[name],
+            'data_centre': place_server(deployment, index),
+            'slots': group.slots,
+            'connections': group.connections,
+        }
+        for index, name in enumerate(server_names(group))
+    ]
+    return {
+        'servers': servers,
+        'snapshots': [build_layout(group, name) for name in snapshots],
+    }
+
+
+def place_server(deployment, index):
+    """Return the data centre of the server number `index` of a group."""
+    centres = deployment.data_centres
+    return centres[index % len(centres)]
+
+
+def build_rules_document(deployment):
+    """Build the value of the key ``rules``.
+
+    Examples
+    --------
+    >>> len(build_rules_document(create_lipovec())['rules'])
+    5
+    """
+    return {'default': None, 'rules': list(deployment.rules)}
+
+
+def build_keys(deployment, addresses, snapshots=(FIRST_SNAPSHOT,)):
+    """Build every configuration key, as text by name."""
+    keys = {'rules': json.dumps(build_rules_document(deployment))}
+    for group in deployment.groups:
+        document = build_group_document(
+            deployment, group, addresses, snapshots
+        )
+        keys[f'services/{group.name}'] = json.dumps(document)
+    return keys
+
+
+def build_settings(deployment, index, ports, platform_port, keys=(), **extra):
+    """Build a node's settings document (design 8.2).
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Names the cluster and the data centres.
+    index : int
+        Number of the node, from 0.
+    ports : tuple of int
+        Ports for callers, operators and peers.
+    platform_port : int
+        Port of the platform's configuration service.
+    keys : sequence of tuple
+        CURVE key pairs (public, secret) as z85 text; encryption is on when
+        there is at least one.
+    **extra
+        Sections that replace or extend the ones built here.
+
+    Examples
+    --------
+    >>> settings = build_settings(create_small(), 0, (1, 2, 3), 4)
+    >>> settings['node']['name'], settings['peers']['port']
+    ('entry-1', 3)
+    """
+    callers, operators, peers = ports
+    settings = {
+        'cluster': deployment.name,
+        'node': {
+            'name': node_name(index),
+            'data_centre': place_server(deployment, index),
+            'host': '127.0.0.1',
+        },
+        'callers': {
+            'port': callers,
+            # All callers of an experiment share one address.
+            'max_connections_per_address': 4096,
+        },
+        'operators': {'port': operators},
+        'peers': {
+            'port': peers,
+            'encryption': bool(keys),
+            'keys': [{'public': p, 'secret': s} for p, s in keys],
+        },
+        'platform': {'addresses': [f'127.0.0.1:{platform_port}']},
+    }
+    for section, values in extra.items():
+        settings[section] = settings.get(section, {}) | values
+    return settings
+
+
+def node_name(index):
+    """Return the name of the entry node number `index`, from 0."""
+    return f'entry-{index + 1}'
--- /dev/null
+++ b/hawthornfold/emulator/fleet.py
@@ -0,0 +1,455 @@
+"""Runs a deployment as processes on the loopback interface.
+
+For tests, the demo and experiments: starts the emulated platform, the
+backend servers, optional proxies between nodes and backend servers, and the
+entry nodes, and ends all of them with the context.
+"""
+
+import contextlib
+import json
+import pathlib
+import tempfile
+import typing
+
+import urllib3
+import zmq
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.emulator import balancer as balancers
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import processes
+
+SERVERS_PER_PROCESS = 15
+PLATFORM = 'platform'
+_MEMORY_FILE_SYSTEM = pathlib.Path('/dev/shm')
+
+
+class NodePorts(typing.NamedTuple):
+    """Ports of an entry node, in the order of the settings builder."""
+
+    callers: int
+    operators: int
+    peers: int
+
+
+class ServerPlace(typing.NamedTuple):
+    """Where a backend server runs.
+
+    Parameters
+    ----------
+    process : str
+        Name of the backends process.
+    control_port : int
+        Control port of that process.
+    port : int
+        Port of the server itself.
+    """
+
+    process: str
+    control_port: int
+    port: int
+
+
+class FleetPlan(typing.NamedTuple):
+    """Ports and files of a fleet, fixed before anything starts."""
+
+    deployment: deployments.Deployment
+    directory: pathlib.Path
+    platform_port: int
+    nodes: dict[str, NodePorts]
+    servers: dict[str, ServerPlace]
+    proxied: dict[str, int]
+    seed: int
+
+    def addresses(self):
+        """Return ``host:port`` by server name, as the nodes see it."""
+        return {
+            name: f'127.0.0.1:{self.proxied.get(name, place.port)}'
+            for name, place in self.servers.items()
+        }
+
+
+def plan_fleet(deployment, node_count, directory, seed=1, proxy=False):
+    """Choose the ports of a fleet.
+
+    Examples
+    --------
+    >>> plan = plan_fleet(deployments.create_small(), 2, '/nowhere')
+    >>> sorted(plan.nodes), len(plan.servers)
+    (['entry-1', 'entry-2'], 19)
+    """
+    names = [
+        name
+        for group in deployment.groups
+        for name in deployments.server_names(group)
+    ]
+    chunks = -(-len(names) // SERVERS_PER_PROCESS)
+    per_server = 2 if proxy else 1
+    free = iter(
+        processes.pick_ports(
+            1 + chunks + 3 * node_count + per_server * len(names)
+        )
+    )
+    platform_port = next(free)
+    controls = [next(free) for _ in range(chunks)]
+    servers = {
+        # Dealt out in turn, so that the load of one group is spread over
+        # all backends processes.
+        name: ServerPlace(
+            f'backends-{index % chunks + 1}',
+            controls[index % chunks],
+            next(free),
+        )
+        for index, name in enumerate(names)
+    }
+    nodes = {
+        deployments.node_name(i): NodePorts(next(free), next(free), next(free))
+        for i in range(node_count)
+    }
+    proxied = {name: next(free) for name in names} if proxy else {}
+    return FleetPlan(
+        deployment,
+        pathlib.Path(directory),
+        platform_port,
+        nodes,
+        servers,
+        proxied,
+        seed,
+    )
+
+
+def build_vms(plan, state='live'):
+    """Build the platform's list of VMs for the nodes of a plan."""
+    return [
+        {
+            'name': name,
+            'address': f'127.0.0.1:{ports.peers}',
+            'data_centre': deployments.place_server(plan.deployment, index),
+            'state': state,
+        }
+        for index, (name, ports) in enumerate(plan.nodes.items())
+    ]
+
+
+def build_backends_spec(plan, process):
+    """Build the spec file of one backends process."""
+    servers = []
+    control_port = None
+    for group in plan.deployment.groups:
+        layout = deployments.build_layout(group)
+        for name in deployments.server_names(group):
+            place = plan.servers[name]
+            if place.process != process:
+                continue
+            control_port = place.control_port
+            servers.append(
+                {
+                    'name': name,
+                    'port': place.port,
+                    'group': group.name,
+                    'slots': group.slots,
+                    'connections': group.connections,
+                    'connect_ms': group.connect_ms,
+                    'service_ms': group.service_ms,
+                    'snapshots': {
+                        layout['name']: [
+                            shard['name']
+                            for shard in layout['shards']
+                            if name in shard['replicas']
+                        ]
+                    },
+                }
+            )
+    return {
+        'seed': plan.seed,
+        'control_port': control_port,
+        'servers': servers,
+    }
+
+
+class Fleet:
+    """A running fleet."""
+
+    def __init__(self, plan, group, variant, settings_extra):
+        self._plan = plan
+        self._group = group
+        self._variant = variant
+        self._settings_extra = settings_extra
+        self._pool = processes.create_pool()
+        self._clock = create_system_clock()
+
+    @property
+    def plan(self):
+        """Ports and files of the fleet."""
+        return self._plan
+
+    @property
+    def nodes(self):
+        """Names of the entry nodes."""
+        return tuple(self._plan.nodes)
+
+    def process(self, name):
+        """Return the process called `name`."""
+        return self._group[name]
+
+    # Processes.
+
+    def start_platform(self):
+        """Start the emulated platform with the deployment's keys."""
+        plan = self._plan
+        state = {
+            'keys': deployments.build_keys(plan.deployment, plan.addresses()),
+            'vms': build_vms(plan),
+        }
+        path = self._write('platform-state.json', state)
+        self._add(
+            PLATFORM,
+            'hawthornfold.emulator',
+            'platform',
+            '--port',
+            str(plan.platform_port),
+            '--state',
+            str(path),
+        )
+
+    def start_backends(self):
+        """Start the backends processes."""
+        for name in self._backends_processes():
+            path = self._write(
+                f'{name}.json', build_backends_spec(self._plan, name)
+            )
+            self._add(
+                name, 'hawthornfold.emulator', 'backends', '--spec', str(path)
+            )
+
+    def start_nodes(self):
+        """Start the entry nodes, of the tier or of the naive version."""
+        # One key pair for all nodes, drawn anew for each fleet.
+        public, secret = zmq.curve_keypair()
+        pair = (public.decode(), secret.decode())
+        for index, (name, ports) in enumerate(self._plan.nodes.items()):
+            settings = deployments.build_settings(
+                self._plan.deployment,
+                index,
+                ports,
+                self._plan.platform_port,
+                [pair],
+                **self._settings_extra,
+            )
+            path = self._write(f'{name}.json', settings)
+            if self._variant == 'naive':
+                command = ('hawthornfold.emulator', 'naive')
+            else:
+                command = ('hawthornfold', 'serve')
+            self._add(name, *command, '--settings', str(path))
+
+    def kill(self, name):
+        """End a process with SIGKILL."""
+        self._group[name].kill()
+
+    def pause(self, name):
+        """Stop a process with SIGSTOP."""
+        self._group[name].pause()
+
+    def resume(self, name):
+        """Continue a process with SIGCONT."""
+        self._group[name].resume()
+
+    def terminate(self, name, timeout_s=15.0):
+        """Stop a process with SIGTERM; return its exit status."""
+        return self._group[name].terminate(timeout_s)
+
+    def start_again(self, name):
+        """Start an ended process again: same name and ports."""
+        self._group[name].start()
+
+    # Control and observation.
+
+    def call(self, port, method, path, body=None, timeout_s=5.0):
+        """Exchange JSON with any port of the fleet."""
+        return processes.call_json(
+            self._pool, method, port, path, body, timeout_s
+        )
+
+    def control_platform(self, method, path, body=None):
+        """Call the platform's control interface; return status, body."""
+        return self.call(self._plan.platform_port, method, path, body)
+
+    def publish(self, key, value):
+        """Publish a configuration key; `value` is text."""
+        return self.control_platform('PUT', f'/control/keys/{key}', value)
+
+    def publish_vms(self, vms):
+        """Publish the list of VMs."""
+        return self.control_platform('PUT', '/control/vms', {'vms': vms})
+
+    def set_server_fault(self, server, fault):
+        """Replace the faults of one backend server."""
+        return self.call(
+            self._plan.servers[server].control_port,
+            'PUT',
+            f'/control/servers/{server}/fault',
+            fault,
+        )
+
+    def collect_ledger(self):
+        """Return the records of what ran, over all backends processes."""
+        records = []
+        for port in self._control_ports():
+            records.extend(self._read(port, '/control/ledger'))
+        return records
+
+    def collect_counters(self):
+        """Return the backends' counters, by server name."""
+        counters = {}
+        for port in self._control_ports():
+            counters.update(self._read(port, '/control/counters'))
+        return counters
+
+    def is_ready(self, name):
+        """Return whether an entry node's ``/readyz`` answers 200."""
+        port = self._plan.nodes[name].callers
+        try:
+            status, _ = self.call(port, 'GET', '/readyz', timeout_s=1.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return status == 200
+
+    def wait_until_ready(self, names=None, timeout_s=20.0):
+        """Wait until entry nodes are ready.
+
+        Raises
+        ------
+        ProcessFailure
+            When a node has ended or is not ready after `timeout_s` seconds;
+            the end of its output is part of the message.
+        """
+        for name in names or self.nodes:
+            self._wait(name, lambda name=name: self.is_ready(name), timeout_s)
+
+    def create_balancer(self, lag_ms=0.0):
+        """Create a load balancer stand-in over the entry nodes."""
+        return balancers.create_balancer(
+            [
+                balancers.Target(name, ports.callers)
+                for name, ports in self._plan.nodes.items()
+            ],
+            lag_ms,
+        )
+
+    def processor_seconds(self, names):
+        """Return the processor time of running processes, in seconds."""
+        return sum(self._group[n].processor_seconds() for n in names)
+
+    def wait_for_ports(self, timeout_s=10.0):
+        """Wait until the platform and the backends answer."""
+        answers = {PLATFORM: (self._plan.platform_port, '/v1/vms')}
+        for place in self._plan.servers.values():
+            answers[place.process] = (place.control_port, '/control/counters')
+        for name, (port, path) in answers.items():
+            self._wait(
+                name,
+                lambda port=port, path=path: self._is_up(port, path),
+                timeout_s,
+            )
+
+    def _is_up(self, port, path):
+        try:
+            return self.call(port, 'GET', path, timeout_s=1.0)[0] == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _wait(self, name, condition, timeout_s):
+        end_ms = self._clock.now_ms() + timeout_s * 1000.0
+        process = self._group[name]
+        while not condition():
+            late = self._clock.now_ms() > end_ms
+            if late or not process.is_running():
+                raise processes.ProcessFailure(
+                    f'{name} is not ready: {process.read_output()}'
+                )
+            self._clock.sleep_ms(50)
+
+    def _read(self, port, path):
+        status, body = self.call(port, 'GET', path, timeout_s=30.0)
+        if status != 200:
+            raise processes.ProcessFailure(f'{path} answered {status}')
+        return body
+
+    def _backends_processes(self):
+        return sorted({p.process for p in self._plan.servers.values()})
+
+    def _control_ports(self):
+        return sorted({p.control_port for p in self._plan.servers.values()})
+
+    def _write(self, name, document):
+        path = self._plan.directory / name
+        path.write_text(json.dumps(document))
+        return path
+
+    def _add(self, name, *arguments):
+        self._group.add(processes.ProcessSpec(name, arguments))
+
+
+def create_directory():
+    """Create a temporary directory, in memory where that is possible.
+
+    Returns
+    -------
+    tempfile.TemporaryDirectory
+        To be used as a context manager.
+    """
+    parent = _MEMORY_FILE_SYSTEM if _MEMORY_FILE_SYSTEM.is_dir() else None
+    return tempfile.TemporaryDirectory(prefix='hawthornfold-', dir=parent)
+
+
+@contextlib.contextmanager
+def open_fleet(
+    deployment,
+    node_count,
+    directory=None,
+    seed=1,
+    proxy=False,
+    variant='tier',
+    settings_extra=None,
+    start_nodes=True,
+):
+    """Run a deployment; every process ends with the context.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to run.
+    node_count : int
+        Number of entry nodes.
+    directory : path, optional
+        For files and output; a temporary one when None.
+    seed : int
+        Seed of the emulated servers.
+    proxy : bool
+        Put a fault-injection proxy before every backend server.
+    variant : {'tier', 'naive'}
+        Which entry nodes to run.
+    settings_extra : dict, optional
+        Sections of the nodes' settings to replace or extend.
+    start_nodes : bool
+        Whether to start the nodes and wait until they are ready.
+
+    Yields
+    ------
+    Fleet
+        The running fleet.
+    """
+    with contextlib.ExitStack() as stack:
+        if directory is None:
+            directory = stack.enter_context(create_directory())
+        plan = plan_fleet(deployment, node_count, directory, seed, proxy)
+        group = stack.enter_context(processes.open_process_group(directory))
+        fleet = Fleet(plan, group, variant, settings_extra or {})
+        fleet.start_platform()
+        fleet.start_backends()
+        fleet.wait_for_ports()
+        if start_nodes:
+            fleet.start_nodes()
+            fleet.wait_until_ready()
+        yield fleet
--- /dev/null
+++ b/hawthornfold/emulator/processes.py
@@ -0,0 +1,249 @@
+"""Starts and ends the processes of an emulated fleet, each by its own id."""
+
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import typing
+
+import urllib3
+
+# Below the kernel's range for outgoing connections (32768 and up), so that
+# no client socket takes a port between its choice and its use.
+_PORT_RANGE = (12_000, 32_000)
+
+
+class ProcessFailure(Exception):
+    """A process of the fleet ended, or did not become ready."""
+
+
+def pick_ports(count):
+    """Choose `count` distinct free TCP ports on the loopback interface.
+
+    Examples
+    --------
+    >>> len(set(pick_ports(5)))
+    5
+    """
+    # Not seeded: runs at the same time on one machine must differ.
+    source = random.SystemRandom()
+    with contextlib.ExitStack() as stack:
+        ports = []
+        while len(ports) < count:
+            port = source.randrange(*_PORT_RANGE)
+            holder = stack.enter_context(socket.socket())
+            try:
+                holder.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
+
+
+def call_json(pool, method, port, path, body=None, timeout_s=5.0):
+    """Exchange JSON with a control or caller port on the loopback.
+
+    Parameters
+    ----------
+    pool : urllib3.PoolManager
+        Connections to use.
+    method, port, path
+        Request line and port.
+    body : object, optional
+        Sent as JSON.
+    timeout_s : float
+        Limit in seconds for connecting and for each read.
+
+    Returns
+    -------
+    tuple
+        Status and decoded body (None when it is empty or no JSON).
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        When the exchange fails.
+    """
+    response = pool.request(
+        method,
+        f'http://127.0.0.1:{port}{path}',
+        json=body,
+        timeout=timeout_s,
+        retries=False,
+        redirect=False,
+    )
+    try:
+        return response.status, response.json() if response.data else None
+    except ValueError:
+        return response.status, None
+
+
+def create_pool(connections=8):
+    """Create a connection pool without retries."""
+    return urllib3.PoolManager(
+        num_pools=256, maxsize=connections, retries=False
+    )
+
+
+class ProcessSpec(typing.NamedTuple):
+    """What to run: a name, and the arguments after ``python -m``."""
+
+    name: str
+    arguments: tuple[str, ...]
+
+
+class ManagedProcess:
+    """One process, which may be started again under the same name."""
+
+    def __init__(self, spec, directory):
+        self._spec = spec
+        self._output = pathlib.Path(directory) / f'{spec.name}.log'
+        self._process = None
+
+    @property
+    def name(self):
+        """Name of the process."""
+        return self._spec.name
+
+    @property
+    def pid(self):
+        """Process id of the latest start."""
+        return self._process.pid
+
+    @property
+    def output_path(self):
+        """File that holds the output of all starts."""
+        return self._output
+
+    def is_running(self):
+        """Return whether the process has been started and has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self):
+        """Start a new process; `ProcessFailure` when one is running."""
+        if self.is_running():
+            raise ProcessFailure(f'{self.name} is already running')
+        with open(self._output, 'ab') as output:
+            # A session of its own keeps the terminal's Ctrl-C from reaching
+            # the process before the fleet ends it.
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', *self._spec.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+
+    def send_signal(self, number):
+        """Send a signal if the process is running."""
+        if self.is_running():
+            self._process.send_signal(number)
+
+    def kill(self):
+        """End the process at once and reap it; nothing when it has ended."""
+        if self._process is not None:
+            self.send_signal(signal.SIGKILL)
+            self._process.wait()
+
+    def pause(self):
+        """Stop the process where it is."""
+        self.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Let a paused process go on."""
+        self.send_signal(signal.SIGCONT)
+
+    def terminate(self, timeout_s=15.0):
+        """Ask for a graceful stop and return the exit status.
+
+        Raises
+        ------
+        ProcessFailure
+            When the process is still running after `timeout_s` seconds.
+        """
+        self.send_signal(signal.SIGTERM)
+        return self.wait(timeout_s)
+
+    def wait(self, timeout_s):
+        """Wait for the end and return the exit status.
+
+        Raises
+        ------
+        ProcessFailure
+            When the process is still running after `timeout_s` seconds.
+        """
+        try:
+            return self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            raise ProcessFailure(
+                f'{self.name} did not end within {timeout_s} s'
+            )
+
+    def read_output(self, limit=2000):
+        """Return the last `limit` characters of the output."""
+        if not self._output.exists():
+            return ''
+        return self._output.read_text(errors='replace')[-limit:]
+
+    def processor_seconds(self):
+        """Return the user and system time used by the running process.
+
+        Returns
+        -------
+        float
+            Seconds, from ``/proc/<pid>/stat``; 0.0 when it has ended.
+        """
+        try:
+            text = pathlib.Path(f'/proc/{self.pid}/stat').read_text()
+        except OSError:
+            return 0.0
+        # The second field, the command, may contain blanks.
+        fields = text.rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+
+class ProcessGroup:
+    """Processes by name; `end_all` ends every one that was started."""
+
+    def __init__(self, directory):
+        self._directory = directory
+        self._processes = {}
+
+    def __getitem__(self, name):
+        return self._processes[name]
+
+    def __iter__(self):
+        return iter(self._processes.values())
+
+    def add(self, spec):
+        """Add and start a process."""
+        process = ManagedProcess(spec, self._directory)
+        self._processes[spec.name] = process
+        process.start()
+
+    def end_all(self, grace_s=3.0):
+        """End all processes: a graceful stop first, then a kill."""
+        for process in self:
+            # A paused process handles no SIGTERM until it is resumed.
+            process.send_signal(signal.SIGTERM)
+            process.resume()
+        for process in self:
+            if process.is_running():
+                with contextlib.suppress(ProcessFailure):
+                    process.wait(grace_s)
+            process.kill()
+
+
+@contextlib.contextmanager
+def open_process_group(directory):
+    """Open a group whose processes all end with the context."""
+    group = ProcessGroup(directory)
+    try:
+        yield group
+    finally:
+        group.end_all()
