Add the demo: both deployments in small, queried for real

make demo needs a program that shows both deployments at work and ends by itself.

Doc examples pass; no run yet, as nodes and emulator are being written.

--- /dev/null
+++ b/hawthornfold/emulator/demo.py
@@ -0,0 +1,189 @@
+"""Small version of both deployments, with real queries of each."""
+
+import contextlib
+import signal
+import sys
+import typing
+
+import urllib3
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import fleet as fleets
+from hawthornfold.emulator import processes
+
+NODES = 3
+_ROUNDS = 2
+
+
+class SampleQuery(typing.NamedTuple):
+    """A query the demo sends: body fields, and the class of its caller."""
+
+    service: str
+    kind: str
+    text: str
+    caller_class: str
+
+
+QUERIES = {
+    'lipovec': (
+        SampleQuery('voter-portal', 'status', 'ballot', 'resident'),
+        SampleQuery('voter-portal', 'search', 'bridge', 'resident'),
+        SampleQuery('results-board', 'search', 'count', 'press'),
+        SampleQuery('clerk-desk', 'record', 'register', 'clerk'),
+        SampleQuery('notification', 'search', 'notice', 'service'),
+    ),
+    'monterrey': (
+        SampleQuery('approval-desk', 'status', 'permit', 'resident'),
+        SampleQuery('brief-library', 'search', 'budget', 'staff'),
+        SampleQuery('payout-ledger', 'record', 'refund', 'clerk'),
+        SampleQuery('ward-console', 'record', 'ward', 'staff'),
+    ),
+}
+
+
+def create_demo_deployments():
+    """Create both deployments with fewer services.
+
+    Examples
+    --------
+    >>> [d.server_count for d in create_demo_deployments()]
+    [16, 18]
+    """
+    return (
+        deployments.create_lipovec(services=(3, 2)),
+        deployments.create_monterrey(services=(3, 2)),
+    )
+
+
+def format_answer(query, status, answer):
+    """Describe one answer on a line.
+
+    Examples
+    --------
+    >>> query = SampleQuery('clerk-desk', 'record', 'x', 'clerk')
+    >>> print(format_answer(query, 200, {
+    ...     'outcome': 'complete', 'snapshot': 's1', 'rule': 'records',
+    ...     'coverage': {'answered_weight': 9, 'total_weight': 9},
+    ...     'total': 4, 'latency_ms': 21.5}))
+    clerk-desk/record    200 complete s1 coverage 9/9 21.5 ms rule records, \
+4 hits
+    """
+    name = f'{query.service}/{query.kind}'
+    coverage = answer.get('coverage') or {}
+    return (
+        f'{name:20} {status} {answer.get("outcome")} {answer.get("snapshot")}'
+        f' coverage {coverage.get("answered_weight")}'
+        f'/{coverage.get("total_weight")}'
+        f' {answer.get("latency_ms") or 0:.1f} ms'
+        f' rule {answer.get("rule")}, {answer.get("total")} hits'
+        + (f' ({answer["detail"]})' if answer.get('detail') else '')
+    )
+
+
+def send_query(pool, port, query):
+    """Send one query to an entry node; return status and answer."""
+    response = pool.request(
+        'POST',
+        f'http://127.0.0.1:{port}/v1/query',
+        json={
+            'service': query.service,
+            'kind': query.kind,
+            'text': query.text,
+            'limit': 3,
+        },
+        headers={'X-Caller-Class': query.caller_class},
+        timeout=5.0,
+        retries=False,
+    )
+    return response.status, response.json()
+
+
+def query_deployment(fleet, write):
+    """Send every sample query to the entry nodes in turn.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        A running fleet.
+    write : callable
+        Receives each line of text.
+
+    Returns
+    -------
+    int
+        Number of answers that are not complete.
+    """
+    pool = processes.create_pool()
+    balancer = fleet.create_balancer()
+    failed = 0
+    queries = QUERIES[fleet.plan.deployment.name] * _ROUNDS
+    for query in queries:
+        target = balancer.peek()
+        balancer.step()
+        try:
+            status, answer = send_query(pool, target.port, query)
+        except urllib3.exceptions.HTTPError as error:
+            status, answer = 0, {'outcome': 'no answer', 'detail': str(error)}
+        write(f'  {target.name} {format_answer(query, status, answer)}')
+        failed += answer.get('outcome') != 'complete'
+    return failed
+
+
+def _describe_addresses(fleet, write):
+    plan = fleet.plan
+    write(f'  platform   http://127.0.0.1:{plan.platform_port}')
+    for name, ports in plan.nodes.items():
+        write(
+            f'  {name}    callers http://127.0.0.1:{ports.callers}'
+            f'  operators http://127.0.0.1:{ports.operators}'
+        )
+
+
+def _wait_for_interrupt(write):
+    write('Ctrl-C ends the demo.')
+    clock = create_system_clock()
+    with contextlib.suppress(KeyboardInterrupt):
+        while True:
+            clock.sleep_ms(500)
+
+
+def raise_on_sigterm():
+    """Turn SIGTERM into `SystemExit`, so that contexts end processes."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+
+
+def run_demo(keep=False, write=print):
+    """Run the demo.
+
+    Parameters
+    ----------
+    keep : bool
+        Leave both deployments up until Ctrl-C.
+    write : callable
+        Receives each line of text.
+
+    Returns
+    -------
+    int
+        Exit status: 0 when every answer was complete.
+    """
+    raise_on_sigterm()
+    failed = 0
+    with contextlib.ExitStack() as stack:
+        fleets_up = []
+        for deployment in create_demo_deployments():
+            write(
+                f'{deployment.name}: {NODES} entry nodes, '
+                f'{deployment.server_count} backend servers'
+            )
+            fleet = stack.enter_context(fleets.open_fleet(deployment, NODES))
+            failed += query_deployment(fleet, write)
+            fleets_up.append(fleet)
+        if keep:
+            for fleet in fleets_up:
+                write(f'{fleet.plan.deployment.name} is at')
+                _describe_addresses(fleet, write)
+            _wait_for_interrupt(write)
+    write(f'{failed} answers were not complete' if failed else 'all complete')
+    return 1 if failed else 0
