--- a/hawthornfold/emulator/deployments.py
+++ b/hawthornfold/emulator/deployments.py
@@ -1,14 +1,14 @@
 """Descriptions of the two deployments and of a small one for tests.
 
-A deployment describes service groups, the backend servers behind them, the
-rules document and the nodes' settings. Ports are not part of it: they are
-passed in by `hawthornfold.emulator.fleet` when the processes start.
+A deployment describes service groups, the backend servers behind them and the
+rules. Ports are not part of it: `hawthornfold.emulator.plans` adds them, and
+`hawthornfold.emulator.deployment_files` builds the documents.
 """
 
-import json
 import typing
 
 FIRST_SNAPSHOT = 's1'
+NEXT_SNAPSHOT = 's2'
 
 # Mean service time of a small server. It is long enough that the emulated
 # servers' slots, not the emulator's processor time, are what saturates.
@@ -273,9 +273,9 @@
     names = server_names(group)
     shards = [
         {
-            'name': f'{group.name}-shard-{index + 1}',
+            'name': f'shard-{index + 1}',
             # Uneven weights keep coverage from being a count of shards.
-            'weight': 1000 + 50 * (index % 5),
+            'weight': 200 + 10 * (index % 5),
             'replicas': [
                 names[(index * group.replicas + i) % len(names)]
                 for i in range(group.replicas)
@@ -286,117 +286,12 @@
     return {'name': snapshot, 'shards': shards}
 
 
-def build_group_document(
-    deployment, group, addresses, snapshots=(FIRST_SNAPSHOT,)
-):
-    """Build the value of the key ``services/<group>``.
-
-    Parameters
-    ----------
-    deployment : Deployment
-        Supplies the data centres, dealt out to the servers in turn.
-    group : GroupSpec
-        Group of the deployment.
-    addresses : dict
-        ``host:port`` by server name, as seen by the nodes.
-    snapshots : tuple of str
-        Names of the snapshots, oldest first.
-    """
-    servers = [
-        {
-            'name': name,
-            'address': addresses[name],
-            'data_centre': place_server(deployment, index),
-            'slots': group.slots,
-            'connections': group.connections,
-        }
-        for index, name in enumerate(server_names(group))
-    ]
-    return {
-        'servers': servers,
-        'snapshots': [build_layout(group, name) for name in snapshots],
-    }
-
-
 def place_server(deployment, index):
     """Return the data centre of the server number `index` of a group."""
     centres = deployment.data_centres
     return centres[index % len(centres)]
 
 
-def build_rules_document(deployment):
-    """Build the value of the key ``rules``.
-
-    Examples
-    --------
-    >>> len(build_rules_document(create_lipovec())['rules'])
-    5
-    """
-    return {'default': None, 'rules': list(deployment.rules)}
-
-
-def build_keys(deployment, addresses, snapshots=(FIRST_SNAPSHOT,)):
-    """Build every configuration key, as text by name."""
-    keys = {'rules': json.dumps(build_rules_document(deployment))}
-    for group in deployment.groups:
-        document = build_group_document(
-            deployment, group, addresses, snapshots
-        )
-        keys[f'services/{group.name}'] = json.dumps(document)
-    return keys
-
-
-def build_settings(deployment, index, ports, platform_port, keys=(), **extra):
-    """Build a node's settings document (design 8.2).
-
-    Parameters
-    ----------
-    deployment : Deployment
-        Names the cluster and the data centres.
-    index : int
-        Number of the node, from 0.
-    ports : tuple of int
-        Ports for callers, operators and peers.
-    platform_port : int
-        Port of the platform's configuration service.
-    keys : sequence of tuple
-        CURVE key pairs (public, secret) as z85 text; encryption is on when
-        there is at least one.
-    **extra
-        Sections that replace or extend the ones built here.
-
-    Examples
-    --------
-    >>> settings = build_settings(create_small(), 0, (1, 2, 3), 4)
-    >>> settings['node']['name'], settings['peers']['port']
-    ('entry-1', 3)
-    """
-    callers, operators, peers = ports
-    settings = {
-        'cluster': deployment.name,
-        'node': {
-            'name': node_name(index),
-            'data_centre': place_server(deployment, index),
-            'host': '127.0.0.1',
-        },
-        'callers': {
-            'port': callers,
-            # All callers of an experiment share one address.
-            'max_connections_per_address': 4096,
-        },
-        'operators': {'port': operators},
-        'peers': {
-            'port': peers,
-            'encryption': bool(keys),
-            'keys': [{'public': p, 'secret': s} for p, s in keys],
-        },
-        'platform': {'addresses': [f'127.0.0.1:{platform_port}']},
-    }
-    for section, values in extra.items():
-        settings[section] = settings.get(section, {}) | values
-    return settings
-
-
 def node_name(index):
     """Return the name of the entry node number `index`, from 0."""
     return f'entry-{index + 1}'
--- a/hawthornfold/emulator/fleet.py
+++ b/hawthornfold/emulator/fleet.py
@@ -9,164 +9,20 @@
 import json
 import pathlib
 import tempfile
-import typing
 
 import urllib3
 import zmq
 
 from hawthornfold.clock import create_system_clock
 from hawthornfold.emulator import balancer as balancers
-from hawthornfold.emulator import deployments
+from hawthornfold.emulator import deployment_files
+from hawthornfold.emulator import plans
 from hawthornfold.emulator import processes
 
-SERVERS_PER_PROCESS = 15
 PLATFORM = 'platform'
 _MEMORY_FILE_SYSTEM = pathlib.Path('/dev/shm')
 
 
-class NodePorts(typing.NamedTuple):
-    """Ports of an entry node, in the order of the settings builder."""
-
-    callers: int
-    operators: int
-    peers: int
-
-
-class ServerPlace(typing.NamedTuple):
-    """Where a backend server runs.
-
-    Parameters
-    ----------
-    process : str
-        Name of the backends process.
-    control_port : int
-        Control port of that process.
-    port : int
-        Port of the server itself.
-    """
-
-    process: str
-    control_port: int
-    port: int
-
-
-class FleetPlan(typing.NamedTuple):
-    """Ports and files of a fleet, fixed before anything starts."""
-
-    deployment: deployments.Deployment
-    directory: pathlib.Path
-    platform_port: int
-    nodes: dict[str, NodePorts]
-    servers: dict[str, ServerPlace]
-    proxied: dict[str, int]
-    seed: int
-
-    def addresses(self):
-        """Return ``host:port`` by server name, as the nodes see it."""
-        return {
-            name: f'127.0.0.1:{self.proxied.get(name, place.port)}'
-            for name, place in self.servers.items()
-        }
-
-
-def plan_fleet(deployment, node_count, directory, seed=1, proxy=False):
-    """Choose the ports of a fleet.
-
-    Examples
-    --------
-    >>> plan = plan_fleet(deployments.create_small(), 2, '/nowhere')
-    >>> sorted(plan.nodes), len(plan.servers)
-    (['entry-1', 'entry-2'], 19)
-    """
-    names = [
-        name
-        for group in deployment.groups
-        for name in deployments.server_names(group)
-    ]
-    chunks = -(-len(names) // SERVERS_PER_PROCESS)
-    per_server = 2 if proxy else 1
-    free = iter(
-        processes.pick_ports(
-            1 + chunks + 3 * node_count + per_server * len(names)
-        )
-    )
-    platform_port = next(free)
-    controls = [next(free) for _ in range(chunks)]
-    servers = {
-        # Dealt out in turn, so that the load of one group is spread over
-        # all backends processes.
-        name: ServerPlace(
-            f'backends-{index % chunks + 1}',
-            controls[index % chunks],
-            next(free),
-        )
-        for index, name in enumerate(names)
-    }
-    nodes = {
-        deployments.node_name(i): NodePorts(next(free), next(free), next(free))
-        for i in range(node_count)
-    }
-    proxied = {name: next(free) for name in names} if proxy else {}
-    return FleetPlan(
-        deployment,
-        pathlib.Path(directory),
-        platform_port,
-        nodes,
-        servers,
-        proxied,
-        seed,
-    )
-
-
-def build_vms(plan, state='live'):
-    """Build the platform's list of VMs for the nodes of a plan."""
-    return [
-        {
-            'name': name,
-            'address': f'127.0.0.1:{ports.peers}',
-            'data_centre': deployments.place_server(plan.deployment, index),
-            'state': state,
-        }
-        for index, (name, ports) in enumerate(plan.nodes.items())
-    ]
-
-
-def build_backends_spec(plan, process):
-    """Build the spec file of one backends process."""
-    servers = []
-    control_port = None
-    for group in plan.deployment.groups:
-        layout = deployments.build_layout(group)
-        for name in deployments.server_names(group):
-            place = plan.servers[name]
-            if place.process != process:
-                continue
-            control_port = place.control_port
-            servers.append(
-                {
-                    'name': name,
-                    'port': place.port,
-                    'group': group.name,
-                    'slots': group.slots,
-                    'connections': group.connections,
-                    'connect_ms': group.connect_ms,
-                    'service_ms': group.service_ms,
-                    'snapshots': {
-                        layout['name']: [
-                            shard['name']
-                            for shard in layout['shards']
-                            if name in shard['replicas']
-                        ]
-                    },
-                }
-            )
-    return {
-        'seed': plan.seed,
-        'control_port': control_port,
-        'servers': servers,
-    }
-
-
 class Fleet:
     """A running fleet."""
 
@@ -198,8 +54,10 @@
         """Start the emulated platform with the deployment's keys."""
         plan = self._plan
         state = {
-            'keys': deployments.build_keys(plan.deployment, plan.addresses()),
-            'vms': build_vms(plan),
+            'keys': deployment_files.build_keys(
+                plan.deployment, plan.addresses()
+            ),
+            'vms': plans.build_vms(plan),
         }
         path = self._write('platform-state.json', state)
         self._add(
@@ -216,7 +74,7 @@
         """Start the backends processes."""
         for name in self._backends_processes():
             path = self._write(
-                f'{name}.json', build_backends_spec(self._plan, name)
+                f'{name}.json', plans.build_backends_spec(self._plan, name)
             )
             self._add(
                 name, 'hawthornfold.emulator', 'backends', '--spec', str(path)
@@ -228,7 +86,7 @@
         public, secret = zmq.curve_keypair()
         pair = (public.decode(), secret.decode())
         for index, (name, ports) in enumerate(self._plan.nodes.items()):
-            settings = deployments.build_settings(
+            settings = deployment_files.build_settings(
                 self._plan.deployment,
                 index,
                 ports,
@@ -443,7 +301,7 @@
     with contextlib.ExitStack() as stack:
         if directory is None:
             directory = stack.enter_context(create_directory())
-        plan = plan_fleet(deployment, node_count, directory, seed, proxy)
+        plan = plans.plan_fleet(deployment, node_count, directory, seed, proxy)
         group = stack.enter_context(processes.open_process_group(directory))
         fleet = Fleet(plan, group, variant, settings_extra or {})
         fleet.start_platform()
--- /dev/null
+++ b/hawthornfold/emulator/plans.py
@@ -0,0 +1,164 @@
+"""Ports and files of a fleet, fixed before any of its processes starts."""
+
+import pathlib
+import typing
+
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import processes
+
+SERVERS_PER_PROCESS = 15
+
+
+class NodePorts(typing.NamedTuple):
+    """Ports of an entry node, in the order of the settings builder."""
+
+    callers: int
+    operators: int
+    peers: int
+
+
+class ServerPlace(typing.NamedTuple):
+    """Where a backend server runs.
+
+    Parameters
+    ----------
+    process : str
+        Name of the backends process.
+    control_port : int
+        Control port of that process.
+    port : int
+        Port of the server itself.
+    """
+
+    process: str
+    control_port: int
+    port: int
+
+
+class FleetPlan(typing.NamedTuple):
+    """Ports and files of a fleet, fixed before anything starts."""
+
+    deployment: deployments.Deployment
+    directory: pathlib.Path
+    platform_port: int
+    nodes: dict[str, NodePorts]
+    servers: dict[str, ServerPlace]
+    proxied: dict[str, int]
+    seed: int
+
+    def addresses(self):
+        """Return ``host:port`` by server name, as the nodes see it."""
+        return {
+            name: f'127.0.0.1:{self.proxied.get(name, place.port)}'
+            for name, place in self.servers.items()
+        }
+
+
+def plan_fleet(deployment, node_count, directory, seed=1, proxy=False):
+    """Choose the ports of a fleet.
+
+    Examples
+    --------
+    >>> plan = plan_fleet(deployments.create_small(), 2, '/nowhere')
+    >>> sorted(plan.nodes), len(plan.servers)
+    (['entry-1', 'entry-2'], 19)
+    """
+    names = [
+        name
+        for group in deployment.groups
+        for name in deployments.server_names(group)
+    ]
+    chunks = -(-len(names) // SERVERS_PER_PROCESS)
+    per_server = 2 if proxy else 1
+    free = iter(
+        processes.pick_ports(
+            1 + chunks + 3 * node_count + per_server * len(names)
+        )
+    )
+    platform_port = next(free)
+    controls = [next(free) for _ in range(chunks)]
+    servers = {
+        # Dealt out in turn, so that the load of one group is spread over
+        # all backends processes.
+        name: ServerPlace(
+            f'backends-{index % chunks + 1}',
+            controls[index % chunks],
+            next(free),
+        )
+        for index, name in enumerate(names)
+    }
+    nodes = {
+        deployments.node_name(i): NodePorts(next(free), next(free), next(free))
+        for i in range(node_count)
+    }
+    proxied = {name: next(free) for name in names} if proxy else {}
+    return FleetPlan(
+        deployment,
+        pathlib.Path(directory),
+        platform_port,
+        nodes,
+        servers,
+        proxied,
+        seed,
+    )
+
+
+def build_vms(plan, state='live'):
+    """Build the platform's list of VMs for the nodes of a plan."""
+    return [
+        {
+            'name': name,
+            'address': f'127.0.0.1:{ports.peers}',
+            'data_centre': deployments.place_server(plan.deployment, index),
+            'state': state,
+        }
+        for index, (name, ports) in enumerate(plan.nodes.items())
+    ]
+
+
+def build_backends_spec(plan, process):
+    """Build the spec file of one backends process.
+
+    Every server could serve the next snapshot too; it holds only the first
+    until an experiment says otherwise.
+    """
+    servers = []
+    control_port = None
+    for group in plan.deployment.groups:
+        for index, name in enumerate(deployments.server_names(group)):
+            place = plan.servers[name]
+            if place.process != process:
+                continue
+            control_port = place.control_port
+            servers.append(
+                {
+                    'name': name,
+                    'group': group.name,
+                    'port': place.port,
+                    'shards': _held_shards(group, name),
+                    'held': [deployments.FIRST_SNAPSHOT],
+                    'data_centre': deployments.place_server(
+                        plan.deployment, index
+                    ),
+                    'slots': group.slots,
+                    'connections': group.connections,
+                    'connect_ms': group.connect_ms,
+                    'service_ms': group.service_ms,
+                    'seed': plan.seed,
+                    'corpus_seed': plan.seed,
+                }
+            )
+    return {'control_port': control_port, 'servers': servers}
+
+
+def _held_shards(group, server):
+    """Return the shards of each snapshot that `server` is a replica of."""
+    names = (deployments.FIRST_SNAPSHOT, deployments.NEXT_SNAPSHOT)
+    return {
+        name: [
+            {'name': shard['name'], 'weight': shard['weight']}
+            for shard in deployments.build_layout(group, name)['shards']
+            if server in shard['replicas']
+        ]
+        for name in names
+    }
