Add the naive version and match the emulator's interfaces

The comparison of the tier needs a version without hedges, queues and owners behind the same caller interface. The fleet now passes the backends' control port on the command line and publishes keys as raw bodies, as the emulator's control interface has it.

--- a/hawthornfold/emulator/demo.py
+++ b/hawthornfold/emulator/demo.py
@@ -1,10 +1,12 @@
 """Small version of both deployments, with real queries of each."""
 
 import contextlib
+import dataclasses
 import signal
 import sys
 import typing
 
+import cappa
 import urllib3
 
 from hawthornfold.clock import create_system_clock
@@ -187,3 +189,15 @@
             _wait_for_interrupt(write)
     write(f'{failed} answers were not complete' if failed else 'all complete')
     return 1 if failed else 0
+
+
+@cappa.command(name='demo')
+@dataclasses.dataclass
+class DemoCommand:
+    """Run both deployments in small and query them."""
+
+    keep: typing.Annotated[bool, cappa.Arg(long=True)] = False
+
+    def __call__(self):
+        """Run the demo; exit 0 when every answer is complete."""
+        raise cappa.Exit(code=run_demo(self.keep))
--- a/hawthornfold/emulator/fleet.py
+++ b/hawthornfold/emulator/fleet.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import tempfile
+import urllib.parse
 
 import urllib3
 import zmq
@@ -50,6 +51,16 @@
 
     # Processes.
 
+    def add(self, name, *arguments):
+        """Start another process: a name, and what follows ``python -m``."""
+        self._group.add(processes.ProcessSpec(name, arguments))
+
+    def write_file(self, name, document):
+        """Write a JSON file into the fleet's directory; return its path."""
+        path = self._plan.directory / name
+        path.write_text(json.dumps(document))
+        return path
+
     def start_platform(self):
         """Start the emulated platform with the deployment's keys."""
         plan = self._plan
@@ -59,8 +70,8 @@
             ),
             'vms': plans.build_vms(plan),
         }
-        path = self._write('platform-state.json', state)
-        self._add(
+        path = self.write_file('platform-state.json', state)
+        self.add(
             PLATFORM,
             'hawthornfold.emulator',
             'platform',
@@ -72,12 +83,22 @@
 
     def start_backends(self):
         """Start the backends processes."""
-        for name in self._backends_processes():
-            path = self._write(
+        controls = {
+            place.process: place.control_port
+            for place in self._plan.servers.values()
+        }
+        for name, control_port in controls.items():
+            path = self.write_file(
                 f'{name}.json', plans.build_backends_spec(self._plan, name)
             )
-            self._add(
-                name, 'hawthornfold.emulator', 'backends', '--spec', str(path)
+            self.add(
+                name,
+                'hawthornfold.emulator',
+                'backends',
+                '--spec',
+                str(path),
+                '--control-port',
+                str(control_port),
             )
 
     def start_nodes(self):
@@ -94,12 +115,12 @@
                 [pair],
                 **self._settings_extra,
             )
-            path = self._write(f'{name}.json', settings)
+            path = self.write_file(f'{name}.json', settings)
             if self._variant == 'naive':
                 command = ('hawthornfold.emulator', 'naive')
             else:
                 command = ('hawthornfold', 'serve')
-            self._add(name, *command, '--settings', str(path))
+            self.add(name, *command, '--settings', str(path))
 
     def kill(self, name):
         """End a process with SIGKILL."""
@@ -135,20 +156,35 @@
 
     def publish(self, key, value):
         """Publish a configuration key; `value` is text."""
-        return self.control_platform('PUT', f'/control/keys/{key}', value)
+        name = urllib.parse.quote(key, safe='/')
+        path = f'/control/keys/{name}'
+        return self.control_platform('PUT', path, value.encode())
 
     def publish_vms(self, vms):
         """Publish the list of VMs."""
-        return self.control_platform('PUT', '/control/vms', {'vms': vms})
-
-    def set_server_fault(self, server, fault):
-        """Replace the faults of one backend server."""
-        return self.call(
-            self._plan.servers[server].control_port,
-            'PUT',
-            f'/control/servers/{server}/fault',
-            fault,
-        )
+        return self.control_platform('PUT', '/control/vms', vms)
+
+    def control_server(self, server, method, action, body=None):
+        """Call the control interface of a backend server.
+
+        Parameters
+        ----------
+        server : str
+            Name of the server.
+        method : str
+            ``PUT`` for ``fault`` and ``held``, ``POST`` for the others.
+        action : str
+            ``fault``, ``held``, ``restart``, ``stop`` or ``start``.
+        body : object, optional
+            Sent as JSON.
+        """
+        port = self._plan.servers[server].control_port
+        path = f'/control/servers/{server}/{action}'
+        return self.call(port, method, path, body)
+
+    def set_server_fault(self, server, **fault):
+        """Replace the faults of a backend server; none makes it healthy."""
+        return self.control_server(server, 'PUT', 'fault', fault)
 
     def collect_ledger(self):
         """Return the records of what ran, over all backends processes."""
@@ -161,7 +197,7 @@
         """Return the backends' counters, by server name."""
         counters = {}
         for port in self._control_ports():
-            counters.update(self._read(port, '/control/counters'))
+            counters |= self._read(port, '/control/counters')['servers']
         return counters
 
     def is_ready(self, name):
@@ -240,14 +276,6 @@
     def _control_ports(self):
         return sorted({p.control_port for p in self._plan.servers.values()})
 
-    def _write(self, name, document):
-        path = self._plan.directory / name
-        path.write_text(json.dumps(document))
-        return path
-
-    def _add(self, name, *arguments):
-        self._group.add(processes.ProcessSpec(name, arguments))
-
 
 def create_directory():
     """Create a temporary directory, in memory where that is possible.
--- a/hawthornfold/emulator/load.py
+++ b/hawthornfold/emulator/load.py
@@ -5,22 +5,21 @@
 down, and waiting behind the generator or a full node counts as latency.
 """
 
+import dataclasses
 import json
 import pathlib
 import random
 import typing
 
+import cappa
 import eventlet
-from hdrh import histogram
 import urllib3
 
 from hawthornfold.clock import create_system_clock
 from hawthornfold.emulator import balancer as balancers
+from hawthornfold.emulator import recorder as recorders
 
-URGENCIES = ('urgent', 'ordinary', 'background')
 _POLL_MS = 200
-_HIGHEST_US = 60_000_000
-_DIGITS = 3
 # Longer than any rule's deadline: an answer that is still missing by then
 # counts as lost.
 _ANSWER_LIMIT_S = 8.0
@@ -151,154 +150,13 @@
     return spec._asdict() | {'mix': [kind._asdict() for kind in spec.mix]}
 
 
-def create_histogram():
-    """Create a histogram of latencies in microseconds."""
-    return histogram.HdrHistogram(1, _HIGHEST_US, _DIGITS)
-
-
-class Recorder:
-    """Collects the outcome of each request, by urgency."""
-
-    def __init__(self):
-        self._histograms = {name: create_histogram() for name in URGENCIES}
-        self._counts = {name: _empty_counts() for name in URGENCIES}
-        self._codes = {}
-        self._claims = []
-        self._drops = []
-        self._late_us = create_histogram()
-
-    def record_send(self, late_ms):
-        """Note how late after its intended arrival a request was sent."""
-        self._late_us.record_value(_to_us(late_ms))
-
-    def record_answer(self, kind, answer, latency_ms):
-        """Note an answer.
-
-        Parameters
-        ----------
-        kind : QueryKind
-            What was asked.
-        answer : dict
-            Decoded body.
-        latency_ms : float
-            From the intended arrival to the whole answer.
-        """
-        counts = self._counts[kind.urgency]
-        self._histograms[kind.urgency].record_value(_to_us(latency_ms))
-        coverage = answer.get('coverage') or {}
-        total = coverage.get('total_weight') or 0
-        share = coverage.get('answered_weight', 0) / total if total else 0.0
-        outcome = answer.get('outcome') or 'failed'
-        is_good = (
-            outcome in ('complete', 'partial')
-            and share * 100.0 >= kind.coverage_percent
-            and latency_ms <= kind.deadline_ms
-        )
-        counts['sent'] += 1
-        counts[outcome] += 1
-        counts['good'] += is_good
-        if outcome in ('complete', 'partial'):
-            counts['answered'] += 1
-            counts['full'] += share == 1.0
-            counts['coverage_sum'] += share
-        code = str(answer.get('code'))
-        self._codes[code] = self._codes.get(code, 0) + 1
-        self._claims.append((answer.get('request_id'), answer.get('ran')))
-
-    def record_drop(self, kind, target, latency_ms, error):
-        """Note a request that got no answer at all.
-
-        Parameters
-        ----------
-        kind : QueryKind
-            What was asked.
-        target : str
-            Entry node that was asked.
-        latency_ms : float
-            From the intended arrival to the failure.
-        error : str
-            What the HTTP client saw.
-        """
-        counts = self._counts[kind.urgency]
-        self._histograms[kind.urgency].record_value(_to_us(latency_ms))
-        counts['sent'] += 1
-        counts['dropped'] += 1
-        self._drops.append((target, error))
-
-    def results(self):
-        """Return everything recorded, as a JSON document."""
-        return {
-            'histograms': {
-                name: value.encode().decode()
-                for name, value in self._histograms.items()
-            },
-            'late': self._late_us.encode().decode(),
-            'counts': self._counts,
-            'codes': self._codes,
-            'claims': self._claims,
-            'drops': self._drops,
-        }
-
-
-def _empty_counts():
-    names = (
-        'sent',
-        'good',
-        'answered',
-        'full',
-        'coverage_sum',
-        'complete',
-        'partial',
-        'refused',
-        'failed',
-        'dropped',
-    )
-    return dict.fromkeys(names, 0)
-
-
-def _to_us(latency_ms):
-    return min(max(int(latency_ms * 1000.0), 1), _HIGHEST_US)
-
-
-def merge_results(documents):
-    """Merge the results of several generator processes.
-
-    Returns
-    -------
-    dict
-        As written by one process, with ``histograms`` and ``late`` decoded.
-    """
-    merged = {
-        'histograms': {name: create_histogram() for name in URGENCIES},
-        'late': create_histogram(),
-        'counts': {name: _empty_counts() for name in URGENCIES},
-        'codes': {},
-        'claims': [],
-        'drops': [],
-    }
-    for document in documents:
-        merged['late'].decode_and_add(document['late'].encode())
-        for name in URGENCIES:
-            merged['histograms'][name].decode_and_add(
-                document['histograms'][name].encode()
-            )
-            counts = merged['counts'][name]
-            for key, value in document['counts'][name].items():
-                counts[key] += value
-        for code, count in document['codes'].items():
-            merged['codes'][code] = merged['codes'].get(code, 0) + count
-        merged['claims'].extend(document['claims'])
-        merged['drops'].extend(document['drops'])
-    return merged
-
-
 class LoadGenerator:
     """Sends the requests of one spec."""
 
     def __init__(self, spec, clock):
         self._spec = spec
         self._clock = clock
-        self._recorder = Recorder()
+        self._recorder = recorders.Recorder()
         self._balancer = balancers.create_balancer(
             [balancers.Target(name, port) for name, port in spec.targets],
             spec.lag_ms,
@@ -389,8 +247,19 @@
     spec_path : path
         A `LoadSpec` as JSON.
     """
-    eventlet.monkey_patch()
     spec = read_spec(spec_path)
     results = LoadGenerator(spec, create_system_clock()).run()
     pathlib.Path(spec.output).write_text(json.dumps(results))
     return 0
+
+
+@cappa.command(name='load')
+@dataclasses.dataclass
+class LoadCommand:
+    """Send open-loop load to entry nodes."""
+
+    spec: typing.Annotated[str, cappa.Arg(long=True)]
+
+    def __call__(self):
+        """Run one generator process."""
+        raise cappa.Exit(code=run_load(self.spec))
--- /dev/null
+++ b/hawthornfold/emulator/naive.py
@@ -0,0 +1,359 @@
+"""The naive version of the tier, to compare the tier with.
+
+Same HTTP interface for callers, same rules, same configuration. For each
+shard it picks a random replica and sends it one request, waits for all of
+them until the rule's deadline and answers what it then has: no hedges, no
+retries, no owners, no queues.
+"""
+
+import dataclasses
+import itertools
+import random
+import signal
+import sys
+import typing
+
+import cappa
+import eventlet
+from eventlet import wsgi
+import msgspec
+import urllib3
+
+from hawthornfold import rules
+from hawthornfold import snapshots
+from hawthornfold.clock import create_system_clock
+from hawthornfold.codes import ResultCode
+
+_SERVICES = 'services/'
+_MAX_BODY_BYTES = 65_536
+_JSON = [('Content-Type', 'application/json')]
+
+
+def naive_merge(answers, limit):
+    """Merge the answers of shards; the reference for differential tests.
+
+    Parameters
+    ----------
+    answers : sequence of dict
+        ``{"shard", "total", "hits": [{"id", "score", "text"}]}`` each.
+    limit : int
+        Hits to return at most.
+
+    Returns
+    -------
+    tuple of (int, list of dict)
+        Sum of the totals; the best hits by descending score, then id.
+
+    Examples
+    --------
+    >>> one = {'total': 1, 'hits': [{'id': 'b', 'score': 2}]}
+    >>> two = {'total': 3, 'hits': [{'id': 'a', 'score': 2}]}
+    >>> naive_merge([one, two], 1)
+    (4, [{'id': 'a', 'score': 2}])
+    """
+    hits = [hit for answer in answers for hit in answer['hits']]
+    hits.sort(key=lambda hit: (-hit['score'], hit['id']))
+    return sum(answer['total'] for answer in answers), hits[:limit]
+
+
+class ShardOutcome(typing.NamedTuple):
+    """What came of the request to one shard.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard.
+    answer : dict or None
+        The shard's part of the reply.
+    is_refused : bool
+        Whether the server stated that nothing ran.
+    """
+
+    shard: str
+    answer: dict | None
+    is_refused: bool
+
+
+class NaiveConfiguration:
+    """Rules and service groups, polled from the platform."""
+
+    def __init__(self, address, pool):
+        self._address = address
+        self._pool = pool
+        self._revision = 0
+        self._rules = None
+        self._groups = {}
+
+    @property
+    def is_ready(self):
+        """Whether rules are held."""
+        return self._rules is not None
+
+    @property
+    def revision(self):
+        """Platform revision held."""
+        return self._revision
+
+    @property
+    def rules(self):
+        """The `RuleSet` in force."""
+        return self._rules
+
+    def find_group(self, name):
+        """Return the `ServiceGroup` called `name`, or None."""
+        return self._groups.get(name)
+
+    def poll(self, wait_ms):
+        """Read changes from the platform, waiting for one if needed."""
+        response = self._pool.request(
+            'GET',
+            f'http://{self._address}/v1/keys'
+            f'?since={self._revision}&wait_ms={wait_ms}',
+            timeout=wait_ms / 1000.0 + 5.0,
+            retries=False,
+        )
+        document = response.json()
+        for name, entry in document['keys'].items():
+            if entry['value'] is not None:
+                self._install(name, entry['value'].encode())
+        self._revision = document['revision']
+
+    def _install(self, name, value):
+        if name == 'rules':
+            self._rules = rules.compile_rules(value).unwrap()
+        elif name.startswith(_SERVICES):
+            group = name.removeprefix(_SERVICES)
+            parsed = snapshots.parse_service_group(group, value)
+            self._groups[group] = parsed.unwrap()
+
+
+class NaiveNode:
+    """An entry node of the naive version."""
+
+    def __init__(self, name, data_centre, configuration, pool, clock):
+        self._name = name
+        self._data_centre = data_centre
+        self._configuration = configuration
+        self._pool = pool
+        self._clock = clock
+        # Request ids of two incarnations of a node must differ.
+        self._prefix = f'{name}-{clock.wall_ms():x}'
+        self._numbers = itertools.count(1)
+        self._random = random.Random(self._prefix)
+
+    def respond(self, environ, start_response):
+        """Answer one HTTP request (WSGI)."""
+        path = environ['PATH_INFO']
+        if path == '/readyz':
+            is_ready = self._configuration.is_ready
+            status = '200 OK' if is_ready else '503 Service Unavailable'
+            start_response(status, _JSON)
+            return [b'{}']
+        if path != '/v1/query':
+            start_response('404 Not Found', _JSON)
+            return [b'{}']
+        try:
+            body = environ['wsgi.input'].read(_MAX_BODY_BYTES)
+            query = msgspec.json.decode(body)
+            headers = {
+                name[5:].replace('_', '-').lower(): value
+                for name, value in environ.items()
+                if name.startswith('HTTP_')
+            }
+            answer = self.run_query(query, headers)
+        except (msgspec.DecodeError, KeyError, TypeError) as error:
+            start_response('400 Bad Request', _JSON)
+            code = ResultCode.REQUEST_MALFORMED
+            failure = {'outcome': 'refused', 'code': code, 'ran': 'no'}
+            return [msgspec.json.encode(failure | {'detail': str(error)})]
+        is_answer = answer['outcome'] in ('complete', 'partial')
+        status = '200 OK' if is_answer else '503 Service Unavailable'
+        start_response(status, _JSON)
+        return [msgspec.json.encode(answer)]
+
+    def run_query(self, query, headers):
+        """Run one query; return the answer document."""
+        start_ms = self._clock.now_ms()
+        request_id = f'{self._prefix}-{next(self._numbers)}'
+        facts = rules.RequestFacts(
+            query['service'],
+            query['kind'],
+            headers.get('x-caller-class', ''),
+            'POST',
+            '/v1/query',
+            headers,
+            self._data_centre,
+        )
+        decision = self._configuration.rules.match(facts)
+        if decision is None:
+            code = ResultCode.RULE_NOT_MATCHED
+            return self._refuse(request_id, code, start_ms)
+        group = self._configuration.find_group(query['service'])
+        if group is None:
+            code = ResultCode.SERVICE_UNKNOWN
+            return self._refuse(request_id, code, start_ms)
+        layout = group.layouts[-1]
+        end_ms = start_ms + decision.deadline_ms
+        outcomes = self._ask_shards(request_id, group, layout, query, end_ms)
+        return self._build_answer(
+            request_id, decision, layout, outcomes, query, start_ms
+        )
+
+    def _ask_shards(self, request_id, group, layout, query, end_ms):
+        """Return the outcomes that are there at `end_ms`."""
+        outcomes = []
+        greenlets = [
+            eventlet.spawn(
+                self._ask,
+                group.servers[self._random.choice(shard.replicas)],
+                {
+                    'request_id': request_id,
+                    'attempt': 1,
+                    'snapshot': layout.snapshot,
+                    'deadline_ms': max(end_ms - self._clock.now_ms(), 0.0),
+                    'shards': [shard.name],
+                    'kind': query['kind'],
+                    'text': query['text'],
+                    'limit': query['limit'],
+                },
+                outcomes,
+            )
+            for shard in layout.shards
+        ]
+        left_s = max(end_ms - self._clock.now_ms(), 0.0) / 1000.0
+        with eventlet.Timeout(left_s, False):
+            for waiting in greenlets:
+                waiting.wait()
+        for waiting in greenlets:
+            waiting.kill()
+        return outcomes
+
+    def _ask(self, server, body, outcomes):
+        shard = body['shards'][0]
+        try:
+            response = self._pool.request(
+                'POST',
+                f'http://{server.address}/v1/search',
+                body=msgspec.json.encode(body),
+                headers={'Content-Type': 'application/json'},
+                timeout=body['deadline_ms'] / 1000.0 + 1.0,
+                retries=False,
+                redirect=False,
+            )
+            reply = msgspec.json.decode(response.data)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            outcomes.append(ShardOutcome(shard, None, False))
+            return
+        if response.status == 200:
+            outcomes.append(ShardOutcome(shard, reply['answers'][0], False))
+        else:
+            outcomes.append(
+                ShardOutcome(shard, None, reply.get('ran') is False)
+            )
+
+    def _build_answer(
+        self, request_id, decision, layout, outcomes, query, start_ms
+    ):
+        answers = [o.answer for o in outcomes if o.answer is not None]
+        answered = {answer['shard'] for answer in answers}
+        missing = [s.name for s in layout.shards if s.name not in answered]
+        refused = sum(outcome.is_refused for outcome in outcomes)
+        total, hits = naive_merge(answers, query['limit'])
+        code = ResultCode.OK
+        outcome, ran = 'complete', 'yes'
+        if missing:
+            code = ResultCode.PARTIAL
+            outcome, ran = 'partial', 'unknown'
+        if not answers:
+            code = ResultCode.DEADLINE_EXCEEDED
+            outcome = 'failed'
+        if refused == len(layout.shards):
+            code = ResultCode.BACKEND_REFUSED
+            outcome, ran = 'refused', 'no'
+        return {
+            'request_id': request_id,
+            'ticket': None,
+            'outcome': outcome,
+            'code': int(code),
+            'detail': code.summary,
+            'ran': ran,
+            'snapshot': layout.snapshot,
+            'coverage': {
+                'answered_weight': sum(
+                    s.weight for s in layout.shards if s.name in answered
+                ),
+                'total_weight': layout.total_weight,
+                'missing_shards': missing,
+            },
+            'total': total,
+            'hits': hits,
+            'rule': decision.rule,
+            'revision': self._configuration.revision,
+            'latency_ms': self._clock.now_ms() - start_ms,
+        }
+
+    def _refuse(self, request_id, code, start_ms):
+        return {
+            'request_id': request_id,
+            'outcome': 'refused',
+            'code': int(code),
+            'detail': code.summary,
+            'ran': 'no',
+            'latency_ms': self._clock.now_ms() - start_ms,
+        }
+
+
+def _poll_forever(configuration, clock):
+    while True:
+        try:
+            configuration.poll(wait_ms=10_000)
+        except urllib3.exceptions.HTTPError:
+            clock.sleep_ms(500)
+
+
+def run_naive(settings_path):
+    """Serve until SIGTERM; return the exit status.
+
+    Parameters
+    ----------
+    settings_path : path
+        The same settings file as a node of the tier gets, as plain JSON.
+    """
+    with open(settings_path, 'rb') as file:
+        settings = msgspec.json.decode(file.read())
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    clock = create_system_clock()
+    # Connections are kept as urllib3 does by default; more are opened when
+    # all of a server's are in use.
+    pool = urllib3.PoolManager(num_pools=1000, maxsize=10, retries=False)
+    configuration = NaiveConfiguration(
+        settings['platform']['addresses'][0], pool
+    )
+    eventlet.spawn(_poll_forever, configuration, clock)
+    node = NaiveNode(
+        settings['node']['name'],
+        settings['node']['data_centre'],
+        configuration,
+        pool,
+        clock,
+    )
+    address = (settings['node']['host'], settings['callers']['port'])
+    wsgi.server(
+        eventlet.listen(address, backlog=512),
+        node.respond,
+        log_output=False,
+        max_size=10_000,
+    )
+    return 0
+
+
+@cappa.command(name='naive')
+@dataclasses.dataclass
+class NaiveCommand:
+    """Run an entry node of the naive version."""
+
+    settings: typing.Annotated[str, cappa.Arg(long=True)]
+
+    def __call__(self):
+        """Serve until SIGTERM."""
+        raise cappa.Exit(code=run_naive(self.settings))
--- a/hawthornfold/emulator/plans.py
+++ b/hawthornfold/emulator/plans.py
@@ -117,19 +117,17 @@
 
 
 def build_backends_spec(plan, process):
-    """Build the spec file of one backends process.
+    """Build the spec file of one backends process, a list of servers.
 
     Every server could serve the next snapshot too; it holds only the first
     until an experiment says otherwise.
     """
     servers = []
-    control_port = None
     for group in plan.deployment.groups:
         for index, name in enumerate(deployments.server_names(group)):
             place = plan.servers[name]
             if place.process != process:
                 continue
-            control_port = place.control_port
             servers.append(
                 {
                     'name': name,
@@ -148,7 +146,7 @@
                     'corpus_seed': plan.seed,
                 }
             )
-    return {'control_port': control_port, 'servers': servers}
+    return servers
 
 
 def _held_shards(group, server):
--- a/hawthornfold/emulator/processes.py
+++ b/hawthornfold/emulator/processes.py
@@ -54,7 +54,7 @@
     method, port, path
         Request line and port.
     body : object, optional
-        Sent as JSON.
+        Sent as JSON; bytes are sent as they are.
     timeout_s : float
         Limit in seconds for connecting and for each read.
 
@@ -68,10 +68,11 @@
     urllib3.exceptions.HTTPError
         When the exchange fails.
     """
+    content = {'body' if isinstance(body, bytes) else 'json': body}
     response = pool.request(
         method,
         f'http://127.0.0.1:{port}{path}',
-        json=body,
+        **content,
         timeout=timeout_s,
         retries=False,
         redirect=False,
@@ -129,12 +130,14 @@
             raise ProcessFailure(f'{self.name} is already running')
         with open(self._output, 'ab') as output:
             # A session of its own keeps the terminal's Ctrl-C from reaching
-            # the process before the fleet ends it.
+            # the process before the fleet ends it. The path makes it import
+            # the same copy of the package as this process.
             self._process = subprocess.Popen(
                 [sys.executable, '-m', *self._spec.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
                 start_new_session=True,
             )
 
