--- /dev/null
+++ b/hawthornfold/emulator/bench.py
@@ -0,0 +1,313 @@
+"""Experiments: the tier, its direct variant and the naive version.
+
+All versions meet the same emulated servers, the same requests at the same
+times, and the same faults.
+"""
+
+import contextlib
+import dataclasses
+import json
+import pathlib
+import typing
+
+import cappa
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.emulator import demo
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import fleet as fleets
+from hawthornfold.emulator import load
+from hawthornfold.emulator import measures
+from hawthornfold.emulator import mixes
+from hawthornfold.emulator import scenarios as scenario_tables
+
+VARIANTS = ('tier', 'naive', 'direct')
+DEFAULT_SECONDS = 50
+_SEED = 20_261_203
+_WARM_UP_MS = 1000.0
+_LAG_MS = 500.0
+# Loading the modules and drawing the schedule takes a generator this long.
+_GENERATOR_START_MS = 1200
+# A generator process needs about half a millisecond of processor time per
+# request; above this rate another one is started.
+_RATE_PER_GENERATOR = 400.0
+# Time of a run beyond its load, and of starting and ending a fleet.
+_RUN_OVERHEAD_S = 2.5
+_FLEET_OVERHEAD_S = 4.0
+_LEAST_RUN_S = 2.5
+
+
+class Plan(typing.NamedTuple):
+    """What to run, and for how long each."""
+
+    deployment: deployments.Deployment
+    variants: tuple[str, ...]
+    scenarios: tuple[scenario_tables.Scenario, ...]
+    run_seconds: float
+
+
+def plan_bench(seconds, scenario_names, deployment, variants):
+    """Divide the time among scenarios and variants.
+
+    Parameters
+    ----------
+    seconds : float
+        Limit of the whole experiment.
+    scenario_names : sequence of str
+        Names; ``all`` stands for every scenario.
+    deployment : str
+        Name of the deployment.
+    variants : sequence of str
+        Which versions to run.
+
+    Examples
+    --------
+    >>> plan = plan_bench(50, ['steady'], 'small', ['tier', 'naive'])
+    >>> plan.run_seconds
+    18.5
+    """
+    if 'all' in scenario_names:
+        scenario_names = tuple(scenario_tables.SCENARIOS)
+    runs = len(scenario_names) * len(variants)
+    rest = seconds - len(variants) * _FLEET_OVERHEAD_S - runs * _RUN_OVERHEAD_S
+    return Plan(
+        deployments.create_deployment(deployment),
+        tuple(variants),
+        tuple(scenario_tables.SCENARIOS[name] for name in scenario_names),
+        max(rest / runs, _LEAST_RUN_S),
+    )
+
+
+class Bench:
+    """Runs a plan and collects the results."""
+
+    def __init__(self, plan, write):
+        self._plan = plan
+        self._write = write
+        self._clock = create_system_clock()
+        self._mix = mixes.build_mix(plan.deployment)
+        self._capacity = mixes.compute_capacity(plan.deployment, self._mix)
+
+    def run(self):
+        """Return the results by variant and scenario."""
+        results = {}
+        for variant in self._plan.variants:
+            results[variant] = self._run_variant(variant)
+        if 'naive' in results:
+            results['ratio'] = {
+                name: measures.measure_ratio(
+                    result['latency_ms'],
+                    results['naive'][name]['latency_ms'],
+                )
+                for name, result in results.get('tier', {}).items()
+            }
+        return results
+
+    def _run_variant(self, variant):
+        settings = {}
+        if variant == 'direct':
+            settings = {'routing': {'owner_policy': 'direct'}}
+        nodes = self._plan.deployment.nodes
+        with fleets.open_fleet(
+            self._plan.deployment,
+            nodes,
+            seed=_SEED,
+            variant='naive' if variant == 'naive' else 'tier',
+            settings_extra=settings,
+        ) as fleet:
+            results = {}
+            for scenario in self._plan.scenarios:
+                results[scenario.name] = self._run_scenario(fleet, scenario)
+                self._describe(variant, scenario, results[scenario.name])
+            return results
+
+    def _run_scenario(self, fleet, scenario):
+        marks = fleet.read_ledger_marks()
+        scenario.begin(fleet)
+        start_wall_ms = self._clock.wall_ms() + _GENERATOR_START_MS
+        names = self._start_load(fleet, scenario, start_wall_ms)
+        self._clock.sleep_ms(start_wall_ms - self._clock.wall_ms())
+        before = _read_usage(fleet)
+        self._take_steps(fleet, scenario, start_wall_ms)
+        for name in names:
+            status = fleet.process(name).wait(self._plan.run_seconds + 30.0)
+            if status:
+                raise RuntimeError(fleet.process(name).read_output())
+        after = _read_usage(fleet)
+        results = load.merge_results(
+            json.loads(_output_path(fleet, name).read_text()) for name in names
+        )
+        records = fleet.collect_ledger(marks)
+        scenario.end(fleet)
+        return self._measure(fleet, results, records, before, after)
+
+    def _start_load(self, fleet, scenario, start_wall_ms):
+        """Start the generators; return the names of their processes."""
+        rate = self._capacity * scenario.load
+        count = -(-int(rate) // int(_RATE_PER_GENERATOR))
+        names = [f'load-{number + 1}' for number in range(count)]
+        for number, name in enumerate(names):
+            spec = load.LoadSpec(
+                _SEED + number,
+                rate / count,
+                self._plan.run_seconds,
+                start_wall_ms,
+                _LAG_MS,
+                tuple(
+                    (node, ports.callers)
+                    for node, ports in fleet.plan.nodes.items()
+                ),
+                self._mix,
+                str(_output_path(fleet, name)),
+                min(_WARM_UP_MS, self._plan.run_seconds * 250.0),
+            )
+            path = fleet.write_file(f'{name}.json', load.dump_spec(spec))
+            fleet.add(
+                name, 'hawthornfold.emulator', 'load', '--spec', str(path)
+            )
+        return names
+
+    def _take_steps(self, fleet, scenario, start_wall_ms):
+        run_ms = self._plan.run_seconds * 1000.0
+        for share, action in scenario.steps(fleet):
+            due_ms = start_wall_ms + share * run_ms
+            wait_ms = due_ms - self._clock.wall_ms()
+            if wait_ms > 0:
+                self._clock.sleep_ms(wait_ms)
+            action()
+
+    def _measure(self, fleet, results, records, before, after):
+        seconds = self._plan.run_seconds
+        measured = seconds - min(_WARM_UP_MS / 1000.0, seconds / 4)
+        sent = sum(c['sent'] for c in results['counts'].values())
+        claims = results['claims']
+        at_most_once = _find_at_most_once_servers(fleet.plan.deployment)
+        late = results['late'].get_value_at_percentile(99.0) / 1000.0
+        machine = after['all'] - before['all']
+        return {
+            'latency_ms': measures.summarise_latency(results['histograms']),
+            'answers': measures.summarise_counts(results['counts'], measured),
+            'added_p50_ms': measures.measure_added_ms(claims, records),
+            **measures.count_extra_load(records),
+            **measures.count_violations(claims, records, at_most_once),
+            'lost': sum(c['dropped'] for c in results['counts'].values()),
+            'codes': results['codes'],
+            'node_cpu_ms_per_query': round(
+                1000.0
+                * (after['nodes'] - before['nodes'])
+                / max(len(claims), 1),
+                2,
+            ),
+            'backend_cpu_cores': round(
+                (after['backends'] - before['backends']) / seconds, 2
+            ),
+            'machine_busy_percent': round(
+                100.0 * (after['busy'] - before['busy']) / max(machine, 1), 1
+            ),
+            'generator_late_p99_ms': round(late, 1),
+            'measured_requests': sent,
+        }
+
+    def _describe(self, variant, scenario, result):
+        """Write a line per urgency and one of totals."""
+        self._write(
+            f'{scenario.name} {variant}: extra {result["extra_sent_percent"]}%'
+            f', added p50 {result["added_p50_ms"]} ms'
+            f', {result["node_cpu_ms_per_query"]} ms of node cpu per query'
+            f', lost {result["lost"]}, doubled {result["doubled"]}'
+            f', falsely refused {result["falsely_refused"]}'
+            f', machine busy {result["machine_busy_percent"]}%'
+        )
+        for urgency, latency in result['latency_ms'].items():
+            answers = result['answers'][urgency]
+            self._write(
+                f'  {urgency:10} p50 {latency["p50"]:.1f}'
+                f' p99 {latency["p99"]:.1f} p99.9 {latency["p999"]:.1f} ms'
+                f', coverage {answers["mean_coverage_percent"]}%'
+                f' (full {answers["full_coverage_percent"]}%)'
+                f', goodput {answers["goodput_per_second"]}'
+                f' of {answers["offered_per_second"]}/s'
+            )
+
+
+def _output_path(fleet, name):
+    return pathlib.Path(fleet.plan.directory) / f'{name}-results.json'
+
+
+def _find_at_most_once_servers(deployment):
+    """Return the servers whose requests must not run twice.
+
+    Examples
+    --------
+    >>> len(_find_at_most_once_servers(deployments.create_small()))
+    4
+    """
+    services = {
+        rule['when']['service']
+        for rule in deployment.rules
+        if not rule['then']['idempotent']
+    }
+    return {
+        name
+        for group in deployment.groups
+        if group.name in services
+        for name in deployments.server_names(group)
+    }
+
+
+def _read_usage(fleet):
+    busy, total = measures.read_machine_ticks()
+    backends = {place.process for place in fleet.plan.servers.values()}
+    return {
+        'nodes': fleet.processor_seconds(fleet.nodes),
+        'backends': fleet.processor_seconds(backends),
+        'busy': busy,
+        'all': total,
+    }
+
+
+def run_bench(seconds, scenario_names, deployment, variants, write=print):
+    """Run experiments; the last line written is the JSON of all results.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    plan = plan_bench(seconds, scenario_names, deployment, variants)
+    bench = Bench(plan, write)
+    write(
+        f'{deployment}: {plan.deployment.nodes} entry nodes, '
+        f'{plan.deployment.server_count} backend servers, '
+        f'{plan.run_seconds:.1f} s per run'
+    )
+    with contextlib.suppress(KeyboardInterrupt):
+        write(json.dumps(bench.run()))
+        return 0
+    return 130
+
+
+@cappa.command(name='bench')
+@dataclasses.dataclass
+class BenchCommand:
+    """Compare the tier with the naive version under faults and load."""
+
+    seconds: typing.Annotated[float, cappa.Arg(long=True)] = DEFAULT_SECONDS
+    scenario: typing.Annotated[
+        list[str], cappa.Arg(long=True, num_args=-1)
+    ] = dataclasses.field(
+        default_factory=lambda: list(scenario_tables.DEFAULT_NAMES)
+    )
+    deployment: typing.Annotated[str, cappa.Arg(long=True)] = 'small'
+    variant: typing.Annotated[list[str], cappa.Arg(long=True, num_args=-1)] = (
+        dataclasses.field(default_factory=lambda: ['tier', 'naive'])
+    )
+
+    def __call__(self):
+        """Run the experiments."""
+        demo.raise_on_sigterm()
+        raise cappa.Exit(
+            code=run_bench(
+                self.seconds, self.scenario, self.deployment, self.variant
+            )
+        )
--- a/hawthornfold/emulator/demo.py
+++ b/hawthornfold/emulator/demo.py
@@ -12,6 +12,7 @@
 from hawthornfold.clock import create_system_clock
 from hawthornfold.emulator import deployments
 from hawthornfold.emulator import fleet as fleets
+from hawthornfold.emulator import mixes
 from hawthornfold.emulator import processes
 
 NODES = 3
@@ -28,19 +29,11 @@
 
 
 QUERIES = {
-    'lipovec': (
-        SampleQuery('voter-portal', 'status', 'ballot', 'resident'),
-        SampleQuery('voter-portal', 'search', 'bridge', 'resident'),
-        SampleQuery('results-board', 'search', 'count', 'press'),
-        SampleQuery('clerk-desk', 'record', 'register', 'clerk'),
-        SampleQuery('notification', 'search', 'notice', 'service'),
-    ),
-    'monterrey': (
-        SampleQuery('approval-desk', 'status', 'permit', 'resident'),
-        SampleQuery('brief-library', 'search', 'budget', 'staff'),
-        SampleQuery('payout-ledger', 'record', 'refund', 'clerk'),
-        SampleQuery('ward-console', 'record', 'ward', 'staff'),
-    ),
+    name: tuple(
+        SampleQuery(kind.service, kind.kind, kind.texts[0], kind.caller_class)
+        for kind in mixes.build_mix(deployments.create_deployment(name))
+    )
+    for name in ('lipovec', 'monterrey')
 }
 
 
--- a/hawthornfold/emulator/fleet.py
+++ b/hawthornfold/emulator/fleet.py
@@ -160,6 +160,10 @@
         path = f'/control/keys/{name}'
         return self.control_platform('PUT', path, value.encode())
 
+    def publish_document(self, key, document):
+        """Publish a configuration key; `document` is turned into JSON."""
+        return self.publish(key, json.dumps(document))
+
     def publish_vms(self, vms):
         """Publish the list of VMs."""
         return self.control_platform('PUT', '/control/vms', vms)
@@ -186,13 +190,30 @@
         """Replace the faults of a backend server; none makes it healthy."""
         return self.control_server(server, 'PUT', 'fault', fault)
 
-    def collect_ledger(self):
-        """Return the records of what ran, over all backends processes."""
+    def collect_ledger(self, since=None):
+        """Return the records of what ran, over all backends processes.
+
+        Parameters
+        ----------
+        since : dict, optional
+            Last sequence number known by control port, as returned by
+            `read_ledger_marks`; only later records are returned.
+        """
         records = []
         for port in self._control_ports():
-            records.extend(self._read(port, '/control/ledger'))
+            first = (since or {}).get(port, 0)
+            records.extend(self._read(port, f'/control/ledger?since={first}'))
         return records
 
+    def read_ledger_marks(self):
+        """Return the last sequence number by control port."""
+        marks = {}
+        for port in self._control_ports():
+            totals = self._read(port, '/control/counters')['total']
+            # Each sub-request received makes one record.
+            marks[port] = totals.get('received', 0)
+        return marks
+
     def collect_counters(self):
         """Return the backends' counters, by server name."""
         counters = {}
--- a/hawthornfold/emulator/load.py
+++ b/hawthornfold/emulator/load.py
@@ -83,6 +83,8 @@
         Kinds of requests.
     output : str
         File for the results, JSON.
+    warm_up_ms : float
+        Requests that arrive earlier are sent, but not measured.
     """
 
     seed: int
@@ -93,6 +95,7 @@
     targets: tuple
     mix: tuple[QueryKind, ...]
     output: str
+    warm_up_ms: float = 0.0
 
 
 def build_schedule(seed, rate, seconds, mix):
@@ -193,8 +196,11 @@
 
     def _send(self, arrival, intended_ms):
         kind = self._spec.mix[arrival.kind]
-        self._recorder.record_send(self._clock.now_ms() - intended_ms)
-        self._balancer.advance(self._clock.now_ms())
+        sent_ms = self._clock.now_ms()
+        is_measured = arrival.at_ms >= self._spec.warm_up_ms
+        if is_measured:
+            self._recorder.record_send(sent_ms - intended_ms)
+        self._balancer.advance(sent_ms)
         target = self._balancer.peek()
         self._balancer.step()
         try:
@@ -213,15 +219,16 @@
             )
             answer = response.json()
         except (urllib3.exceptions.HTTPError, ValueError) as error:
-            self._recorder.record_drop(
-                kind,
-                target.name,
-                self._clock.now_ms() - intended_ms,
-                type(error).__name__,
-            )
+            if is_measured:
+                latency_ms = self._clock.now_ms() - intended_ms
+                self._recorder.record_drop(
+                    kind, target.name, latency_ms, type(error).__name__
+                )
             return
-        latency_ms = self._clock.now_ms() - intended_ms
-        self._recorder.record_answer(kind, answer, latency_ms)
+        now_ms = self._clock.now_ms()
+        self._recorder.record_claim(answer, now_ms - sent_ms)
+        if is_measured:
+            self._recorder.record_answer(kind, answer, now_ms - intended_ms)
 
     def _poll(self, target):
         pool = urllib3.HTTPConnectionPool('127.0.0.1', target.port)
--- a/hawthornfold/emulator/recorder.py
+++ b/hawthornfold/emulator/recorder.py
@@ -27,6 +27,25 @@
         """Note how late after its intended arrival a request was sent."""
         self._late_us.record_value(_to_us(late_ms))
 
+    def record_claim(self, answer, latency_ms):
+        """Note what an answer claims, to be compared with the ledger.
+
+        Parameters
+        ----------
+        answer : dict
+            Decoded body.
+        latency_ms : float
+            From sending the request to the whole answer.
+        """
+        self._claims.append(
+            (
+                answer.get('request_id'),
+                answer.get('ran'),
+                answer.get('outcome'),
+                round(latency_ms, 3),
+            )
+        )
+
     def record_answer(self, kind, answer, latency_ms):
         """Note an answer.
 
@@ -59,7 +78,6 @@
             counts['coverage_sum'] += share
         code = str(answer.get('code'))
         self._codes[code] = self._codes.get(code, 0) + 1
-        self._claims.append((answer.get('request_id'), answer.get('ran')))
 
     def record_drop(self, kind, target, latency_ms, error):
         """Note a request that got no answer at all.
