Add the emulated platform and backend servers

A backend server is a state machine without sockets; it writes the ledger record in the step that takes a slot, so no work runs unrecorded. eventlet.wsgi parses HTTP; its accept loop is not used, because it gives no hold on single connections, which the connection limit, the connection cost and the stall fault need.

--- /dev/null
+++ b/hawthornfold/emulator/ledger.py
@@ -0,0 +1,139 @@
+"""The true record of what ran on the emulated backend servers."""
+
+import collections
+
+import msgspec
+
+RAN = 'ran'
+REFUSED = 'refused'
+CANCELLED_QUEUED = 'cancelled-queued'
+CANCELLED_RUNNING = 'cancelled-running'
+
+# Outcomes of records that are still open.
+QUEUED = 'queued'
+RUNNING = 'running'
+
+# About 200 MB of records; the count of dropped ones is reported.
+MAX_RECORDS = 400_000
+
+
+class Record(msgspec.Struct, eq=False, gc=False):
+    """One sub-request on one server; work ran if `started_ms` is not None.
+
+    Times are monotonic milliseconds of the machine, so that the records of
+    several processes compare.
+    """
+
+    sequence: int
+    server: str
+    incarnation: str
+    connection: int
+    request_id: str
+    attempt: int
+    shards: tuple[str, ...]
+    snapshot: str
+    received_ms: float
+    deadline_ms: float
+    started_ms: float | None = None
+    finished_ms: float | None = None
+    outcome: str = QUEUED
+    reason: str = ''
+
+    @property
+    def is_open(self):
+        """Whether the sub-request is queued or running."""
+        return self.outcome in (QUEUED, RUNNING)
+
+
+class Ledger:
+    """All records of one process, in order of receipt."""
+
+    def __init__(self, max_records):
+        self._max_records = max_records
+        self._records = collections.deque()
+        self._by_request = {}
+        self._received = 0
+        self._dropped = 0
+
+    @property
+    def dropped(self):
+        """Records dropped because the ledger was full."""
+        return self._dropped
+
+    def open_record(
+        self,
+        server,
+        incarnation,
+        connection,
+        request_id,
+        attempt,
+        shards,
+        snapshot,
+        now_ms,
+        deadline_ms,
+    ):
+        """Record the receipt of a sub-request, before anything runs."""
+        self._received += 1
+        record = Record(
+            self._received,
+            server,
+            incarnation,
+            connection,
+            request_id,
+            attempt,
+            shards,
+            snapshot,
+            now_ms,
+            deadline_ms,
+        )
+        self._records.append(record)
+        known = self._by_request.get(request_id, ())
+        self._by_request[request_id] = (*known, record)
+        if len(self._records) > self._max_records:
+            self._drop_oldest()
+        return record
+
+    def find(self, request_id):
+        """Return the records of one request, in order of receipt."""
+        return self._by_request.get(request_id, ())
+
+    def list_records(self, since=0):
+        """Return the records whose sequence number is above `since`."""
+        first = self._records[0].sequence if self._records else 1
+        if since < first:
+            return tuple(self._records)
+        newest = self._received
+        count = max(newest - since, 0)
+        records = []
+        for record in reversed(self._records):
+            if len(records) == count:
+                break
+            records.append(record)
+        return tuple(reversed(records))
+
+    def _drop_oldest(self):
+        record = self._records.popleft()
+        self._dropped += 1
+        rest = tuple(
+            known
+            for known in self._by_request[record.request_id]
+            if known is not record
+        )
+        if rest:
+            self._by_request[record.request_id] = rest
+        else:
+            del self._by_request[record.request_id]
+
+
+def create_ledger(max_records=MAX_RECORDS):
+    """Create an empty ledger.
+
+    Examples
+    --------
+    >>> ledger = create_ledger()
+    >>> record = ledger.open_record(
+    ...     'a1', 'i1', 1, 'q1', 1, ('a',), 's1', 0.0, 80.0)
+    >>> ledger.find('q1')[0].outcome
+    'queued'
+    """
+    return Ledger(max_records)
--- /dev/null
+++ b/hawthornfold/emulator/platform.py
@@ -0,0 +1,211 @@
+"""The emulated platform: configuration keys and the list of VMs.
+
+The control paths, on the same port:
+
+* ``PUT /control/keys/<name>`` (raw body), ``DELETE /control/keys/<name>``
+* ``PUT /control/vms``: JSON list of `platform_state.Vm`
+* ``PUT /control/fault``: fields of `platform_state.PlatformFault`
+* ``GET /control/reads``: ``{"reads", "peak_per_second", "waiting",
+  "peak_waiting", "reads_per_path"}``
+* ``GET /control/state``: revision and fault in force
+"""
+
+import collections
+import contextlib
+import urllib.parse
+
+import eventlet
+import msgspec
+
+from hawthornfold import clock as clocks
+from hawthornfold.emulator import platform_state
+from hawthornfold.emulator import web
+
+MAX_WAIT_MS = 60_000.0
+
+
+class InitialState(msgspec.Struct, forbid_unknown_fields=True):
+    """State file: values are strings that hold the documents."""
+
+    keys: dict[str, str] = {}
+    vms: list[platform_state.Vm] = []
+
+
+class ReadMeter:
+    """Counts reads, their peak per second, and pending watches."""
+
+    def __init__(self):
+        self._reads = collections.Counter()
+        self._second = 0
+        self._in_second = 0
+        self._peak = 0
+        self._waiting = 0
+        self._peak_waiting = 0
+
+    def count(self, path, now_ms):
+        """Count one read."""
+        self._reads[path] += 1
+        second = int(now_ms // 1000)
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        self._in_second += 1
+        self._peak = max(self._peak, self._in_second)
+
+    @contextlib.contextmanager
+    def waiting(self):
+        """Count a pending watch while the block runs."""
+        self._waiting += 1
+        self._peak_waiting = max(self._peak_waiting, self._waiting)
+        try:
+            yield
+        finally:
+            self._waiting -= 1
+
+    def report(self):
+        """Return the counts."""
+        return {
+            'reads': sum(self._reads.values()),
+            'reads_per_path': self._reads,
+            'peak_per_second': self._peak,
+            'waiting': self._waiting,
+            'peak_waiting': self._peak_waiting,
+        }
+
+
+class Platform:
+    """Answers reads, watches and control requests."""
+
+    def __init__(self, state, clock):
+        self._state = state
+        self._clock = clock
+        self._fault = platform_state.PlatformFault()
+        self._meter = ReadMeter()
+        self._watches = set()
+        self._held = set()
+
+    def respond(self, request):
+        """Answer one request."""
+        if request.path.startswith('/control/'):
+            try:
+                return self._control(request)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                return web.encode_reply({'detail': str(error)}, 400)
+        if self._fault.down:
+            raise web.ConnectionAborted
+        self._meter.count(request.path, self._clock.now_ms())
+        if self._fault.hang:
+            self._hold(request.connection)
+        if self._fault.delay_ms:
+            eventlet.sleep(self._fault.delay_ms / 1000.0)
+        if request.path == '/v1/keys':
+            return self._watch_keys(request)
+        if request.path == '/v1/vms':
+            now_ms = self._clock.now_ms()
+            lag_ms = self._fault.vm_lag_ms
+            return web.encode_reply(self._state.read_vms(now_ms, lag_ms))
+        return web.refuse_path(request)
+
+    def _watch_keys(self, request):
+        since = int(request.query.get('since', 0))
+        wait_ms = min(float(request.query.get('wait_ms', 0)), MAX_WAIT_MS)
+        due_ms = self._clock.now_ms() + wait_ms
+        with self._meter.waiting():
+            while True:
+                if self._fault.down:
+                    raise web.ConnectionAborted
+                if self._fault.hang:
+                    self._hold(request.connection)
+                found = self._state.read_keys(
+                    since, self._fault.stale_revision
+                )
+                left_ms = due_ms - self._clock.now_ms()
+                if found['keys'] or left_ms <= 0:
+                    return web.encode_reply(found)
+                self._watches.add(request.connection)
+                try:
+                    cause = request.connection.wait(left_ms / 1000.0)
+                finally:
+                    self._watches.discard(request.connection)
+                if cause == 'closed':
+                    raise web.ConnectionAborted
+
+    def _hold(self, connection):
+        """Answer nothing; the connection ends with the fault."""
+        self._held.add(connection)
+        try:
+            while connection.wait() != 'closed':
+                pass
+        finally:
+            self._held.discard(connection)
+        raise web.ConnectionAborted
+
+    def _control(self, request):
+        action = (request.method, request.path)
+        if action == ('GET', '/control/reads'):
+            return web.encode_reply(self._meter.report())
+        if action == ('GET', '/control/state'):
+            state = {'revision': self._state.revision, 'fault': self._fault}
+            return web.encode_reply(state)
+        if action == ('PUT', '/control/vms'):
+            vms = msgspec.json.decode(
+                request.body, type=list[platform_state.Vm]
+            )
+            self._state.put_vms(vms, self._clock.now_ms())
+            return web.encode_reply({})
+        if action == ('PUT', '/control/fault'):
+            self._set_fault(
+                msgspec.json.decode(
+                    request.body or b'{}', type=platform_state.PlatformFault
+                )
+            )
+            return web.encode_reply({})
+        prefix = '/control/keys/'
+        if not request.path.startswith(prefix):
+            return web.refuse_path(request)
+        if request.method not in ('PUT', 'DELETE'):
+            return web.refuse_path(request)
+        name = urllib.parse.unquote(request.path[len(prefix) :])
+        value = request.body.decode() if request.method == 'PUT' else None
+        self._state.put_key(name, value)
+        self._wake_watches()
+        return web.encode_reply({'revision': self._state.revision})
+
+    def _set_fault(self, fault):
+        self._fault = fault
+        self._wake_watches()
+        if not fault.hang:
+            for connection in tuple(self._held):
+                connection.close()
+
+    def _wake_watches(self):
+        for connection in tuple(self._watches):
+            connection.wake()
+
+
+@contextlib.contextmanager
+def open_platform(port=0, initial=None, clock=None):
+    """Run the platform; yield its `HttpServer`."""
+    clock = clock or clocks.create_system_clock()
+    state = platform_state.create_platform_state(clock.now_ms())
+    initial = initial or InitialState()
+    for name, value in initial.keys.items():
+        state.put_key(name, value)
+    if initial.vms:
+        state.put_vms(initial.vms, clock.now_ms())
+    server = web.HttpServer(Platform(state, clock).respond, port)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def run_platform(port, state_path):
+    """Serve until the process is terminated."""
+    initial = None
+    if state_path is not None:
+        with open(state_path, 'rb') as file:
+            initial = msgspec.json.decode(file.read(), type=InitialState)
+    with open_platform(port, initial) as server:
+        web.announce(server.port)
+        web.wait_for_termination()
--- /dev/null
+++ b/hawthornfold/emulator/server_model.py
@@ -0,0 +1,315 @@
+"""One emulated backend server as a state machine without sockets.
+
+The model decides what is queued, runs or is refused, and writes the ledger
+record in the same step as it takes a slot, so that no work runs unrecorded.
+"""
+
+import collections
+import math
+import random
+import typing
+
+import msgspec
+import xxhash
+
+from hawthornfold.emulator import ledger
+from hawthornfold.emulator import server_spec
+
+# Health reports kept for reports that lag; one is added per change of state
+# and at most one per this many ms of load.
+HEALTH_HISTORY = 4096
+HEALTH_HISTORY_STEP_MS = 20.0
+
+
+class HealthReport(typing.NamedTuple):
+    """Body of ``GET /v1/health``; `load` is work held per slot."""
+
+    incarnation: str
+    draining: bool
+    held: tuple[str, ...]
+    load: float
+    slots: int
+    cold: bool
+
+
+class ServerModel:
+    """Slots, queue, deadlines, incarnation and faults of one server."""
+
+    def __init__(self, spec, started_wall_ms, now_ms):
+        self._spec = spec
+        self._faults = server_spec.Faults()
+        self._held = tuple(spec.held)
+        self._random = random.Random(f'{spec.seed}/{spec.name}')
+        self._mu = math.log(max(spec.service_ms, 1e-3)) - spec.sigma**2 / 2
+        self._incarnation_count = 0
+        self._incarnation = ''
+        self._cold_until_ms = 0.0
+        self._cold_factor = 1.0
+        self._queue = collections.OrderedDict()
+        self._due_ms = {}
+        self._counts = collections.Counter()
+        self._peak_running = 0
+        self._history = collections.deque(maxlen=HEALTH_HISTORY)
+        self.begin_incarnation(started_wall_ms, now_ms)
+
+    @property
+    def spec(self):
+        """The server's properties."""
+        return self._spec
+
+    @property
+    def faults(self):
+        """Faults in force."""
+        return self._faults
+
+    @property
+    def held(self):
+        """Names of the snapshots held."""
+        return self._held
+
+    @property
+    def incarnation(self):
+        """Name of the incarnation; later ones sort after earlier ones."""
+        return self._incarnation
+
+    @property
+    def reports_draining(self):
+        """Whether replies and health say that the server drains."""
+        return self._faults.draining
+
+    @property
+    def running(self):
+        """Records that occupy slots."""
+        return tuple(self._due_ms)
+
+    @property
+    def queued(self):
+        """Records that wait for a slot, first in first out."""
+        return tuple(self._queue)
+
+    def counters(self):
+        """Return the counts of this server since the process started."""
+        return {
+            **{name: self._counts[name] for name in _COUNTERS},
+            **{k: v for k, v in self._counts.items() if k.startswith('ref')},
+            'peak_running': self._peak_running,
+            'running': len(self._due_ms),
+            'queued': len(self._queue),
+        }
+
+    def due_ms(self, record):
+        """Return when the running `record` will have finished."""
+        return self._due_ms[record]
+
+    def set_faults(self, faults, now_ms):
+        """Replace the faults in force."""
+        self._faults = faults
+        self._note_health(now_ms)
+
+    def set_held(self, held, now_ms):
+        """Replace the snapshots held (rolling upgrade)."""
+        self._held = tuple(held)
+        self._note_health(now_ms)
+
+    def begin_incarnation(self, wall_ms, now_ms, cold_ms=0.0, cold_factor=1.0):
+        """Restart: drop all work, end drain states, perhaps start cold.
+
+        Parameters
+        ----------
+        wall_ms : int
+            Names the incarnation.
+        cold_ms : float
+            For this long service times are multiplied by `cold_factor`.
+
+        Returns
+        -------
+        tuple of Record
+            Work that was cancelled.
+        """
+        dropped = (*self._queue, *self._due_ms)
+        for record in dropped:
+            self._close_cancelled(record, now_ms, 'restart')
+        self._incarnation_count += 1
+        self._incarnation = f'{wall_ms:013d}-{self._incarnation_count:04d}'
+        self._cold_until_ms = now_ms + cold_ms
+        self._cold_factor = cold_factor
+        self._faults = msgspec.structs.replace(
+            self._faults, draining=False, drain_flag_hidden=False
+        )
+        self._note_health(now_ms)
+        return dropped
+
+    def submit(self, record, now_ms):
+        """Start, queue or refuse a sub-request that was just received."""
+        self._counts['received'] += 1
+        reason = self._find_refusal(record, now_ms)
+        if reason:
+            self._refuse(record, now_ms, reason)
+        elif self._faults.silent is True:
+            # A hung server holds the request and no slot.
+            record.reason = 'silent'
+        elif len(self._due_ms) < self._spec.slots:
+            self._start(record, now_ms)
+        else:
+            self._queue[record] = None
+        self._note_load(now_ms)
+
+    def finish(self, record, now_ms):
+        """End a running sub-request as run; return records to wake."""
+        if record not in self._due_ms:
+            return ()
+        del self._due_ms[record]
+        record.outcome = ledger.RAN
+        record.finished_ms = now_ms
+        self._counts['finished'] += 1
+        return self._fill_slots(now_ms)
+
+    def cancel(self, record, now_ms, reason):
+        """End a queued or running sub-request; return records to wake.
+
+        Does nothing to a record that has ended already.
+        """
+        if not record.is_open:
+            return ()
+        if reason == 'deadline' and record.outcome == ledger.QUEUED:
+            self._queue.pop(record, None)
+            self._refuse(record, now_ms, reason)
+            return ()
+        self._close_cancelled(record, now_ms, reason)
+        return self._fill_slots(now_ms)
+
+    def report_health(self, now_ms):
+        """Return the report to give, which may be late or wrong."""
+        report = self._describe(now_ms)
+        if self._faults.health_lag_ms:
+            limit = now_ms - self._faults.health_lag_ms
+            report = self._history[0][1]
+            for noted_ms, noted in reversed(self._history):
+                if noted_ms <= limit:
+                    report = noted
+                    break
+        if self._faults.load_report is not None:
+            report = report._replace(load=self._faults.load_report)
+        return report
+
+    def choose_neighbour(self, snapshot):
+        """Return a snapshot other than `snapshot`, or `snapshot` itself."""
+        names = list(self._spec.shards)
+        return names[(names.index(snapshot) + 1) % len(names)]
+
+    def _find_refusal(self, record, now_ms):
+        """Return why `record` must not run, or an empty string."""
+        if self._faults.draining or self._faults.drain_flag_hidden:
+            return 'draining'
+        if record.snapshot not in self._held or not self._has_shards(record):
+            return 'snapshot'
+        if record.deadline_ms <= now_ms:
+            return 'deadline'
+        if self._is_in_share(record, 'shed', self._faults.shed_share):
+            return 'overloaded'
+        full = len(self._due_ms) >= self._spec.slots
+        if full and len(self._queue) >= self._spec.queue:
+            return 'overloaded'
+        return ''
+
+    def _has_shards(self, record):
+        specs = self._spec.shards.get(record.snapshot, ())
+        names = {shard.name for shard in specs}
+        return names.issuperset(record.shards)
+
+    def _is_in_share(self, record, purpose, share):
+        """Return a choice that depends on seed, server and request only."""
+        if share <= 0.0:
+            return False
+        key = (
+            f'{purpose}/{self._spec.seed}/{self._spec.name}/'
+            f'{record.request_id}/{record.attempt}'
+        )
+        return xxhash.xxh64_intdigest(key.encode()) < share * 2.0**64
+
+    def _draw_service_ms(self, record, now_ms):
+        duration = self._random.lognormvariate(self._mu, self._spec.sigma)
+        if now_ms < self._cold_until_ms:
+            duration *= self._cold_factor
+        if self._is_in_share(record, 'slow', self._faults.slow_share):
+            duration *= self._faults.slow_factor
+        return duration
+
+    def _start(self, record, now_ms):
+        record.outcome = ledger.RUNNING
+        record.started_ms = now_ms
+        self._due_ms[record] = now_ms + self._draw_service_ms(record, now_ms)
+        self._peak_running = max(self._peak_running, len(self._due_ms))
+        self._counts['started'] += 1
+
+    def _refuse(self, record, now_ms, reason):
+        record.outcome = ledger.REFUSED
+        record.reason = reason
+        record.finished_ms = now_ms
+        self._counts['refused'] += 1
+        self._counts[f'refused_{reason}'] += 1
+
+    def _close_cancelled(self, record, now_ms, reason):
+        self._queue.pop(record, None)
+        if self._due_ms.pop(record, None) is not None:
+            record.outcome = ledger.CANCELLED_RUNNING
+            self._counts['cancelled_running'] += 1
+        else:
+            record.outcome = ledger.CANCELLED_QUEUED
+            self._counts['cancelled_queued'] += 1
+        record.reason = reason
+        record.finished_ms = now_ms
+
+    def _fill_slots(self, now_ms):
+        """Move queued work into free slots; late work is refused."""
+        woken = []
+        while self._queue and len(self._due_ms) < self._spec.slots:
+            record, _ = self._queue.popitem(last=False)
+            if record.deadline_ms <= now_ms:
+                self._refuse(record, now_ms, 'deadline')
+            else:
+                self._start(record, now_ms)
+            woken.append(record)
+        self._note_load(now_ms)
+        return tuple(woken)
+
+    def _describe(self, now_ms):
+        held = len(self._due_ms) + len(self._queue)
+        return HealthReport(
+            self._incarnation,
+            self.reports_draining,
+            self._held,
+            round(held / self._spec.slots, 3),
+            self._spec.slots,
+            now_ms < self._cold_until_ms,
+        )
+
+    def _note_health(self, now_ms):
+        self._history.append((now_ms, self._describe(now_ms)))
+
+    def _note_load(self, now_ms):
+        if now_ms - self._history[-1][0] >= HEALTH_HISTORY_STEP_MS:
+            self._note_health(now_ms)
+
+
+_COUNTERS = (
+    'received',
+    'started',
+    'finished',
+    'refused',
+    'cancelled_queued',
+    'cancelled_running',
+)
+
+
+def create_server_model(spec, started_wall_ms=0, now_ms=0.0):
+    """Create the model of one server.
+
+    Examples
+    --------
+    >>> shards = {'s1': [server_spec.ShardSpec('x', 1)]}
+    >>> spec = server_spec.ServerSpec('a1', 'a', 0, shards, ['s1'])
+    >>> create_server_model(spec).report_health(0.0).load
+    0.0
+    """
+    return ServerModel(spec, started_wall_ms, now_ms)
--- /dev/null
+++ b/hawthornfold/emulator/server_port.py
@@ -0,0 +1,279 @@
+"""The HTTP port of one emulated backend server."""
+
+import eventlet
+import msgspec
+
+from hawthornfold.emulator import corpus
+from hawthornfold.emulator import ledger
+from hawthornfold.emulator import web
+
+# Bytes by which a truncated reply falls short of its Content-Length.
+TRUNCATED_BYTES = 64
+
+
+class SearchRequest(msgspec.Struct):
+    """Body of ``POST /v1/search``."""
+
+    request_id: str
+    attempt: int
+    snapshot: str
+    deadline_ms: float
+    shards: tuple[str, ...]
+    kind: str = 'search'
+    text: str = ''
+    limit: int = 10
+
+
+class _Answer(msgspec.Struct):
+    request_id: str
+    attempt: int
+    snapshot: str
+    held: tuple[str, ...]
+    incarnation: str
+    draining: bool
+    answers: list[msgspec.Raw]
+
+
+_DECODER = msgspec.json.Decoder(SearchRequest)
+_ENCODER = msgspec.json.Encoder()
+
+
+class ServerPort:
+    """Connects a `ServerModel` to its TCP port.
+
+    Parameters
+    ----------
+    model : ServerModel
+    records : Ledger
+    clock : Clock
+    """
+
+    def __init__(self, model, records, clock):
+        self._model = model
+        self._records = records
+        self._clock = clock
+        spec = model.spec
+        self._server = web.HttpServer(
+            self._respond, spec.port, spec.connections, spec.connect_ms
+        )
+        self._waiting = {}
+        self._previous = ('none', 0)
+        self._indexes = {
+            (snapshot, shard.name): corpus.load_shard(
+                spec.corpus_seed,
+                spec.group,
+                snapshot,
+                shard.name,
+                shard.weight,
+                shard.part,
+                shard.documents,
+            )
+            for snapshot, shards in spec.shards.items()
+            for shard in shards
+        }
+
+    @property
+    def model(self):
+        """The server's state."""
+        return self._model
+
+    @property
+    def port(self):
+        """The TCP port."""
+        return self._server.port
+
+    def counters(self):
+        """Return counts of work and of connections."""
+        return {
+            **self._model.counters(),
+            'connections': len(self._server.connections),
+            'connections_opened': self._server.opened,
+            'connections_refused': self._server.refused,
+            'peak_connections': self._server.peak,
+        }
+
+    def start(self):
+        """Listen on the port."""
+        self._server.start()
+
+    def stop(self):
+        """Close the port and all connections; running work is cancelled."""
+        self._server.stop()
+        self._begin_incarnation()
+
+    def restart(self, cold_ms=0.0, cold_factor=1.0):
+        """Cut all connections and begin a new incarnation."""
+        self._server.cut()
+        self._begin_incarnation(cold_ms, cold_factor)
+
+    def set_faults(self, faults):
+        """Replace the faults in force."""
+        self._server.is_refusing = faults.refuse_connections
+        newly = not self._model.faults.stall_connections
+        if faults.stall_connections and newly:
+            for connection in self._server.connections:
+                connection.is_stalled = True
+        self._model.set_faults(faults, self._clock.now_ms())
+
+    def set_held(self, held):
+        """Replace the snapshots held."""
+        self._model.set_held(held, self._clock.now_ms())
+
+    def _begin_incarnation(self, cold_ms=0.0, cold_factor=1.0):
+        dropped = self._model.begin_incarnation(
+            self._clock.wall_ms(), self._clock.now_ms(), cold_ms, cold_factor
+        )
+        self._wake(dropped)
+
+    def _wake(self, records):
+        for record in records:
+            connection = self._waiting.get(record)
+            if connection is not None:
+                connection.wake()
+
+    def _respond(self, request):
+        if request.connection.is_stalled:
+            self._hold(request.connection)
+        if request.path == '/v1/search':
+            return self._search(request)
+        if request.path == '/v1/health':
+            if self._model.faults.health_silent:
+                self._hold(request.connection)
+            report = self._model.report_health(self._clock.now_ms())
+            return web.encode_reply(report._asdict())
+        return web.refuse_path(request)
+
+    def _hold(self, connection):
+        """Never answer; return to the caller once the client has closed."""
+        while connection.wait() != 'closed':
+            pass
+        raise web.ConnectionAborted
+
+    def _search(self, request):
+        try:
+            work = _DECODER.decode(request.body)
+        except msgspec.DecodeError as error:
+            return web.encode_reply({'ran': False, 'detail': str(error)}, 400)
+        now_ms = self._clock.now_ms()
+        record = self._records.open_record(
+            self._model.spec.name,
+            self._model.incarnation,
+            request.connection.number,
+            work.request_id,
+            work.attempt,
+            work.shards,
+            work.snapshot,
+            now_ms,
+            now_ms + work.deadline_ms,
+        )
+        self._model.submit(record, now_ms)
+        if record.is_open:
+            self._waiting[record] = request.connection
+            try:
+                self._wait_until_ended(record, request.connection)
+            finally:
+                del self._waiting[record]
+        return self._answer(request.connection, work, record)
+
+    def _wait_until_ended(self, record, connection):
+        """Wait in the queue and in a slot; a closed connection cancels."""
+        while record.is_open:
+            now_ms = self._clock.now_ms()
+            due_ms = record.deadline_ms
+            if record.outcome == ledger.RUNNING:
+                due_ms = min(due_ms, self._model.due_ms(record))
+            timeout_s = (due_ms - now_ms) / 1000.0
+            if record.reason == 'silent':
+                timeout_s = None
+            event = connection.wait(timeout_s)
+            now_ms = self._clock.now_ms()
+            if event == 'closed':
+                self._wake(self._model.cancel(record, now_ms, 'closed'))
+            elif event == 'timeout' and record.is_open:
+                self._end_due(record, now_ms)
+
+    def _end_due(self, record, now_ms):
+        """End work whose finish or deadline, whichever is first, is due."""
+        if record.outcome == ledger.RUNNING:
+            due_ms = self._model.due_ms(record)
+            if due_ms <= record.deadline_ms:
+                if now_ms >= due_ms:
+                    self._wake(self._model.finish(record, now_ms))
+                return
+        if now_ms >= record.deadline_ms:
+            self._wake(self._model.cancel(record, now_ms, 'deadline'))
+
+    def _answer(self, connection, work, record):
+        if connection.is_stalled:
+            self._hold(connection)
+        if record.outcome == ledger.RAN:
+            return self._answer_run(connection, work)
+        if record.reason in ('closed', 'restart'):
+            raise web.ConnectionAborted
+        body = {
+            'request_id': work.request_id,
+            'attempt': work.attempt,
+            'ran': record.started_ms is not None,
+            'reason': record.reason,
+        }
+        status = 409 if record.reason == 'snapshot' else 503
+        return web.Reply(
+            status, _ENCODER.encode(body), _name_headers(work.request_id, work)
+        )
+
+    def _answer_run(self, connection, work):
+        faults = self._model.faults
+        if faults.silent:
+            self._hold(connection)
+        if faults.late_ms:
+            # The work has run; only its answer is delayed.
+            eventlet.sleep(faults.late_ms / 1000.0)
+        request_id, attempt = work.request_id, work.attempt
+        if faults.crossed:
+            request_id, attempt = self._previous
+        self._previous = (work.request_id, work.attempt)
+        body = self._encode(work, request_id, attempt, faults.wrong_snapshot)
+        headers = (
+            ('X-Request-Id', request_id),
+            ('X-Attempt', str(attempt)),
+        )
+        extra = TRUNCATED_BYTES if faults.truncate else 0
+        trailer = b''
+        if faults.duplicate:
+            trailer = _encode_raw(headers, body)
+        return web.Reply(200, body, headers, extra, trailer)
+
+    def _encode(self, work, request_id, attempt, wrong_snapshot):
+        snapshot, shards = work.snapshot, work.shards
+        if wrong_snapshot:
+            snapshot = self._model.choose_neighbour(snapshot)
+            names = [s.name for s in self._model.spec.shards[snapshot]]
+            # A repartitioned neighbour has other shards.
+            shards = [s if s in names else names[0] for s in shards]
+        return _ENCODER.encode(
+            _Answer(
+                request_id,
+                attempt,
+                snapshot,
+                self._model.held,
+                self._model.incarnation,
+                self._model.reports_draining,
+                [
+                    self._indexes[snapshot, shard].encode_answer(
+                        work.kind, work.text, work.limit
+                    )
+                    for shard in shards
+                ],
+            )
+        )
+
+
+def _name_headers(request_id, work):
+    return (('X-Request-Id', request_id), ('X-Attempt', str(work.attempt)))
+
+
+def _encode_raw(headers, body):
+    lines = ['HTTP/1.1 200 OK', 'Content-Type: application/json']
+    lines += [f'{name}: {value}' for name, value in headers]
+    lines += [f'Content-Length: {len(body)}', '', '']
+    return '\r\n'.join(lines).encode() + body
--- /dev/null
+++ b/hawthornfold/emulator/web.py
@@ -0,0 +1,351 @@
+"""HTTP servers of the emulator: connections that faults can act on.
+
+`eventlet.wsgi` parses and answers the requests. The accept loop is the
+emulator's own, because a backend server counts, delays, refuses, stalls and
+cuts single connections.
+"""
+
+import signal
+import socket
+import typing
+import urllib.parse
+
+import eventlet
+from eventlet import event
+from eventlet import hubs
+from eventlet import wsgi
+import greenlet
+import msgspec
+
+LOOPBACK = '127.0.0.1'
+MAX_BODY_BYTES = 4 << 20
+
+_REASONS = {
+    200: '200 OK',
+    400: '400 Bad Request',
+    404: '404 Not Found',
+    409: '409 Conflict',
+    503: '503 Service Unavailable',
+}
+
+
+class Request(typing.NamedTuple):
+    """One parsed request; `query` holds the last value of each name."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+    connection: 'Connection'
+
+
+class Reply(typing.NamedTuple):
+    """What an application answers.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    body : bytes
+        JSON text.
+    headers : tuple of (str, str)
+        Further response headers.
+    extra_length : int
+        Added to the declared Content-Length; the connection is closed after
+        the body, so that the client sees a truncated reply.
+    trailer : bytes
+        Raw bytes sent after the body, beyond the declared length.
+    """
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    extra_length: int = 0
+    trailer: bytes = b''
+
+
+class ConnectionAborted(Exception):
+    """Raised by an application to close the connection without a reply."""
+
+
+class Connection:
+    """An accepted connection.
+
+    Parameters
+    ----------
+    sock : eventlet.greenio.GreenSocket
+        The accepted socket.
+    number : int
+        Count of connections of this server, from 1.
+    """
+
+    def __init__(self, sock, number):
+        self.number = number
+        self.is_stalled = False
+        self._socket = sock
+        self._waiting = None
+        self._woken = False
+
+    def wait(self, timeout_s=None):
+        """Suspend until the client closes, `wake`, or the time is up.
+
+        A client's bytes that arrive early (a pipelined request) end the watch
+        on the socket, not the wait.
+
+        Returns
+        -------
+        str
+            ``closed``, ``woken`` or ``timeout``.
+        """
+        if self._woken:
+            self._woken = False
+            return 'woken'
+        hub = hubs.get_hub()
+        self._waiting = greenlet.getcurrent()
+        timer = None
+        if timeout_s is not None:
+            timer = hub.schedule_call_global(
+                max(timeout_s, 0.0), self._waiting.switch, 'timeout'
+            )
+        listener = hub.add(
+            hub.READ,
+            self._socket.fileno(),
+            self._waiting.switch,
+            self._waiting.throw,
+            _ignore_close,
+        )
+        try:
+            while True:
+                cause = hub.switch()
+                if cause in ('timeout', 'woken'):
+                    return cause
+                hub.remove(listener)
+                listener = None
+                if self._is_at_end():
+                    return 'closed'
+        finally:
+            self._waiting = None
+            self._woken = False
+            if timer is not None:
+                timer.cancel()
+            if listener is not None:
+                hub.remove(listener)
+
+    def wake(self):
+        """End the current or the next `wait`, from another greenlet."""
+        self._woken = True
+        hubs.get_hub().schedule_call_global(0, self._resume)
+
+    def close(self):
+        """Close both directions; the connection's greenlet sees the end."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def _resume(self):
+        # The wait may have ended between the wake and this call.
+        if self._woken and self._waiting is not None:
+            self._waiting.switch('woken')
+
+    def _is_at_end(self):
+        try:
+            return self._socket.fd.recv(1, socket.MSG_PEEK) == b''
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
+def _ignore_close():
+    """Do nothing: a connection is closed by its own greenlet only."""
+
+
+class _Protocol(wsgi.HttpProtocol):
+    """Hands the connection to the application with each request."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ['hawthornfold.state'] = self.conn_state
+        return environ
+
+
+class HttpServer:
+    """One listening port on loopback.
+
+    Parameters
+    ----------
+    application : callable
+        Takes a `Request`, returns a `Reply`; may raise `ConnectionAborted`.
+    port : int
+        0 for any free port; `port` then names the one bound.
+    limit : int or None
+        Connections open at a time; more are closed at once.
+    connect_ms : float
+        Time before the first request of a connection is read.
+    """
+
+    def __init__(self, application, port=0, limit=None, connect_ms=0.0):
+        self.is_refusing = False
+        self._application = application
+        self._port = port
+        self._limit = limit
+        self._connect_ms = connect_ms
+        self._wsgi = None
+        self._listener = None
+        self._acceptor = None
+        self._connections = set()
+        self._opened = 0
+        self._peak = 0
+        self._refused = 0
+
+    @property
+    def port(self):
+        """The bound TCP port."""
+        return self._port
+
+    @property
+    def connections(self):
+        """Open connections."""
+        return tuple(self._connections)
+
+    @property
+    def opened(self):
+        """Connections opened so far."""
+        return self._opened
+
+    @property
+    def peak(self):
+        """Most connections open at a time."""
+        return self._peak
+
+    @property
+    def refused(self):
+        """Connections closed at once."""
+        return self._refused
+
+    def start(self):
+        """Listen and accept in a greenlet."""
+        self._listener = eventlet.listen(
+            (LOOPBACK, self._port), backlog=512, reuse_port=False
+        )
+        self._port = self._listener.getsockname()[1]
+        self._wsgi = wsgi.Server(
+            self._listener,
+            (LOOPBACK, self._port),
+            self._respond,
+            log_output=False,
+            protocol=_Protocol,
+            debug=True,
+        )
+        self._acceptor = eventlet.spawn(self._accept, self._listener)
+
+    def stop(self):
+        """Close the listening socket and cut all connections."""
+        if self._listener is None:
+            return
+        self._acceptor.kill()
+        self._listener.close()
+        self._listener = None
+        self.cut()
+
+    def cut(self):
+        """Close all open connections."""
+        for connection in self.connections:
+            connection.close()
+
+    def _accept(self, listener):
+        while True:
+            try:
+                sock, address = listener.accept()
+            except OSError:
+                return
+            full = self._limit is not None and (
+                len(self._connections) >= self._limit
+            )
+            if full or self.is_refusing:
+                self._refused += 1
+                sock.close()
+                continue
+            self._opened += 1
+            connection = Connection(sock, self._opened)
+            self._connections.add(connection)
+            self._peak = max(self._peak, len(self._connections))
+            eventlet.spawn_n(self._serve, sock, address, connection)
+
+    def _serve(self, sock, address, connection):
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._connect_ms and (
+                connection.wait(self._connect_ms / 1000.0) == 'closed'
+            ):
+                return
+            self._wsgi.process_request(
+                [address, sock, wsgi.STATE_IDLE, connection]
+            )
+        except OSError:
+            return
+        finally:
+            self._connections.discard(connection)
+            sock.close()
+
+    def _respond(self, environ, start_response):
+        connection = environ['hawthornfold.state'][3]
+        request = Request(
+            environ['REQUEST_METHOD'],
+            environ['PATH_INFO'],
+            dict(urllib.parse.parse_qsl(environ.get('QUERY_STRING', ''))),
+            environ['wsgi.input'].read(MAX_BODY_BYTES),
+            connection,
+        )
+        try:
+            reply = self._application(request)
+        except ConnectionAborted:
+            connection.close()
+            return []
+        headers = [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(reply.body) + reply.extra_length)),
+            *reply.headers,
+        ]
+        start_response(_REASONS[reply.status], headers)
+        if reply.extra_length:
+            environ['hawthornfold.state'][2] = wsgi.STATE_CLOSE
+        return [reply.body + reply.trailer]
+
+
+def encode_reply(value, status=200):
+    """Encode `value` as the JSON body of a reply."""
+    return Reply(status, msgspec.json.encode(value))
+
+
+def decode_body(request):
+    """Decode a JSON body; an empty body is an empty object."""
+    return msgspec.json.decode(request.body) if request.body else {}
+
+
+def refuse_path(request):
+    """Reply to a path the server does not know."""
+    return encode_reply({'detail': f'no such path: {request.path}'}, 404)
+
+
+def announce(port):
+    """Print the control port, so that a parent knows the process is ready."""
+    print(f'ready {port}', flush=True)
+
+
+def wait_for_termination():
+    """Suspend until SIGTERM or SIGINT."""
+    finished = event.Event()
+
+    def finish(_signal, _frame):
+        hubs.get_hub().schedule_call_global(0, _send_once, finished)
+
+    signal.signal(signal.SIGTERM, finish)
+    signal.signal(signal.SIGINT, finish)
+    finished.wait()
+
+
+def _send_once(finished):
+    if not finished.ready():
+        finished.send(None)
