--- /dev/null
+++ b/hawthornfold/emulator/fleet.py
@@ -0,0 +1,362 @@
+"""Runs a deployment as processes on the loopback interface.
+
+For tests, the demo and experiments: starts the emulated platform, the
+backend servers, optional proxies between nodes and backend servers, and the
+entry nodes, and ends all of them with the context.
+"""
+
+import contextlib
+import json
+import pathlib
+import tempfile
+import urllib.parse
+
+import urllib3
+import zmq
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.emulator import balancer as balancers
+from hawthornfold.emulator import deployment_files
+from hawthornfold.emulator import plans
+from hawthornfold.emulator import processes
+
+PLATFORM = 'platform'
+_MEMORY_FILE_SYSTEM = pathlib.Path('/dev/shm')
+
+
+class Fleet:
+    """A running fleet."""
+
+    def __init__(self, plan, group, variant, settings_extra):
+        self._plan = plan
+        self._group = group
+        self._variant = variant
+        self._settings_extra = settings_extra
+        self._pool = processes.create_pool()
+        self._clock = create_system_clock()
+
+    @property
+    def plan(self):
+        """Ports and files of the fleet."""
+        return self._plan
+
+    @property
+    def nodes(self):
+        """Names of the entry nodes."""
+        return tuple(self._plan.nodes)
+
+    def process(self, name):
+        """Return the process called `name`."""
+        return self._group[name]
+
+    # Processes.
+
+    def add(self, name, *arguments):
+        """Start another process: a name, and what follows ``python -m``."""
+        self._group.add(processes.ProcessSpec(name, arguments))
+
+    def write_file(self, name, document):
+        """Write a JSON file into the fleet's directory; return its path."""
+        path = self._plan.directory / name
+        path.write_text(json.dumps(document))
+        return path
+
+    def start_platform(self):
+        """Start the emulated platform with the deployment's keys."""
+        plan = self._plan
+        state = {
+            'keys': deployment_files.build_keys(
+                plan.deployment, plan.addresses()
+            ),
+            'vms': plans.build_vms(plan),
+        }
+        path = self.write_file('platform-state.json', state)
+        self.add(
+            PLATFORM,
+            'hawthornfold.emulator',
+            'platform',
+            '--port',
+            str(plan.platform_port),
+            '--state',
+            str(path),
+        )
+
+    def start_backends(self):
+        """Start the backends processes."""
+        controls = {
+            place.process: place.control_port
+            for place in self._plan.servers.values()
+        }
+        for name, control_port in controls.items():
+            path = self.write_file(
+                f'{name}.json', plans.build_backends_spec(self._plan, name)
+            )
+            self.add(
+                name,
+                'hawthornfold.emulator',
+                'backends',
+                '--spec',
+                str(path),
+                '--control-port',
+                str(control_port),
+            )
+
+    def start_nodes(self):
+        """Start the entry nodes, of the tier or of the naive version."""
+        # One key pair for all nodes, drawn anew for each fleet.
+        public, secret = zmq.curve_keypair()
+        pair = (public.decode(), secret.decode())
+        for index, (name, ports) in enumerate(self._plan.nodes.items()):
+            settings = deployment_files.build_settings(
+                self._plan.deployment,
+                index,
+                ports,
+                self._plan.platform_port,
+                [pair],
+                **self._settings_extra,
+            )
+            path = self.write_file(f'{name}.json', settings)
+            if self._variant == 'naive':
+                command = ('hawthornfold.emulator', 'naive')
+            else:
+                command = ('hawthornfold', 'serve')
+            self.add(name, *command, '--settings', str(path))
+
+    def kill(self, name):
+        """End a process with SIGKILL."""
+        self._group[name].kill()
+
+    def pause(self, name):
+        """Stop a process with SIGSTOP."""
+        self._group[name].pause()
+
+    def resume(self, name):
+        """Continue a process with SIGCONT."""
+        self._group[name].resume()
+
+    def terminate(self, name, timeout_s=15.0):
+        """Stop a process with SIGTERM; return its exit status."""
+        return self._group[name].terminate(timeout_s)
+
+    def start_again(self, name):
+        """Start an ended process again: same name and ports."""
+        self._group[name].start()
+
+    # Control and observation.
+
+    def call(self, port, method, path, body=None, timeout_s=5.0):
+        """Exchange JSON with any port of the fleet."""
+        return processes.call_json(
+            self._pool, method, port, path, body, timeout_s
+        )
+
+    def control_platform(self, method, path, body=None):
+        """Call the platform's control interface; return status, body."""
+        return self.call(self._plan.platform_port, method, path, body)
+
+    def publish(self, key, value):
+        """Publish a configuration key; `value` is text."""
+        name = urllib.parse.quote(key, safe='/')
+        path = f'/control/keys/{name}'
+        return self.control_platform('PUT', path, value.encode())
+
+    def publish_document(self, key, document):
+        """Publish a configuration key; `document` is turned into JSON."""
+        return self.publish(key, json.dumps(document))
+
+    def publish_vms(self, vms):
+        """Publish the list of VMs."""
+        return self.control_platform('PUT', '/control/vms', vms)
+
+    def control_server(self, server, method, action, body=None):
+        """Call the control interface of a backend server.
+
+        Parameters
+        ----------
+        server : str
+            Name of the server.
+        method : str
+            ``PUT`` for ``fault`` and ``held``, ``POST`` for the others.
+        action : str
+            ``fault``, ``held``, ``restart``, ``stop`` or ``start``.
+        body : object, optional
+            Sent as JSON.
+        """
+        port = self._plan.servers[server].control_port
+        path = f'/control/servers/{server}/{action}'
+        return self.call(port, method, path, body)
+
+    def set_server_fault(self, server, **fault):
+        """Replace the faults of a backend server; none makes it healthy."""
+        return self.control_server(server, 'PUT', 'fault', fault)
+
+    def collect_ledger(self, since=None):
+        """Return the records of what ran, over all backends processes.
+
+        Parameters
+        ----------
+        since : dict, optional
+            Last sequence number known by control port, as returned by
+            `read_ledger_marks`; only later records are returned.
+        """
+        records = []
+        for port in self._control_ports():
+            first = (since or {}).get(port, 0)
+            records.extend(self._read(port, f'/control/ledger?since={first}'))
+        return records
+
+    def read_ledger_marks(self):
+        """Return the last sequence number by control port."""
+        marks = {}
+        for port in self._control_ports():
+            totals = self._read(port, '/control/counters')['total']
+            # Each sub-request received makes one record.
+            marks[port] = totals.get('received', 0)
+        return marks
+
+    def collect_counters(self):
+        """Return the backends' counters, by server name."""
+        counters = {}
+        for port in self._control_ports():
+            counters |= self._read(port, '/control/counters')['servers']
+        return counters
+
+    def is_ready(self, name):
+        """Return whether an entry node's ``/readyz`` answers 200."""
+        port = self._plan.nodes[name].callers
+        try:
+            status, _ = self.call(port, 'GET', '/readyz', timeout_s=1.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return status == 200
+
+    def wait_until_ready(self, names=None, timeout_s=20.0):
+        """Wait until entry nodes are ready.
+
+        Raises
+        ------
+        ProcessFailure
+            When a node has ended or is not ready after `timeout_s` seconds;
+            the end of its output is part of the message.
+        """
+        for name in names or self.nodes:
+            self._wait(name, lambda name=name: self.is_ready(name), timeout_s)
+
+    def create_balancer(self, lag_ms=0.0):
+        """Create a load balancer stand-in over the entry nodes."""
+        return balancers.create_balancer(
+            [
+                balancers.Target(name, ports.callers)
+                for name, ports in self._plan.nodes.items()
+            ],
+            lag_ms,
+        )
+
+    def processor_seconds(self, names):
+        """Return the processor time of running processes, in seconds."""
+        return sum(self._group[n].processor_seconds() for n in names)
+
+    def wait_for_ports(self, timeout_s=10.0):
+        """Wait until the platform and the backends answer."""
+        answers = {PLATFORM: (self._plan.platform_port, '/v1/vms')}
+        for place in self._plan.servers.values():
+            answers[place.process] = (place.control_port, '/control/counters')
+        for name, (port, path) in answers.items():
+            self._wait(
+                name,
+                lambda port=port, path=path: self._is_up(port, path),
+                timeout_s,
+            )
+
+    def _is_up(self, port, path):
+        try:
+            return self.call(port, 'GET', path, timeout_s=1.0)[0] == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _wait(self, name, condition, timeout_s):
+        end_ms = self._clock.now_ms() + timeout_s * 1000.0
+        process = self._group[name]
+        while not condition():
+            late = self._clock.now_ms() > end_ms
+            if late or not process.is_running():
+                raise processes.ProcessFailure(
+                    f'{name} is not ready: {process.read_output()}'
+                )
+            self._clock.sleep_ms(50)
+
+    def _read(self, port, path):
+        status, body = self.call(port, 'GET', path, timeout_s=30.0)
+        if status != 200:
+            raise processes.ProcessFailure(f'{path} answered {status}')
+        return body
+
+    def _backends_processes(self):
+        return sorted({p.process for p in self._plan.servers.values()})
+
+    def _control_ports(self):
+        return sorted({p.control_port for p in self._plan.servers.values()})
+
+
+def create_directory():
+    """Create a temporary directory, in memory where that is possible.
+
+    Returns
+    -------
+    tempfile.TemporaryDirectory
+        To be used as a context manager.
+    """
+    parent = _MEMORY_FILE_SYSTEM if _MEMORY_FILE_SYSTEM.is_dir() else None
+    return tempfile.TemporaryDirectory(prefix='hawthornfold-', dir=parent)
+
+
+@contextlib.contextmanager
+def open_fleet(
+    deployment,
+    node_count,
+    directory=None,
+    seed=1,
+    proxy=False,
+    variant='tier',
+    settings_extra=None,
+    start_nodes=True,
+):
+    """Run a deployment; every process ends with the context.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to run.
+    node_count : int
+        Number of entry nodes.
+    directory : path, optional
+        For files and output; a temporary one when None.
+    seed : int
+        Seed of the emulated servers.
+    proxy : bool
+        Put a fault-injection proxy before every backend server.
+    variant : {'tier', 'naive'}
+        Which entry nodes to run.
+    settings_extra : dict, optional
+        Sections of the nodes' settings to replace or extend.
+    start_nodes : bool
+        Whether to start the nodes and wait until they are ready.
+
+    Yields
+    ------
+    Fleet
+        The running fleet.
+    """
+    with contextlib.ExitStack() as stack:
+        if directory is None:
+            directory = stack.enter_context(create_directory())
+        plan = plans.plan_fleet(deployment, node_count, directory, seed, proxy)
+        group = stack.enter_context(processes.open_process_group(directory))
+        fleet = Fleet(plan, group, variant, settings_extra or {})
+        fleet.start_platform()
+        fleet.start_backends()
+        fleet.wait_for_ports()
+        if start_nodes:
+            fleet.start_nodes()
+            fleet.wait_until_ready()
+        yield fleet
