--- a/hawthornfold/emulator/server_port.py
+++ b/hawthornfold/emulator/server_port.py
@@ -109,8 +109,7 @@
     def set_faults(self, faults):
         """Replace the faults in force."""
         self._server.is_refusing = faults.refuse_connections
-        newly = not self._model.faults.stall_connections
-        if faults.stall_connections and newly:
+        if faults.stall_connections:
             for connection in self._server.connections:
                 connection.is_stalled = True
         self._model.set_faults(faults, self._clock.now_ms())
