Add peer links and SWIM-like membership, first version

Cause: nodes need to exchange messages and to know which of them are live. Ruled out so far: all-to-all heartbeats, whose traffic grows with the square of the fleet.

--- /dev/null
+++ b/hawthornfold/membership/service.py
@@ -0,0 +1,160 @@
+"""Runs the membership state machine over the peer links."""
+
+import random
+
+import logbook
+
+from hawthornfold.membership.actions import Options
+from hawthornfold.membership.actions import Send
+from hawthornfold.membership.records import ALIVE
+from hawthornfold.membership.records import Update
+from hawthornfold.membership.state import MembershipState
+from hawthornfold.peers import messages
+
+LOG = logbook.Logger('membership')
+
+_TICK_MS = 50
+_BODIES = (
+    messages.Ping,
+    messages.PingReq,
+    messages.Ack,
+    messages.Join,
+    messages.Leave,
+    messages.Sync,
+    messages.SyncRecords,
+)
+
+
+class MembershipService:
+    """The node's view of which members are live."""
+
+    def __init__(self, state, clock, links, audit, metrics):
+        self._state = state
+        self._clock = clock
+        self._links = links
+        self._audit = audit
+        self._metrics = metrics
+        self._callbacks = []
+        self._notified_version = state.version
+        for body_type in _BODIES:
+            links.register(body_type, self._handle)
+
+    @property
+    def members(self):
+        """Live members as `Member` tuples, the node itself first."""
+        return self._state.members
+
+    @property
+    def version(self):
+        """Grows with every change of `members`."""
+        return self._state.version
+
+    @property
+    def is_superseded(self):
+        """Whether a newer process has taken this node's name."""
+        return self._state.is_superseded
+
+    def is_confirmed(self, now_ms):
+        """Return whether the node may act on `members`.
+
+        False from a pause longer than ``LEASE_MS`` until members have
+        answered probes sent after it, and after `leave`.
+        """
+        return self._state.is_confirmed(now_ms)
+
+    def set_known_vms(self, vms):
+        """Take over the platform's VM list.
+
+        Parameters
+        ----------
+        vms : iterable
+            Tuples with `name`, `address` (``ip:port`` of the peer link),
+            `data_centre` and `state` (``live`` or ``leaving``).
+        """
+        self._state.set_known_vms(tuple(vms))
+        self._carry_out()
+        self._notify()
+
+    def subscribe(self, callback):
+        """Call ``callback()`` after `members` has changed."""
+        self._callbacks.append(callback)
+
+    def leave(self):
+        """Announce a planned leave to the other members."""
+        self._state.leave(self._clock.now_ms())
+        self._carry_out()
+        self._notify()
+
+    def run(self):
+        """Drive the timers for ever; to be spawned as a green thread."""
+        while True:
+            started_ms = self._clock.now_ms()
+            self._state.tick(started_ms)
+            self._carry_out()
+            self._notify()
+            before_ms = self._clock.now_ms()
+            self._clock.sleep_ms(_TICK_MS)
+            lag_ms = self._clock.now_ms() - before_ms - _TICK_MS
+            self._metrics.observe_ms('loop_lag', max(lag_ms, 0.0))
+
+    def _handle(self, sender, body):
+        self._state.handle(sender, body, self._clock.now_ms())
+        self._carry_out()
+
+    def _carry_out(self):
+        for action in self._state.take_actions():
+            if isinstance(action, Send):
+                self._links.send(action.name, action.address, action.body)
+            else:
+                self._audit.record(*action)
+                self._metrics.count('member_changes', kind=action.kind)
+                LOG.info('{} {}: {}', action.kind, action.subject, action)
+
+    def _notify(self):
+        """Call subscribers once for all changes since the last tick."""
+        if self._notified_version == self._state.version:
+            return
+        self._notified_version = self._state.version
+        self._metrics.set_gauge('members', len(self._state.members))
+        for callback in tuple(self._callbacks):
+            callback()
+
+
+def create_membership_service(
+    settings, incarnation, clock, links, audit, metrics
+):
+    """Create the membership service of a node.
+
+    Parameters
+    ----------
+    settings : Settings
+        `node`, `peers` and `membership` are used.
+    incarnation : int
+        Start time of this process, milliseconds since the epoch.
+    clock : Clock
+        The node's clock.
+    links : PeerLinks
+        Open links; the service registers its message types.
+    audit : AuditTrail
+        Records changes of members.
+    metrics : Metrics
+        Receives counters, the loop lag and the number of members.
+    """
+    node = settings.node
+    own = Update(
+        node.name,
+        f'{node.host}:{settings.peers.port}',
+        node.data_centre,
+        incarnation,
+        0,
+        ALIVE,
+    )
+    times = settings.membership
+    options = Options(
+        probe_interval_ms=times.probe_interval_ms,
+        probe_timeout_ms=times.probe_timeout_ms,
+        suspect_timeout_ms=times.suspect_timeout_ms,
+        is_authenticated=settings.peers.encryption,
+    )
+    state = MembershipState(own, options, random.Random(), clock.now_ms())
+    return MembershipService(state, clock, links, audit, metrics)
--- /dev/null
+++ b/hawthornfold/peers/codec.py
@@ -0,0 +1,135 @@
+"""Encoding of peer messages: one msgpack array a frame."""
+
+import re
+import typing
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 1_200_000
+_MAX_NAME_LENGTH = 255
+
+
+class Sender(typing.NamedTuple):
+    """The node that sent a message.
+
+    Parameters
+    ----------
+    name : str
+        Name of the node in the platform's VM list.
+    incarnation : int
+        Milliseconds since the epoch at which its process started.
+    address : str
+        ``ip:port`` of its peer link, to which replies are sent.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+
+
+class Envelope(typing.NamedTuple):
+    """The fields around every message body."""
+
+    cluster: str
+    version: int
+    name: str
+    incarnation: int
+    address: str
+    message_type: str
+    body: msgspec.Raw
+
+
+class FrameError(Exception):
+    """A frame is not valid; the argument is the label of its counter."""
+
+
+def message_type_of(body_type):
+    """Return the wire name of a body class.
+
+    Examples
+    --------
+    >>> class PingReq(typing.NamedTuple):
+    ...     sequence: int
+    >>> message_type_of(PingReq)
+    'ping-req'
+    """
+    return re.sub(r'(?<!^)(?=[A-Z])', '-', body_type.__name__).lower()
+
+
+class FrameEncoder:
+    """Encodes bodies of one sender; the envelope is encoded once."""
+
+    def __init__(self, cluster, sender):
+        encoder = msgspec.msgpack.Encoder()
+        self._encode = encoder.encode
+        fields = (cluster, PROTOCOL_VERSION, *sender)
+        # 0x97 starts an array of seven: five fields, the type, the body.
+        self._prefix = b'\x97' + b''.join(map(encoder.encode, fields))
+        self._prefixes = {}
+
+    def encode(self, body):
+        """Return the frame of `body`, as bytes.
+
+        Raises
+        ------
+        FrameError
+            The frame would exceed `MAX_FRAME_BYTES`.
+        """
+        prefix = self._prefixes.get(type(body))
+        if prefix is None:
+            name = self._encode(message_type_of(type(body)))
+            prefix = self._prefixes[type(body)] = self._prefix + name
+        frame = prefix + self._encode(body)
+        if len(frame) > MAX_FRAME_BYTES:
+            raise FrameError('size')
+        return frame
+
+
+class FrameDecoder:
+    """Decodes frames of one cluster into registered body types."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._envelope = msgspec.msgpack.Decoder(Envelope)
+        self._bodies = {}
+
+    def register(self, body_type):
+        """Accept messages whose body is the NamedTuple `body_type`."""
+        name = message_type_of(body_type)
+        self._bodies[name] = msgspec.msgpack.Decoder(body_type)
+
+    def decode(self, frame):
+        """Return the `Sender` and the typed body of `frame`.
+
+        Raises
+        ------
+        FrameError
+            The frame is not valid; its argument is one of ``size``,
+            ``malformed``, ``cluster``, ``version``, ``type``, ``body``.
+        """
+        if len(frame) > MAX_FRAME_BYTES:
+            raise FrameError('size')
+        try:
+            envelope = self._envelope.decode(frame)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            raise FrameError('malformed')
+        if envelope.cluster != self._cluster:
+            raise FrameError('cluster')
+        if envelope.version != PROTOCOL_VERSION:
+            raise FrameError('version')
+        decoder = self._bodies.get(envelope.message_type)
+        if decoder is None:
+            raise FrameError('type')
+        if (
+            not 0 < len(envelope.name) <= _MAX_NAME_LENGTH
+            or not 0 < len(envelope.address) <= _MAX_NAME_LENGTH
+            or envelope.incarnation < 0
+        ):
+            raise FrameError('malformed')
+        try:
+            body = decoder.decode(envelope.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            raise FrameError('body')
+        sender = Sender(envelope.name, envelope.incarnation, envelope.address)
+        return sender, body
--- /dev/null
+++ b/hawthornfold/peers/keys.py
@@ -0,0 +1,71 @@
+"""CURVE keys of the peer links and the check of connecting peers."""
+
+import typing
+
+from eventlet.green import zmq
+from zmq.utils import z85
+
+ZAP_DOMAIN = b'hawthornfold-peers'
+_ZAP_ENDPOINT = 'inproc://zeromq.zap.01'
+_ZAP_VERSION = b'1.0'
+
+
+class KeyPair(typing.NamedTuple):
+    """A CURVE key pair in Z85, 40 characters each."""
+
+    public: str
+    secret: str
+
+
+def create_key_pair():
+    """Create a key pair for the ``peers.keys`` setting.
+
+    Examples
+    --------
+    >>> pair = create_key_pair()
+    >>> len(pair.public), len(pair.secret)
+    (40, 40)
+    """
+    public, secret = zmq.curve_keypair()
+    return KeyPair(public.decode(), secret.decode())
+
+
+def bind_authenticator(context):
+    """Return the socket on which libzmq asks about connecting peers."""
+    socket = context.socket(zmq.REP)
+    socket.linger = 0
+    socket.bind(_ZAP_ENDPOINT)
+    return socket
+
+
+def run_authenticator(socket, public_keys, on_refusal):
+    """Accept connections that hold one of `public_keys`, for ever.
+
+    libzmq sends one request a handshake (ZeroMQ RFC 27) and waits for the
+    reply without blocking, so this loop runs as a green thread.
+
+    Parameters
+    ----------
+    socket : zmq.Socket
+        As returned by `bind_authenticator`.
+    public_keys : iterable of str
+        Z85 public keys.
+    on_refusal : callable
+        Called without arguments for each refused handshake.
+    """
+    accepted = {z85.decode(key.encode()) for key in public_keys}
+    while True:
+        request = socket.recv_multipart()
+        request_id = request[1] if len(request) > 1 else b''
+        is_accepted = (
+            len(request) == 7
+            and request[2] == ZAP_DOMAIN
+            and request[5] == b'CURVE'
+            and request[6] in accepted
+        )
+        if not is_accepted:
+            on_refusal()
+        verdict = [b'200', b'OK'] if is_accepted else [b'400', b'refused']
+        socket.send_multipart(
+            [_ZAP_VERSION, request_id, *verdict, b'peer', b'']
+        )
--- /dev/null
+++ b/hawthornfold/peers/messages.py
@@ -0,0 +1,96 @@
+"""Bodies of the membership messages; other modules register their own."""
+
+import typing
+
+
+class Update(typing.NamedTuple):
+    """What one node states about one member.
+
+    Parameters
+    ----------
+    name : str
+        Name of the member.
+    address : str
+        ``ip:port`` of its peer link; empty when `status` is not ALIVE,
+        because receivers know it already.
+    data_centre : str
+        Its data centre; empty in the same cases.
+    incarnation : int
+        Milliseconds since the epoch at which its process started.
+    counter : int
+        Grows within one incarnation each time the member refutes a
+        suspicion.
+    status : int
+        One of the constants in ``hawthornfold.membership.records``.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    incarnation: int
+    counter: int
+    status: int
+
+
+class Ping(typing.NamedTuple):
+    """A direct probe; `data_centre` and `counter` are the sender's own."""
+
+    sequence: int
+    data_centre: str
+    counter: int
+    updates: tuple[Update, ...]
+
+
+class PingReq(typing.NamedTuple):
+    """A request to probe `name` at `address` on the sender's behalf."""
+
+    sequence: int
+    name: str
+    address: str
+    data_centre: str
+    counter: int
+    updates: tuple[Update, ...]
+
+
+class Ack(typing.NamedTuple):
+    """The answer to a probe of `subject`, sent by it or by a relay."""
+
+    sequence: int
+    subject: str
+    incarnation: int
+    data_centre: str
+    counter: int
+    updates: tuple[Update, ...]
+
+
+class Join(typing.NamedTuple):
+    """A request for all member records."""
+
+    data_centre: str
+    counter: int
+
+
+class Leave(typing.NamedTuple):
+    """The announcement of a planned leave of the sender."""
+
+    counter: int
+
+
+class Sync(typing.NamedTuple):
+    """The digests of the sender's member table, 4 bytes a bucket."""
+
+    data_centre: str
+    counter: int
+    digests: bytes
+
+
+class SyncRecords(typing.NamedTuple):
+    """Member records of `buckets`, all of them or the newer ones.
+
+    `is_request` asks the receiver to return what it knows better.
+    """
+
+    buckets: tuple[int, ...]
+    updates: tuple[Update, ...]
+    is_request: bool
+    is_truncated: bool
