Serve queries end to end through three nodes

Cause: urllib3 restores its own timeout before reading and preloaded the body; incarnations were text where membership needs a number. Ruled out: the emulated servers, which answered a plain socket correctly. Change: set the connection's timeout, ask for no preloading, numeric incarnations, no ownership for leaving VMs.

--- a/hawthornfold/backends/connection.py
+++ b/hawthornfold/backends/connection.py
@@ -187,8 +187,17 @@
             if opened.is_err():
                 return opened
         try:
-            self._connection.sock.settimeout(max(timeout_ms, 1.0) / 1000.0)
-            self._connection.request(method, path, body=body, headers=_HEADERS)
+            # urllib3 sets the socket's timeout again before it reads.
+            timeout_s = max(timeout_ms, 1.0) / 1000.0
+            self._connection.timeout = timeout_s
+            self._connection.sock.settimeout(timeout_s)
+            self._connection.request(
+                method,
+                path,
+                body=body,
+                headers=_HEADERS,
+                preload_content=False,
+            )
             response = self._connection.getresponse()
             data = response.read(codec.MAX_REPLY_BYTES + 1)
             if len(data) > codec.MAX_REPLY_BYTES:
--- a/hawthornfold/nodes/context.py
+++ b/hawthornfold/nodes/context.py
@@ -11,7 +11,7 @@
     """
 
     settings: typing.Any
-    incarnation: str
+    incarnation: int
     clock: typing.Any
     metrics: typing.Any
     audit: typing.Any
--- a/hawthornfold/nodes/node.py
+++ b/hawthornfold/nodes/node.py
@@ -41,12 +41,12 @@
 
 
 def create_incarnation(clock):
-    """Return a name for this process; later ones sort after earlier ones.
+    """Return a number for this process; later ones are greater.
 
     The wall clock orders incarnations; the process id tells apart two that
-    start within the same millisecond.
+    start within the same millisecond. The result fits 63 bits.
     """
-    return f'{clock.wall_ms():013d}-{os.getpid()}'
+    return clock.wall_ms() << 22 | os.getpid() & (1 << 22) - 1
 
 
 def derive_secret(settings):
--- a/hawthornfold/nodes/wiring.py
+++ b/hawthornfold/nodes/wiring.py
@@ -39,9 +39,13 @@
 
 
 def _on_members(context):
-    context.policy.update_members(context.membership.members)
+    members = context.membership.members
+    # A VM that the platform lists as leaving gets no new ownership, unless
+    # the whole fleet is listed so.
+    staying = [m for m in members if m.state != 'leaving'] or members
+    context.policy.update_members(staying)
     context.query_runner.refresh_members()
-    context.metrics.set_gauge('members', len(context.membership.members))
+    context.metrics.set_gauge('members', len(members))
 
 
 def _on_key(context, key):
--- a/hawthornfold/tickets/service.py
+++ b/hawthornfold/tickets/service.py
@@ -56,7 +56,7 @@
 
     def __init__(self, context, secret):
         self._node = context.settings.node.name
-        self._incarnation = context.incarnation
+        self._incarnation = str(context.incarnation)
         self._clock = context.clock
         self._links = context.links
         self._membership = context.membership
@@ -220,7 +220,7 @@
 
     def _find_issuer(self, ticket):
         for member in self._membership.members:
-            if (member.name, member.incarnation) == (
+            if (member.name, str(member.incarnation)) == (
                 ticket.node,
                 ticket.incarnation,
             ):
