--- a/hawthornfold/emulator/deployments.py
+++ b/hawthornfold/emulator/deployments.py
@@ -12,8 +12,8 @@
 
 # Mean service time of a small server. It is long enough that the emulated
 # servers' slots, not the emulator's processor time, are what saturates.
-SMALL_SERVICE_MS = 16.0
-LARGE_SERVICE_MS = 12.0
+SMALL_SERVICE_MS = 20.0
+LARGE_SERVICE_MS = 15.0
 
 
 class GroupSpec(typing.NamedTuple):
--- a/hawthornfold/emulator/fleet.py
+++ b/hawthornfold/emulator/fleet.py
@@ -320,6 +320,7 @@
     variant='tier',
     settings_extra=None,
     start_nodes=True,
+    servers_per_process=plans.SERVERS_PER_PROCESS,
 ):
     """Run a deployment; every process ends with the context.
 
@@ -341,6 +342,8 @@
         Sections of the nodes' settings to replace or extend.
     start_nodes : bool
         Whether to start the nodes and wait until they are ready.
+    servers_per_process : int
+        Backend servers per process.
 
     Yields
     ------
@@ -350,7 +353,14 @@
     with contextlib.ExitStack() as stack:
         if directory is None:
             directory = stack.enter_context(create_directory())
-        plan = plans.plan_fleet(deployment, node_count, directory, seed, proxy)
+        plan = plans.plan_fleet(
+            deployment,
+            node_count,
+            directory,
+            seed,
+            proxy,
+            servers_per_process,
+        )
         group = stack.enter_context(processes.open_process_group(directory))
         fleet = Fleet(plan, group, variant, settings_extra or {})
         fleet.start_platform()
--- a/hawthornfold/emulator/measures.py
+++ b/hawthornfold/emulator/measures.py
@@ -12,6 +12,7 @@
 
     Examples
     --------
+    >>> from hawthornfold.emulator import recorder
     >>> histogram = recorder.create_histogram()
     >>> histogram.record_value(20_000)
     True
--- a/hawthornfold/emulator/mixes.py
+++ b/hawthornfold/emulator/mixes.py
@@ -96,7 +96,7 @@
     --------
     >>> small = deployments.create_small()
     >>> round(compute_capacity(small, build_mix(small)))
-    333
+    267
     """
     total = sum(kind.weight for kind in mix)
     rates = []
--- a/hawthornfold/emulator/plans.py
+++ b/hawthornfold/emulator/plans.py
@@ -54,7 +54,14 @@
         }
 
 
-def plan_fleet(deployment, node_count, directory, seed=1, proxy=False):
+def plan_fleet(
+    deployment,
+    node_count,
+    directory,
+    seed=1,
+    proxy=False,
+    servers_per_process=SERVERS_PER_PROCESS,
+):
     """Choose the ports of a fleet.
 
     Examples
@@ -68,7 +75,7 @@
         for group in deployment.groups
         for name in deployments.server_names(group)
     ]
-    chunks = -(-len(names) // SERVERS_PER_PROCESS)
+    chunks = -(-len(names) // servers_per_process)
     per_server = 2 if proxy else 1
     free = iter(
         processes.pick_ports(
--- /dev/null
+++ b/hawthornfold/emulator/tests/test_balancer.py
@@ -0,0 +1,70 @@
+import unittest
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from hawthornfold.emulator import balancer
+
+NAMES = ('a', 'b', 'c')
+LAG_MS = 100
+
+
+class BalancerMachine(stateful.RuleBasedStateMachine):
+    """Guards against a stand-in that knows of a failure too early.
+
+    A balancer without its lag would hide the requests that real ones still
+    send to a dead node.
+    """
+
+    def __init__(self):
+        super().__init__()
+        targets = [balancer.Target(name, i) for i, name in enumerate(NAMES)]
+        self._balancer = balancer.create_balancer(targets, LAG_MS)
+        self._now_ms = 0
+        self._polls = []
+
+    @stateful.rule(
+        name=strategies.sampled_from(NAMES), ready=strategies.booleans()
+    )
+    def poll(self, name, ready):
+        self._polls.append((self._now_ms, name, ready))
+        self._balancer.record_poll(name, ready, self._now_ms)
+
+    @stateful.rule(step=strategies.integers(0, 80))
+    def advance(self, step):
+        self._now_ms += step
+        self._balancer.advance(self._now_ms)
+
+    @stateful.rule()
+    def send(self):
+        before = self._balancer.peek()
+        ready = self._balancer.ready_targets()
+        self.assert_known(before)
+        self._balancer.step()
+        if len(ready) > 1:
+            assert self._balancer.peek() != before
+
+    def assert_known(self, target):
+        expected = dict.fromkeys(NAMES, True)
+        for at_ms, name, ready in self._polls:
+            if at_ms + LAG_MS <= self._now_ms:
+                expected[name] = ready
+        assert expected[target.name] or not any(expected.values())
+
+
+BalancerTest = BalancerMachine.TestCase
+
+
+class BalancerTurnTest(unittest.TestCase):
+    """Guards against load that is not spread evenly."""
+
+    def test_each_ready_node_gets_its_turn(self):
+        targets = [balancer.Target(name, i) for i, name in enumerate(NAMES)]
+        dealt = balancer.create_balancer(targets)
+        dealt.record_poll('b', False, 0)
+        dealt.advance(0)
+        turns = []
+        for _ in range(4):
+            turns.append(dealt.peek().name)
+            dealt.step()
+        self.assertEqual(turns, ['a', 'c', 'a', 'c'])
--- /dev/null
+++ b/hawthornfold/emulator/tests/test_fleet.py
@@ -0,0 +1,88 @@
+import os
+import signal
+import tempfile
+import unittest
+
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import fleet as fleets
+from hawthornfold.emulator import processes
+
+SLEEPER = ('timeit', '-n', '1', '-r', '1', 'import time; time.sleep(600)')
+
+
+def is_alive(pid):
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class ProcessGroupTest(unittest.TestCase):
+    """Guards against processes that outlive the fleet."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self._directory = directory.name
+
+    def test_all_end_after_an_exception(self):
+        pids = []
+        with self.assertRaises(ZeroDivisionError):
+            with processes.open_process_group(self._directory) as group:
+                for name in ('one', 'two', 'paused'):
+                    group.add(processes.ProcessSpec(name, SLEEPER))
+                    pids.append(group[name].pid)
+                # A paused process must end as well.
+                group['paused'].pause()
+                raise ZeroDivisionError
+        self.assertEqual([pid for pid in pids if is_alive(pid)], [])
+
+    def test_start_again_is_a_new_process(self):
+        with processes.open_process_group(self._directory) as group:
+            group.add(processes.ProcessSpec('one', SLEEPER))
+            first = group['one'].pid
+            with self.assertRaises(processes.ProcessFailure):
+                group['one'].start()
+            group['one'].kill()
+            self.assertFalse(is_alive(first))
+            group['one'].start()
+            self.assertNotEqual(group['one'].pid, first)
+            self.assertEqual(group['one'].terminate(), -signal.SIGTERM)
+
+    def test_processor_time_is_read_by_id(self):
+        with processes.open_process_group(self._directory) as group:
+            group.add(processes.ProcessSpec('one', SLEEPER))
+            self.assertGreaterEqual(group['one'].processor_seconds(), 0.0)
+            group['one'].kill()
+            self.assertEqual(group['one'].processor_seconds(), 0.0)
+
+
+class FleetTest(unittest.TestCase):
+    """Guards the fleet that all end-to-end tests stand on."""
+
+    def test_queries_reach_the_ledger_and_processes_end(self):
+        small = deployments.create_small()
+        with fleets.open_fleet(small, 2, variant='naive') as fleet:
+            port = fleet.plan.nodes['entry-1'].callers
+            query = {
+                'service': 'payout-ledger',
+                'kind': 'record',
+                'text': 'payout-ledger-shard-1-00003',
+                'limit': 3,
+            }
+            status, answer = fleet.call(port, 'POST', '/v1/query', query)
+            self.assertEqual((status, answer['total']), (200, 1))
+            records = fleet.collect_ledger()
+            self.assertEqual(
+                {record['request_id'] for record in records},
+                {answer['request_id']},
+            )
+            self.assertEqual(len(records), 6)
+            names = [*fleet.nodes, fleets.PLATFORM, 'backends-1']
+            pids = [fleet.process(name).pid for name in names]
+            self.assertEqual(fleet.terminate('entry-1'), 0)
+            self.assertFalse(fleet.is_ready('entry-1'))
+            fleet.start_again('entry-1')
+            fleet.wait_until_ready(['entry-1'])
+        self.assertEqual([pid for pid in pids if is_alive(pid)], [])
--- /dev/null
+++ b/hawthornfold/emulator/tests/test_naive.py
@@ -0,0 +1,46 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from hawthornfold.emulator import naive
+
+HITS = strategies.lists(
+    strategies.builds(
+        lambda number, score: {'id': f'd{number:03}', 'score': score},
+        strategies.integers(0, 999),
+        strategies.integers(0, 5),
+    ),
+    max_size=12,
+)
+ANSWERS = strategies.lists(
+    strategies.builds(
+        lambda hits, more: {'total': len(hits) + more, 'hits': hits},
+        HITS,
+        strategies.integers(0, 3),
+    ),
+    max_size=6,
+)
+
+
+class NaiveMergeTest(unittest.TestCase):
+    """Guards the reference that the tier's merge is compared with."""
+
+    @given(ANSWERS, strategies.integers(0, 20), strategies.randoms())
+    def test_order_of_answers_does_not_matter(self, answers, limit, source):
+        merged = naive.naive_merge(answers, limit)
+        source.shuffle(answers)
+        self.assertEqual(naive.naive_merge(answers, limit), merged)
+
+    @given(ANSWERS, strategies.integers(0, 20))
+    def test_no_hit_left_out_beats_one_returned(self, answers, limit):
+        total, hits = naive.naive_merge(answers, limit)
+        self.assertEqual(total, sum(a['total'] for a in answers))
+        every = [hit for answer in answers for hit in answer['hits']]
+        self.assertEqual(len(hits), min(limit, len(every)))
+        rest = [hit for hit in every if hit not in hits]
+        for left in rest:
+            for hit in hits:
+                self.assertLessEqual(
+                    (-hit['score'], hit['id']), (-left['score'], left['id'])
+                )
