Put the fault-injection proxy into the fleet

Tests of hung or cut connections need faults between nodes and backend servers. One proxy process listens for every server; service group documents then name the proxy's ports. The fleet test checks that a cut reaches the nodes and that its end does.

--- a/hawthornfold/emulator/fleet.py
+++ b/hawthornfold/emulator/fleet.py
@@ -21,6 +21,7 @@
 from hawthornfold.emulator import processes
 
 PLATFORM = 'platform'
+PROXY = 'proxy'
 _MEMORY_FILE_SYSTEM = pathlib.Path('/dev/shm')
 
 
@@ -101,6 +102,23 @@
                 str(control_port),
             )
 
+    def start_proxy(self):
+        """Start the proxy between nodes and backend servers, if planned."""
+        if not self._plan.proxied:
+            return
+        path = self.write_file(
+            f'{PROXY}.json', plans.build_proxy_spec(self._plan)
+        )
+        self.add(
+            PROXY,
+            'hawthornfold.emulator',
+            'proxy',
+            '--spec',
+            str(path),
+            '--control-port',
+            str(self._plan.proxy_control_port),
+        )
+
     def start_nodes(self):
         """Start the entry nodes, of the tier or of the naive version."""
         # One key pair for all nodes, drawn anew for each fleet.
@@ -190,6 +208,11 @@
         """Replace the faults of a backend server; none makes it healthy."""
         return self.control_server(server, 'PUT', 'fault', fault)
 
+    def set_link_fault(self, server, **fault):
+        """Replace the faults of the proxy before a backend server."""
+        path = f'/control/listeners/{server}/fault'
+        return self.call(self._plan.proxy_control_port, 'PUT', path, fault)
+
     def collect_ledger(self, since=None):
         """Return the records of what ran, over all backends processes.
 
@@ -257,10 +280,13 @@
         return sum(self._group[n].processor_seconds() for n in names)
 
     def wait_for_ports(self, timeout_s=10.0):
-        """Wait until the platform and the backends answer."""
+        """Wait until platform, backend servers and proxy answer."""
         answers = {PLATFORM: (self._plan.platform_port, '/v1/vms')}
         for place in self._plan.servers.values():
             answers[place.process] = (place.control_port, '/control/counters')
+        if self._plan.proxied:
+            port = self._plan.proxy_control_port
+            answers[PROXY] = (port, '/control/listeners')
         for name, (port, path) in answers.items():
             self._wait(
                 name,
@@ -365,6 +391,7 @@
         fleet = Fleet(plan, group, variant, settings_extra or {})
         fleet.start_platform()
         fleet.start_backends()
+        fleet.start_proxy()
         fleet.wait_for_ports()
         if start_nodes:
             fleet.start_nodes()
--- a/hawthornfold/emulator/plans.py
+++ b/hawthornfold/emulator/plans.py
@@ -45,6 +45,7 @@
     servers: dict[str, ServerPlace]
     proxied: dict[str, int]
     seed: int
+    proxy_control_port: int
 
     def addresses(self):
         """Return ``host:port`` by server name, as the nodes see it."""
@@ -79,10 +80,11 @@
     per_server = 2 if proxy else 1
     free = iter(
         processes.pick_ports(
-            1 + chunks + 3 * node_count + per_server * len(names)
+            2 + chunks + 3 * node_count + per_server * len(names)
         )
     )
     platform_port = next(free)
+    proxy_control_port = next(free)
     controls = [next(free) for _ in range(chunks)]
     servers = {
         # Dealt out in turn, so that the load of one group is spread over
@@ -107,6 +109,7 @@
         servers,
         proxied,
         seed,
+        proxy_control_port,
     )
 
 
@@ -123,6 +126,19 @@
     ]
 
 
+def build_proxy_spec(plan):
+    """Build the spec file of the proxy: a listener per backend server."""
+    return [
+        {
+            'name': name,
+            'listen': port,
+            'target': f'127.0.0.1:{plan.servers[name].port}',
+            'seed': plan.seed,
+        }
+        for name, port in plan.proxied.items()
+    ]
+
+
 def build_backends_spec(plan, process):
     """Build the spec file of one backends process, a list of servers.
 
--- a/hawthornfold/emulator/tests/test_fleet.py
+++ b/hawthornfold/emulator/tests/test_fleet.py
@@ -86,3 +86,24 @@
             fleet.start_again('entry-1')
             fleet.wait_until_ready(['entry-1'])
         self.assertEqual([pid for pid in pids if is_alive(pid)], [])
+
+    def test_link_faults_lie_between_nodes_and_servers(self):
+        # Guards against a proxy that the nodes pass by.
+        small = deployments.create_small()
+        with fleets.open_fleet(small, 1, proxy=True, variant='naive') as fleet:
+            port = fleet.plan.nodes['entry-1'].callers
+            query = {
+                'service': 'clerk-desk',
+                'kind': 'search',
+                'text': 'oakford',
+                'limit': 3,
+            }
+            for name in fleet.plan.servers:
+                status, _ = fleet.set_link_fault(name, cut=True)
+                self.assertEqual(status, 200)
+            _, answer = fleet.call(port, 'POST', '/v1/query', query)
+            self.assertEqual(answer['outcome'], 'failed')
+            for name in fleet.plan.servers:
+                fleet.set_link_fault(name)
+            _, answer = fleet.call(port, 'POST', '/v1/query', query)
+            self.assertEqual(answer['outcome'], 'complete')
