Count processor time over kills, and failed answers as uncovered

The naive version kept up to ten connections per node and server, so six nodes exceeded a small server's 25 while idle; it now keeps four.

--- a/hawthornfold/emulator/bench.py
+++ b/hawthornfold/emulator/bench.py
@@ -4,9 +4,9 @@
 times, and the same faults.
 """
 
-import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import typing
 
@@ -19,6 +19,7 @@
 from hawthornfold.emulator import load
 from hawthornfold.emulator import measures
 from hawthornfold.emulator import mixes
+from hawthornfold.emulator import processes
 from hawthornfold.emulator import recorder
 from hawthornfold.emulator import scenarios as scenario_tables
 
@@ -49,6 +50,7 @@
     variants: tuple[str, ...]
     scenarios: tuple[scenario_tables.Scenario, ...]
     run_seconds: float
+    nodes: int
 
 
 def plan_bench(
@@ -142,7 +144,8 @@
         for name in names:
             status = fleet.process(name).wait(self._plan.run_seconds + 30.0)
             if status:
-                raise RuntimeError(fleet.process(name).read_output())
+                output = fleet.process(name).read_output()
+                raise processes.ProcessFailure(f'{name}: {output}')
         after = _read_usage(fleet)
         results = recorder.merge_results(
             json.loads(_output_path(fleet, name).read_text()) for name in names
@@ -194,6 +197,13 @@
         at_most_once = _find_at_most_once_servers(fleet.plan.deployment)
         late = results['late'].get_value_at_percentile(99.0) / 1000.0
         machine = after['all'] - before['all']
+        own = (
+            after['nodes']
+            - before['nodes']
+            + after['backends']
+            - before['backends']
+            + results['processor_seconds']
+        )
         return {
             'latency_ms': measures.summarise_latency(results['histograms']),
             'answers': measures.summarise_counts(results['counts'], measured),
@@ -214,6 +224,10 @@
             'machine_busy_percent': round(
                 100.0 * (after['busy'] - before['busy']) / max(machine, 1), 1
             ),
+            'own_percent': round(100.0 * own / seconds / os.cpu_count(), 1),
+            'generator_cpu_ms_per_query': round(
+                1000.0 * results['processor_seconds'] / max(len(claims), 1), 2
+            ),
             'generator_late_p99_ms': round(late, 1),
             'measured_requests': sent,
         }
@@ -227,6 +241,7 @@
             f', lost {result["lost"]}, doubled {result["doubled"]}'
             f', falsely refused {result["falsely_refused"]}'
             f', machine busy {result["machine_busy_percent"]}%'
+            f' ({result["own_percent"]}% by this run)'
         )
         for urgency, latency in result['latency_ms'].items():
             answers = result['answers'][urgency]
@@ -290,10 +305,15 @@
         f'{plan.deployment.server_count} backend servers, '
         f'{plan.run_seconds:.1f} s per run'
     )
-    with contextlib.suppress(KeyboardInterrupt):
-        write(json.dumps(bench.run()))
-        return 0
-    return 130
+    try:
+        results = bench.run()
+    except processes.ProcessFailure as failure:
+        write(f'the experiment failed: {failure}')
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    write(json.dumps(results))
+    return 0
 
 
 @cappa.command(name='bench')
--- a/hawthornfold/emulator/demo.py
+++ b/hawthornfold/emulator/demo.py
@@ -165,21 +165,24 @@
     """
     raise_on_sigterm()
     failed = 0
-    with contextlib.ExitStack() as stack:
-        fleets_up = []
-        for deployment in create_demo_deployments():
-            write(
-                f'{deployment.name}: {NODES} entry nodes, '
-                f'{deployment.server_count} backend servers'
-            )
-            fleet = stack.enter_context(fleets.open_fleet(deployment, NODES))
-            failed += query_deployment(fleet, write)
-            fleets_up.append(fleet)
-        if keep:
-            for fleet in fleets_up:
-                write(f'{fleet.plan.deployment.name} is at')
-                _describe_addresses(fleet, write)
-            _wait_for_interrupt(write)
+    try:
+        with contextlib.ExitStack() as stack:
+            for deployment in create_demo_deployments():
+                write(
+                    f'{deployment.name}: {NODES} entry nodes, '
+                    f'{deployment.server_count} backend servers'
+                )
+                fleet = stack.enter_context(
+                    fleets.open_fleet(deployment, NODES)
+                )
+                failed += query_deployment(fleet, write)
+                if keep:
+                    _describe_addresses(fleet, write)
+            if keep:
+                _wait_for_interrupt(write)
+    except processes.ProcessFailure as failure:
+        write(f'the demo failed: {failure}')
+        return 1
     write(f'{failed} answers were not complete' if failed else 'all complete')
     return 1 if failed else 0
 
--- a/hawthornfold/emulator/measures.py
+++ b/hawthornfold/emulator/measures.py
@@ -43,7 +43,9 @@
     for urgency, values in counts.items():
         if not values['sent']:
             continue
-        answered = max(values['answered'], 1)
+        # An answer without data, or none at all, has no coverage; a refusal
+        # makes no statement about the data.
+        answered = values['sent'] - values['refused']
         summary[urgency] = {
             'offered_per_second': round(values['sent'] / seconds, 1),
             'goodput_per_second': round(values['good'] / seconds, 1),
--- a/hawthornfold/emulator/naive.py
+++ b/hawthornfold/emulator/naive.py
@@ -26,6 +26,9 @@
 
 _SERVICES = 'services/'
 _MAX_BODY_BYTES = 65_536
+# Connections kept per server; more are opened when all are in use. Six nodes
+# that keep four each stay below the 25 connections of a small server.
+_KEPT_CONNECTIONS = 4
 _JSON = [('Content-Type', 'application/json')]
 
 
@@ -323,9 +326,9 @@
         settings = msgspec.json.decode(file.read())
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     clock = create_system_clock()
-    # Connections are kept as urllib3 does by default; more are opened when
-    # all of a server's are in use.
-    pool = urllib3.PoolManager(num_pools=1000, maxsize=10, retries=False)
+    pool = urllib3.PoolManager(
+        num_pools=1000, maxsize=_KEPT_CONNECTIONS, retries=False
+    )
     configuration = NaiveConfiguration(
         settings['platform']['addresses'][0], pool
     )
--- a/hawthornfold/emulator/processes.py
+++ b/hawthornfold/emulator/processes.py
@@ -104,6 +104,7 @@
         self._spec = spec
         self._output = pathlib.Path(directory) / f'{spec.name}.log'
         self._process = None
+        self._ended_seconds = 0.0
 
     @property
     def name(self):
@@ -149,6 +150,7 @@
     def kill(self):
         """End the process at once and reap it; nothing when it has ended."""
         if self._process is not None:
+            self._keep_processor_time()
             self.send_signal(signal.SIGKILL)
             self._process.wait()
 
@@ -168,6 +170,7 @@
         ProcessFailure
             When the process is still running after `timeout_s` seconds.
         """
+        self._keep_processor_time()
         self.send_signal(signal.SIGTERM)
         return self.wait(timeout_s)
 
@@ -193,13 +196,19 @@
         return self._output.read_text(errors='replace')[-limit:]
 
     def processor_seconds(self):
-        """Return the user and system time used by the running process.
+        """Return the user and system time used by all starts, in seconds.
 
-        Returns
-        -------
-        float
-            Seconds, from ``/proc/<pid>/stat``; 0.0 when it has ended.
+        What a process uses after it is asked to end is not counted.
         """
+        if not self.is_running():
+            return self._ended_seconds
+        return self._ended_seconds + self._read_processor_time()
+
+    def _keep_processor_time(self):
+        if self.is_running():
+            self._ended_seconds += self._read_processor_time()
+
+    def _read_processor_time(self):
         try:
             text = pathlib.Path(f'/proc/{self.pid}/stat').read_text()
         except OSError:
--- a/hawthornfold/emulator/recorder.py
+++ b/hawthornfold/emulator/recorder.py
@@ -1,5 +1,7 @@
 """Records the outcome of each request of a load generator."""
 
+import resource
+
 from hdrh import histogram
 
 URGENCIES = ('urgent', 'ordinary', 'background')
@@ -73,7 +75,6 @@
         counts[outcome] += 1
         counts['good'] += is_good
         if outcome in ('complete', 'partial'):
-            counts['answered'] += 1
             counts['full'] += share == 1.0
             counts['coverage_sum'] += share
         code = str(answer.get('code'))
@@ -111,14 +112,19 @@
             'codes': self._codes,
             'claims': self._claims,
             'drops': self._drops,
+            'processor_seconds': _read_processor_time(),
         }
 
 
+def _read_processor_time():
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
 def _empty_counts():
     names = (
         'sent',
         'good',
-        'answered',
         'full',
         'coverage_sum',
         'complete',
@@ -149,6 +155,7 @@
         'codes': {},
         'claims': [],
         'drops': [],
+        'processor_seconds': 0.0,
     }
     for document in documents:
         merged['late'].decode_and_add(document['late'].encode())
@@ -161,6 +168,7 @@
                 counts[key] += value
         for code, count in document['codes'].items():
             merged['codes'][code] = merged['codes'].get(code, 0) + count
+        merged['processor_seconds'] += document['processor_seconds']
         merged['claims'].extend(document['claims'])
         merged['drops'].extend(document['drops'])
     return merged
--- a/hawthornfold/emulator/tests/test_fleet.py
+++ b/hawthornfold/emulator/tests/test_fleet.py
@@ -50,12 +50,19 @@
             self.assertNotEqual(group['one'].pid, first)
             self.assertEqual(group['one'].terminate(), -signal.SIGTERM)
 
-    def test_processor_time_is_read_by_id(self):
+    def test_processor_time_survives_the_process(self):
+        # Guards against negative processor times when a node is killed.
+        busy = ('timeit', '-n', '1', '-r', '1', 'while True: pass')
         with processes.open_process_group(self._directory) as group:
-            group.add(processes.ProcessSpec('one', SLEEPER))
-            self.assertGreaterEqual(group['one'].processor_seconds(), 0.0)
-            group['one'].kill()
-            self.assertEqual(group['one'].processor_seconds(), 0.0)
+            group.add(processes.ProcessSpec('one', busy))
+            process = group['one']
+            while process.processor_seconds() < 0.05:
+                self.assertTrue(process.is_running())
+            process.kill()
+            before = process.processor_seconds()
+            self.assertGreaterEqual(before, 0.05)
+            process.start()
+            self.assertGreaterEqual(process.processor_seconds(), before)
 
 
 class FleetTest(unittest.TestCase):
