--- a/hawthornfold/emulator/bench.py
+++ b/hawthornfold/emulator/bench.py
@@ -4,9 +4,9 @@
 times, and the same faults.
 """
 
-import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import typing
 
@@ -19,6 +19,8 @@
 from hawthornfold.emulator import load
 from hawthornfold.emulator import measures
 from hawthornfold.emulator import mixes
+from hawthornfold.emulator import processes
+from hawthornfold.emulator import recorder
 from hawthornfold.emulator import scenarios as scenario_tables
 
 VARIANTS = ('tier', 'naive', 'direct')
@@ -35,6 +37,10 @@
 _RUN_OVERHEAD_S = 2.5
 _FLEET_OVERHEAD_S = 4.0
 _LEAST_RUN_S = 2.5
+# One sub-request costs an emulated server about 0.7 ms of processor time;
+# with five servers a process stays half idle at 1.5 times their capacity.
+_SERVERS_PER_PROCESS = 5
+DEFAULT_NODES = 6
 
 
 class Plan(typing.NamedTuple):
@@ -44,9 +50,12 @@
     variants: tuple[str, ...]
     scenarios: tuple[scenario_tables.Scenario, ...]
     run_seconds: float
+    nodes: int
 
 
-def plan_bench(seconds, scenario_names, deployment, variants):
+def plan_bench(
+    seconds, scenario_names, deployment, variants, nodes=DEFAULT_NODES
+):
     """Divide the time among scenarios and variants.
 
     Parameters
@@ -59,6 +68,8 @@
         Name of the deployment.
     variants : sequence of str
         Which versions to run.
+    nodes : int
+        Number of entry nodes.
 
     Examples
     --------
@@ -75,6 +86,7 @@
         tuple(variants),
         tuple(scenario_tables.SCENARIOS[name] for name in scenario_names),
         max(rest / runs, _LEAST_RUN_S),
+        nodes,
     )
 
 
@@ -107,13 +119,13 @@
         settings = {}
         if variant == 'direct':
             settings = {'routing': {'owner_policy': 'direct'}}
-        nodes = self._plan.deployment.nodes
         with fleets.open_fleet(
             self._plan.deployment,
-            nodes,
+            self._plan.nodes,
             seed=_SEED,
             variant='naive' if variant == 'naive' else 'tier',
             settings_extra=settings,
+            servers_per_process=_SERVERS_PER_PROCESS,
         ) as fleet:
             results = {}
             for scenario in self._plan.scenarios:
@@ -132,9 +144,10 @@
         for name in names:
             status = fleet.process(name).wait(self._plan.run_seconds + 30.0)
             if status:
-                raise RuntimeError(fleet.process(name).read_output())
+                output = fleet.process(name).read_output()
+                raise processes.ProcessFailure(f'{name}: {output}')
         after = _read_usage(fleet)
-        results = load.merge_results(
+        results = recorder.merge_results(
             json.loads(_output_path(fleet, name).read_text()) for name in names
         )
         records = fleet.collect_ledger(marks)
@@ -184,6 +197,13 @@
         at_most_once = _find_at_most_once_servers(fleet.plan.deployment)
         late = results['late'].get_value_at_percentile(99.0) / 1000.0
         machine = after['all'] - before['all']
+        own = (
+            after['nodes']
+            - before['nodes']
+            + after['backends']
+            - before['backends']
+            + results['processor_seconds']
+        )
         return {
             'latency_ms': measures.summarise_latency(results['histograms']),
             'answers': measures.summarise_counts(results['counts'], measured),
@@ -204,6 +224,10 @@
             'machine_busy_percent': round(
                 100.0 * (after['busy'] - before['busy']) / max(machine, 1), 1
             ),
+            'own_percent': round(100.0 * own / seconds / os.cpu_count(), 1),
+            'generator_cpu_ms_per_query': round(
+                1000.0 * results['processor_seconds'] / max(len(claims), 1), 2
+            ),
             'generator_late_p99_ms': round(late, 1),
             'measured_requests': sent,
         }
@@ -217,6 +241,7 @@
             f', lost {result["lost"]}, doubled {result["doubled"]}'
             f', falsely refused {result["falsely_refused"]}'
             f', machine busy {result["machine_busy_percent"]}%'
+            f' ({result["own_percent"]}% by this run)'
         )
         for urgency, latency in result['latency_ms'].items():
             answers = result['answers'][urgency]
@@ -266,7 +291,7 @@
     }
 
 
-def run_bench(seconds, scenario_names, deployment, variants, write=print):
+def run_bench(plan, write=print):
     """Run experiments; the last line written is the JSON of all results.
 
     Returns
@@ -274,17 +299,21 @@
     int
         Exit status.
     """
-    plan = plan_bench(seconds, scenario_names, deployment, variants)
     bench = Bench(plan, write)
     write(
-        f'{deployment}: {plan.deployment.nodes} entry nodes, '
+        f'{plan.deployment.name}: {plan.nodes} entry nodes, '
         f'{plan.deployment.server_count} backend servers, '
         f'{plan.run_seconds:.1f} s per run'
     )
-    with contextlib.suppress(KeyboardInterrupt):
-        write(json.dumps(bench.run()))
-        return 0
-    return 130
+    try:
+        results = bench.run()
+    except processes.ProcessFailure as failure:
+        write(f'the experiment failed: {failure}')
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    write(json.dumps(results))
+    return 0
 
 
 @cappa.command(name='bench')
@@ -299,6 +328,7 @@
         default_factory=lambda: list(scenario_tables.DEFAULT_NAMES)
     )
     deployment: typing.Annotated[str, cappa.Arg(long=True)] = 'small'
+    nodes: typing.Annotated[int, cappa.Arg(long=True)] = DEFAULT_NODES
     variant: typing.Annotated[list[str], cappa.Arg(long=True, num_args=-1)] = (
         dataclasses.field(default_factory=lambda: ['tier', 'naive'])
     )
@@ -308,6 +338,12 @@
         demo.raise_on_sigterm()
         raise cappa.Exit(
             code=run_bench(
-                self.seconds, self.scenario, self.deployment, self.variant
+                plan_bench(
+                    self.seconds,
+                    self.scenario,
+                    self.deployment,
+                    self.variant,
+                    self.nodes,
+                )
             )
         )
--- a/hawthornfold/emulator/plans.py
+++ b/hawthornfold/emulator/plans.py
@@ -45,6 +45,7 @@
     servers: dict[str, ServerPlace]
     proxied: dict[str, int]
     seed: int
+    proxy_control_port: int
 
     def addresses(self):
         """Return ``host:port`` by server name, as the nodes see it."""
@@ -54,7 +55,14 @@
         }
 
 
-def plan_fleet(deployment, node_count, directory, seed=1, proxy=False):
+def plan_fleet(
+    deployment,
+    node_count,
+    directory,
+    seed=1,
+    proxy=False,
+    servers_per_process=SERVERS_PER_PROCESS,
+):
     """Choose the ports of a fleet.
 
     Examples
@@ -68,14 +76,15 @@
         for group in deployment.groups
         for name in deployments.server_names(group)
     ]
-    chunks = -(-len(names) // SERVERS_PER_PROCESS)
+    chunks = -(-len(names) // servers_per_process)
     per_server = 2 if proxy else 1
     free = iter(
         processes.pick_ports(
-            1 + chunks + 3 * node_count + per_server * len(names)
+            2 + chunks + 3 * node_count + per_server * len(names)
         )
     )
     platform_port = next(free)
+    proxy_control_port = next(free)
     controls = [next(free) for _ in range(chunks)]
     servers = {
         # Dealt out in turn, so that the load of one group is spread over
@@ -100,6 +109,7 @@
         servers,
         proxied,
         seed,
+        proxy_control_port,
     )
 
 
@@ -116,6 +126,19 @@
     ]
 
 
+def build_proxy_spec(plan):
+    """Build the spec file of the proxy: a listener per backend server."""
+    return [
+        {
+            'name': name,
+            'listen': port,
+            'target': f'127.0.0.1:{plan.servers[name].port}',
+            'seed': plan.seed,
+        }
+        for name, port in plan.proxied.items()
+    ]
+
+
 def build_backends_spec(plan, process):
     """Build the spec file of one backends process, a list of servers.
 
