Prove at-most-once across kills, pauses and silent connections

Cause: the promise had no proof with real processes. Change: integration trials whose claims are checked against the backends' ledger; the platform's VM list may name backend server VMs by role, so that it can say which leave. Ruled out: running entry VMs only in the list, since then the platform could not announce a leaving backend server.

--- a/hawthornfold/configuration/service.py
+++ b/hawthornfold/configuration/service.py
@@ -271,7 +271,10 @@
         if change.after.in_force is before:
             return
         if change.key == VMS_KEY:
-            self._membership.set_known_vms(change.after.parsed or ())
+            vms = change.after.parsed or ()
+            self._membership.set_known_vms(
+                tuple(vm for vm in vms if vm.role == 'entry')
+            )
         for callback in tuple(self._subscribers):
             callback(change.key)
 
--- /dev/null
+++ b/hawthornfold/integration/callers.py
@@ -0,0 +1,145 @@
+"""Callers of a trial: they send queries and note what they were told."""
+
+import concurrent.futures
+import itertools
+import typing
+
+import urllib3
+
+from hawthornfold.emulator import processes
+
+# Far above every rule's deadline: a caller that gives up by itself would
+# hide what the node would have said.
+TIMEOUT_S = 8.0
+
+
+class TrialQuery(typing.NamedTuple):
+    """What a caller asks."""
+
+    service: str
+    kind: str = 'search'
+    text: str = 'a'
+    limit: int = 10
+    caller_class: str = 'resident'
+
+
+class Claim(typing.NamedTuple):
+    """What one sending of a query was told.
+
+    Parameters
+    ----------
+    query : TrialQuery
+        The query.
+    node : str
+        The node it was sent to.
+    ticket : str or None
+        The ticket it was sent with.
+    status : int
+        HTTP status, 0 when the connection was cut.
+    document : dict
+        The answer, empty when the connection was cut.
+    """
+
+    query: TrialQuery
+    node: str
+    ticket: str | None
+    status: int
+    document: dict
+
+    @property
+    def request_id(self):
+        """The id under which the backends may have run the query."""
+        return self.document.get('request_id') or self.ticket
+
+    @property
+    def ran(self):
+        """``yes``, ``no`` or ``unknown``; unknown when cut."""
+        return self.document.get('ran', 'unknown')
+
+
+class TrialCaller:
+    """Sends queries to the nodes of a fleet and keeps their claims."""
+
+    def __init__(self, fleet, workers):
+        self._fleet = fleet
+        self._pool = urllib3.PoolManager(
+            num_pools=32, maxsize=workers, retries=False
+        )
+        self._executor = concurrent.futures.ThreadPoolExecutor(workers)
+        self._claims = []
+        self._turn = itertools.count()
+
+    @property
+    def claims(self):
+        """All claims so far, in the order in which they ended."""
+        return list(self._claims)
+
+    def obtain_ticket(self, node):
+        """Ask a node for a ticket."""
+        _, document = self._exchange(node, '/v1/tickets', None, {})
+        return document['ticket']
+
+    def ask(self, node, query, ticket=None):
+        """Send a query to a node and wait; return its `Claim`."""
+        headers = {'X-Caller-Class': query.caller_class}
+        if ticket is not None:
+            headers['X-Ticket'] = ticket
+        body = {
+            'service': query.service,
+            'kind': query.kind,
+            'text': query.text,
+            'limit': query.limit,
+        }
+        status, document = self._exchange(node, '/v1/query', body, headers)
+        claim = Claim(query, node, ticket, status, document)
+        self._claims.append(claim)
+        return claim
+
+    def submit(self, node, query, ticket=None):
+        """Send a query without waiting; return a future of its `Claim`."""
+        return self._executor.submit(self.ask, node, query, ticket)
+
+    def spread(self, nodes, queries):
+        """Send queries to nodes in turn; return futures of their claims."""
+        return [
+            self.submit(nodes[next(self._turn) % len(nodes)], query)
+            for query in queries
+        ]
+
+    def close(self):
+        """Wait for the queries in progress and close the connections."""
+        self._executor.shutdown()
+        self._pool.clear()
+
+    def _exchange(self, node, path, body, headers):
+        port = self._fleet.plan.nodes[node].callers
+        try:
+            response = self._pool.request(
+                'POST',
+                f'http://127.0.0.1:{port}{path}',
+                json=body if body is not None else {},
+                headers=headers,
+                timeout=TIMEOUT_S,
+                retries=False,
+            )
+            return response.status, response.json()
+        except (urllib3.exceptions.HTTPError, OSError):
+            return 0, {}
+
+
+def create_trial_caller(fleet, workers=16):
+    """Create callers that have up to `workers` queries in progress."""
+    return TrialCaller(fleet, workers)
+
+
+def read_operator(fleet, node, path):
+    """Read a page of a node's operators' port; None when it is down."""
+    port = fleet.plan.nodes[node].operators
+    pool = processes.create_pool(1)
+    try:
+        status, document = processes.call_json(
+            pool, 'GET', port, f'/v1/operator/{path}'
+        )
+    except (urllib3.exceptions.HTTPError, OSError):
+        return None
+    return document if status == 200 else None
--- /dev/null
+++ b/hawthornfold/integration/references.py
@@ -0,0 +1,80 @@
+"""Reference answers, read from the backend servers shard by shard.
+
+The reference does not use any part of the tier: it asks one replica of each
+shard directly and merges naively.
+"""
+
+import itertools
+
+from hawthornfold.emulator import naive
+
+REFERENCE_PREFIX = 'reference-'
+_DEADLINE_MS = 5000
+
+
+class ReferenceReader:
+    """Reads what each shard of a snapshot answers."""
+
+    def __init__(self, fleet, layouts):
+        self._fleet = fleet
+        self._layouts = layouts
+        self._answers = {}
+        self._numbers = itertools.count(1)
+
+    def answer(self, query, snapshot, shards):
+        """Return total and hits over exactly `shards`."""
+        answers = [self._read(query, snapshot, name) for name in shards]
+        return naive.naive_merge(answers, query.limit)
+
+    def load(self, query, snapshot):
+        """Read all shards of a snapshot while its servers are up."""
+        for shard in self._layouts[query.service, snapshot]:
+            self._read(query, snapshot, shard)
+
+    def shards(self, service, snapshot):
+        """Return the shard names of a snapshot."""
+        return tuple(self._layouts[service, snapshot])
+
+    def _read(self, query, snapshot, shard):
+        key = (query, snapshot, shard)
+        if key not in self._answers:
+            self._answers[key] = self._ask(query, snapshot, shard)
+        return self._answers[key]
+
+    def _ask(self, query, snapshot, shard):
+        body = {
+            'request_id': f'{REFERENCE_PREFIX}{next(self._numbers)}',
+            'attempt': 1,
+            'snapshot': snapshot,
+            'deadline_ms': _DEADLINE_MS,
+            'shards': [shard],
+            'kind': query.kind,
+            'text': query.text,
+            'limit': query.limit,
+        }
+        for server in self._layouts[query.service, snapshot][shard]:
+            place = self._fleet.plan.servers[server]
+            status, document = self._fleet.call(
+                place.port, 'POST', '/v1/search', body
+            )
+            if status == 200:
+                return document['answers'][0]
+        raise LookupError(f'no replica of {shard} in {snapshot} answers')
+
+
+def create_reference_reader(fleet, documents):
+    """Create a reader from service group documents.
+
+    Parameters
+    ----------
+    documents : dict of str to dict
+        Service group documents by group name, as published.
+    """
+    layouts = {
+        (group, snapshot['name']): {
+            shard['name']: shard['replicas'] for shard in snapshot['shards']
+        }
+        for group, document in documents.items()
+        for snapshot in document['snapshots']
+    }
+    return ReferenceReader(fleet, layouts)
--- a/hawthornfold/platforms/replies.py
+++ b/hawthornfold/platforms/replies.py
@@ -42,12 +42,17 @@
 
 
 class VM(typing.NamedTuple):
-    """One VM of the fleet; `address` is ``ip:port`` of its peer link."""
+    """One VM; the address of an entry VM is ``ip:port`` of its peer link.
+
+    Backend server VMs are listed under the server's name, so that the list
+    can say which of them leave.
+    """
 
     name: str
     address: str
     data_centre: str
     state: typing.Literal['live', 'leaving']
+    role: typing.Literal['entry', 'backend'] = 'entry'
 
 
 class VMsReply(typing.NamedTuple):
@@ -78,6 +83,7 @@
     address: typing.Annotated[str, msgspec.Meta(max_length=64)]
     data_centre: typing.Annotated[str, msgspec.Meta(max_length=256)]
     state: typing.Literal['live', 'leaving']
+    role: typing.NotRequired[typing.Literal['entry', 'backend']]
 
 
 _KEYS_DECODER = msgspec.json.Decoder(_WireKeys)
@@ -216,7 +222,7 @@
     Examples
     --------
     >>> encode_vms([VM('a', '127.0.0.1:7000', 'dc', 'live')])
-    b'[["a","127.0.0.1:7000","dc","live"]]'
+    b'[["a","127.0.0.1:7000","dc","live","entry"]]'
     """
     return msgspec.json.encode(sorted(vms))
 
@@ -240,7 +246,7 @@
 
     Examples
     --------
-    >>> parse_vms('vms', b'[["a","127.0.0.1:7000","dc","live"]]').ok()[0].name
+    >>> parse_vms('vms', b'[["a","127.0.0.1:7000","dc","live","entry"]]').ok()[0].name
     'a'
     >>> parse_vms('vms', b'{}').is_err()
     True
