--- a/hawthornfold/peers/keys.py
+++ b/hawthornfold/peers/keys.py
@@ -6,7 +6,7 @@
 from zmq.utils import z85
 
 ZAP_DOMAIN = b'hawthornfold-peers'
-_ZAP_ENDPOINT = 'inproc://zeromq.zap.01'
+ZAP_ENDPOINT = 'inproc://zeromq.zap.01'
 _ZAP_VERSION = b'1.0'
 
 
@@ -30,14 +30,6 @@
     return KeyPair(public.decode(), secret.decode())
 
 
-def bind_authenticator(context):
-    """Return the socket on which libzmq asks about connecting peers."""
-    socket = context.socket(zmq.REP)
-    socket.linger = 0
-    socket.bind(_ZAP_ENDPOINT)
-    return socket
-
-
 def run_authenticator(socket, public_keys, on_refusal):
     """Accept connections that hold one of `public_keys`, for ever.
 
@@ -47,7 +39,7 @@
     Parameters
     ----------
     socket : zmq.Socket
-        As returned by `bind_authenticator`.
+        A REP socket bound to `ZAP_ENDPOINT`.
     public_keys : iterable of str
         Z85 public keys.
     on_refusal : callable
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -20,7 +20,7 @@
 _RECONNECT_MAX_MS = 2000
 _CONNECT_TIMEOUT_MS = 1500
 _SEND_QUEUE_LENGTH = 512
-_RECEIVE_QUEUE_LENGTH = 4096
+_RECEIVE_QUEUE_LENGTH = 1024
 _IDLE_MS = 60_000
 # Heartbeats cost about 60 B/s and link, so a node of a large fleet, which
 # probes another member every second, keeps few links that it does not use.
@@ -47,14 +47,15 @@
     """The DEALER socket of one peer.
 
     While several keys are listed, `unconfirmed` holds the frames sent
-    before the handshake and `watcher` waits for its outcome.
+    before the handshake and `watcher` waits for its outcome on `monitor`.
     """
 
-    def __init__(self, socket, address, key_index):
-        self.socket = socket
+    def __init__(self, address, key_index):
         self.address = address
         self.key_index = key_index
         self.used_ms = 0.0
+        self.socket = None
+        self.monitor = None
         self.unconfirmed = None
         self.watcher = None
 
@@ -85,7 +86,8 @@
         self._key_indexes = {}
         self._incarnations = {}
         self._threads = []
-        self._sockets = []
+        # Context.term() blocks the process until every socket is closed.
+        self._sockets = set()
         self._context = zmq.Context(io_threads=1)
         self._context.set(zmq.MAX_SOCKETS, _MAX_SOCKETS)
 
@@ -146,15 +148,13 @@
 
     def _start(self):
         peers = self._settings.peers
-        router = self._context.socket(zmq.ROUTER)
-        self._sockets.append(router)
-        router.linger = 0
+        router = self._create_socket(zmq.ROUTER)
         router.rcvhwm = _RECEIVE_QUEUE_LENGTH
         router.maxmsgsize = codec.MAX_FRAME_BYTES
         router.handshake_ivl = _HEARTBEAT_TIMEOUT_MS
         if self._keys:
-            authenticator = keys.bind_authenticator(self._context)
-            self._sockets.append(authenticator)
+            authenticator = self._create_socket(zmq.REP)
+            authenticator.bind(keys.ZAP_ENDPOINT)
             self._spawn(
                 keys.run_authenticator,
                 authenticator,
@@ -174,8 +174,8 @@
             self.close_link(name)
         for thread in self._threads:
             thread.kill()
-        for socket in self._sockets:
-            socket.close(linger=0)
+        for socket in tuple(self._sockets):
+            self._close_socket(socket)
         self._context.term()
 
     def _spawn(self, function, *arguments):
@@ -184,16 +184,15 @@
     def _open_link(self, name, address):
         self.close_link(name)
         key_index = self._key_indexes.get(name, 0)
-        link = _Link(self._connect(address, key_index), address, key_index)
-        if len(self._keys) > 1:
+        link = self._links[name] = _Link(address, key_index)
+        self._connect(link)
+        if link.monitor is not None:
             link.unconfirmed = []
             link.watcher = eventlet.spawn(self._watch, name, link)
-        self._links[name] = link
         return link
 
-    def _connect(self, address, key_index):
-        socket = self._context.socket(zmq.DEALER)
-        socket.linger = 0
+    def _connect(self, link):
+        socket = link.socket = self._create_socket(zmq.DEALER)
         socket.sndhwm = _SEND_QUEUE_LENGTH
         socket.reconnect_ivl = _RECONNECT_MS
         socket.reconnect_ivl_max = _RECONNECT_MAX_MS
@@ -205,12 +204,14 @@
         socket.heartbeat_timeout = _HEARTBEAT_TIMEOUT_MS
         socket.heartbeat_ttl = _HEARTBEAT_TIMEOUT_MS
         if self._keys:
-            pair = self._keys[key_index]
+            pair = self._keys[link.key_index]
             socket.curve_secretkey = pair.secret.encode()
             socket.curve_publickey = pair.public.encode()
             socket.curve_serverkey = pair.public.encode()
-        socket.connect(f'tcp://{address}')
-        return socket
+        if len(self._keys) > 1:
+            link.monitor = socket.get_monitor_socket(_WATCHED_EVENTS)
+            self._sockets.add(link.monitor)
+        socket.connect(f'tcp://{link.address}')
 
     def _watch(self, name, link):
         """Connect with the next key whenever a handshake has failed.
@@ -219,9 +220,8 @@
         keys, which only the failure of the handshake shows.
         """
         failures = 0
-        monitor = link.socket.get_monitor_socket(_WATCHED_EVENTS)
         while True:
-            event = recv_monitor_message(monitor)['event']
+            event = recv_monitor_message(link.monitor)['event']
             if event == zmq.EVENT_HANDSHAKE_SUCCEEDED:
                 failures = 0
                 link.unconfirmed = None
@@ -233,11 +233,9 @@
                 # No listed key worked, so the fault is another one.
                 delay_ms = min(failures * _RECONNECT_MS, _RECONNECT_MAX_MS)
                 self._clock.sleep_ms(delay_ms)
-            link.socket.disable_monitor()
-            link.socket.close(linger=0)
+            self._disconnect(link)
             link.key_index = (link.key_index + 1) % len(self._keys)
-            link.socket = self._connect(link.address, link.key_index)
-            monitor = link.socket.get_monitor_socket(_WATCHED_EVENTS)
+            self._connect(link)
             link.unconfirmed = link.unconfirmed or []
             for frame in link.unconfirmed:
                 link.socket.send(frame, zmq.NOBLOCK)
@@ -245,8 +243,23 @@
     def _discard(self, link):
         if link.watcher is not None:
             link.watcher.kill()
+        self._disconnect(link)
+
+    def _disconnect(self, link):
+        if link.monitor is not None:
             link.socket.disable_monitor()
-        link.socket.close(linger=0)
+            self._close_socket(link.monitor)
+        self._close_socket(link.socket)
+
+    def _create_socket(self, socket_type):
+        socket = self._context.socket(socket_type)
+        socket.linger = 0
+        self._sockets.add(socket)
+        return socket
+
+    def _close_socket(self, socket):
+        self._sockets.discard(socket)
+        socket.close(linger=0)
 
     def _receive(self, router):
         while True:
--- /dev/null
+++ b/hawthornfold/peers/tests/test_codec.py
@@ -0,0 +1,82 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthornfold.peers import codec
+from hawthornfold.peers import messages
+
+SENDER = codec.Sender('entry-1', 17, '10.0.0.1:7000')
+TEXT = st.text(max_size=20)
+NUMBER = st.integers(0, 1 << 62)
+UPDATES = st.lists(
+    st.builds(messages.Update, TEXT, TEXT, TEXT, NUMBER, NUMBER, NUMBER),
+    max_size=4,
+).map(tuple)
+BODIES = st.one_of(
+    st.builds(messages.Ping, NUMBER, TEXT, NUMBER, UPDATES),
+    st.builds(messages.PingReq, NUMBER, TEXT, TEXT, TEXT, NUMBER, UPDATES),
+    st.builds(messages.Ack, NUMBER, TEXT, NUMBER, TEXT, NUMBER, UPDATES),
+    st.builds(messages.Join, TEXT, NUMBER),
+    st.builds(messages.Leave, NUMBER),
+    st.builds(messages.Sync, TEXT, NUMBER, st.binary(max_size=50)),
+    st.builds(
+        messages.SyncRecords,
+        st.lists(NUMBER, max_size=4).map(tuple),
+        UPDATES,
+        st.booleans(),
+        st.booleans(),
+    ),
+)
+
+
+class CodecTest(unittest.TestCase):
+    def setUp(self):
+        self.encoder = codec.FrameEncoder('lipovec', SENDER)
+        self.decoder = codec.FrameDecoder('lipovec')
+        for body_type in (
+            messages.Ping,
+            messages.PingReq,
+            messages.Ack,
+            messages.Join,
+            messages.Leave,
+            messages.Sync,
+            messages.SyncRecords,
+        ):
+            self.decoder.register(body_type)
+
+    @given(BODIES)
+    def test_round_trip(self, body):
+        # Guards against a body type whose fields change on the wire.
+        frame = self.encoder.encode(body)
+        self.assertEqual(self.decoder.decode(frame), (SENDER, body))
+
+    @given(BODIES, st.data())
+    def test_changed_frames(self, body, data):
+        # Guards against other exceptions than FrameError, which would
+        # stop the receiving loop.
+        frame = bytearray(self.encoder.encode(body))
+        for _ in range(data.draw(st.integers(1, 4))):
+            index = data.draw(st.integers(0, len(frame) - 1))
+            frame[index] = data.draw(st.integers(0, 255))
+        cut = data.draw(st.integers(0, len(frame)))
+        for candidate in (bytes(frame), bytes(frame[:cut])):
+            try:
+                sender, decoded = self.decoder.decode(candidate)
+            except codec.FrameError:
+                continue
+            self.assertIsInstance(sender.incarnation, int)
+            self.assertIsInstance(decoded, tuple)
+
+    @given(st.binary(max_size=200))
+    def test_random_bytes(self, frame):
+        # Guards against accepting noise.
+        with self.assertRaises(codec.FrameError):
+            self.decoder.decode(frame)
+
+    def test_deep_nesting(self):
+        # Guards against recursion errors from hostile nesting.
+        prefix = self.encoder.encode(messages.Leave(1))[:-2]
+        for depth in (100, 100_000):
+            with self.assertRaises(codec.FrameError):
+                self.decoder.decode(prefix + b'\x91' * depth + b'\x01')
