Measure membership and links; close idle links early in large fleets

Cause: ZeroMQ heartbeats cost 30 B/s on a plain and 156 B/s on an encrypted idle link (TCP payload, both directions). A node of a large fleet probes one member a second, so links kept for 60 s would cost about 120 times that. Change: once more than 16 peers were used within a minute, links close after 1 s without use; two measurement scripts. Ruled out: keeping the most recently used links, which are hardly ever used again in a large fleet.

--- a/hawthornfold/membership/service.py
+++ b/hawthornfold/membership/service.py
@@ -13,15 +13,6 @@
 LOG = logbook.Logger('membership')
 
 _TICK_MS = 50
-_BODIES = (
-    messages.Ping,
-    messages.PingReq,
-    messages.Ack,
-    messages.Join,
-    messages.Leave,
-    messages.Sync,
-    messages.SyncRecords,
-)
 
 
 class MembershipService:
@@ -35,7 +26,7 @@
         self._metrics = metrics
         self._callbacks = []
         self._notified_version = state.version
-        for body_type in _BODIES:
+        for body_type in messages.MEMBERSHIP_BODIES:
             links.register(body_type, self._handle)
 
     @property
--- a/hawthornfold/membership/simulation.py
+++ b/hawthornfold/membership/simulation.py
@@ -59,8 +59,9 @@
     max_delay_ms : float
         Upper bound of the random delay of a message; messages overtake one
         another within it.
-    is_counting : bool
-        Whether frames are encoded to count their bytes.
+    is_encoding : bool
+        Whether messages are encoded and decoded, to count their bytes and
+        to include the cost in the processor time.
     tick_ms : float
         Interval of the state machines' ticks.
     """
@@ -71,7 +72,7 @@
         options=None,
         loss=0.0,
         max_delay_ms=3.0,
-        is_counting=False,
+        is_encoding=False,
         tick_ms=TICK_MS,
     ):
         self.clock = create_manual_clock()
@@ -81,11 +82,14 @@
         self.observations = []
         self._options = options or Options()
         self._max_delay_ms = max_delay_ms
-        self._is_counting = is_counting
+        self._is_encoding = is_encoding
         self._tick_ms = tick_ms
         self._events = []
         self._order = itertools.count()
         self._by_address = {}
+        self._decoder = codec.FrameDecoder('sim')
+        for body_type in messages.MEMBERSHIP_BODIES:
+            self._decoder.register(body_type)
 
     def start(self, name, vms, incarnation=1, data_centre='zilina-1'):
         """Start a process; it replaces one of the same name.
@@ -110,8 +114,11 @@
         state = MembershipState(own, self._options, state_random, now_ms)
         state.set_known_vms(tuple(vms))
         node = SimulatedNode(sender, state, codec.FrameEncoder('sim', sender))
-        if name in self.nodes:
-            self.nodes[name].is_running = False
+        previous = self.nodes.get(name)
+        if previous is not None:
+            previous.is_running = False
+            node.bytes_sent = previous.bytes_sent
+            node.messages_sent = previous.messages_sent
         self.nodes[name] = node
         self._by_address[sender.address] = node
         delay_ms = self.random.random() * self._tick_ms
@@ -228,16 +235,17 @@
 
     def _send(self, node, action):
         node.messages_sent += 1
-        if self._is_counting:
-            node.bytes_sent += len(node.encoder.encode(action.body))
+        body = action.body
+        if self._is_encoding:
+            frame = node.encoder.encode(body)
+            node.bytes_sent += len(frame)
+            _, body = self._decoder.decode(frame)
         target = self._by_address.get(action.address)
         is_cut = target is None or target.side != node.side
         if is_cut or self.random.random() < self.loss:
             return
         delay_ms = self.random.random() * self._max_delay_ms
-        self._schedule(
-            delay_ms, self._deliver, target, node.sender, action.body
-        )
+        self._schedule(delay_ms, self._deliver, target, node.sender, body)
 
     def _deliver(self, node, sender, body):
         if not node.is_running:
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -22,10 +22,11 @@
 _SEND_QUEUE_LENGTH = 512
 _RECEIVE_QUEUE_LENGTH = 1024
 _IDLE_MS = 60_000
-# Heartbeats cost about 60 B/s and link, so a node of a large fleet, which
-# probes another member every second, keeps few links that it does not use.
-_MAX_IDLE_LINKS = 16
-_SHORT_IDLE_MS = 2_000
+# A node of a large fleet probes another member every second and hardly ever
+# returns to the same one. An idle link costs up to 156 B/s of heartbeats,
+# so it is closed soon once more peers than these were used in a minute.
+_FEW_PEERS = 16
+_SHORT_IDLE_MS = 1_000
 _SWEEP_MS = 1_000
 # libzmq's default of 1,023 sockets is below the 7,200 nodes of a fleet.
 _MAX_SOCKETS = 32_768
@@ -53,7 +54,6 @@
     def __init__(self, address, key_index):
         self.address = address
         self.key_index = key_index
-        self.used_ms = 0.0
         self.socket = None
         self.monitor = None
         self.unconfirmed = None
@@ -83,6 +83,7 @@
         self._decoder = codec.FrameDecoder(settings.cluster)
         self._handlers = {}
         self._links = {}
+        self._used_ms = {}
         self._key_indexes = {}
         self._incarnations = {}
         self._threads = []
@@ -117,7 +118,7 @@
         link = self._links.get(name)
         if link is None or link.address != address:
             link = self._open_link(name, address)
-        link.used_ms = self._clock.now_ms()
+        self._used_ms[name] = self._clock.now_ms()
         if link.unconfirmed is not None:
             link.unconfirmed.append(frame)
             del link.unconfirmed[:-_MAX_UNCONFIRMED]
@@ -299,14 +300,13 @@
         while True:
             self._clock.sleep_ms(_SWEEP_MS)
             now_ms = self._clock.now_ms()
-            idle = sorted(
-                (link.used_ms, name)
-                for name, link in self._links.items()
-                if now_ms - link.used_ms > _SHORT_IDLE_MS
-            )
-            surplus = len(idle) - _MAX_IDLE_LINKS
-            for index, (used_ms, name) in enumerate(idle):
-                if index < surplus or now_ms - used_ms > _IDLE_MS:
+            for name, used_ms in tuple(self._used_ms.items()):
+                if now_ms - used_ms > _IDLE_MS:
+                    del self._used_ms[name]
+            is_small = len(self._used_ms) <= _FEW_PEERS
+            limit_ms = _IDLE_MS if is_small else _SHORT_IDLE_MS
+            for name in tuple(self._links):
+                if now_ms - self._used_ms.get(name, 0.0) > limit_ms:
                     self.close_link(name)
             self._metrics.set_gauge('peer_links', len(self._links))
 
--- a/hawthornfold/peers/messages.py
+++ b/hawthornfold/peers/messages.py
@@ -94,3 +94,6 @@
     updates: tuple[Update, ...]
     is_request: bool
     is_truncated: bool
+
+
+MEMBERSHIP_BODIES = (Ping, PingReq, Ack, Join, Leave, Sync, SyncRecords)
--- a/hawthornfold/peers/tests/fakes.py
+++ b/hawthornfold/peers/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Settings, metrics and a stalling TCP relay for tests of the links."""
+"""Settings, metrics and endpoints for tests of the links."""
 
 import collections
 import contextlib
@@ -78,40 +78,3 @@
     clock = create_system_clock()
     with open_peer_links(settings, incarnation, clock, metrics) as links:
         yield Endpoint(links, settings, metrics)
-
-
-class StallingRelay:
-    """A TCP relay whose present connections can stop carrying bytes."""
-
-    def __init__(self, target_port):
-        self._target = ('127.0.0.1', target_port)
-        self._listener = eventlet.listen(('127.0.0.1', 0))
-        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
-        self.connections = 0
-        self.bytes = 0
-        self._stalled_before = 0
-        self._threads = [eventlet.spawn(self._accept)]
-
-    def stall(self):
-        self._stalled_before = self.connections
-
-    def close(self):
-        for thread in self._threads:
-            thread.kill()
-        self._listener.close()
-
-    def _accept(self):
-        while True:
-            near, _ = self._listener.accept()
-            far = eventlet.connect(self._target)
-            self.connections += 1
-            number = self.connections
-            for pair in ((near, far), (far, near)):
-                self._threads.append(eventlet.spawn(self._copy, number, *pair))
-
-    def _copy(self, number, source, target):
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                if number > self._stalled_before:
-                    self.bytes += len(data)
-                    target.sendall(data)
--- a/hawthornfold/peers/tests/test_codec.py
+++ b/hawthornfold/peers/tests/test_codec.py
@@ -34,15 +34,7 @@
     def setUp(self):
         self.encoder = codec.FrameEncoder('lipovec', SENDER)
         self.decoder = codec.FrameDecoder('lipovec')
-        for body_type in (
-            messages.Ping,
-            messages.PingReq,
-            messages.Ack,
-            messages.Join,
-            messages.Leave,
-            messages.Sync,
-            messages.SyncRecords,
-        ):
+        for body_type in messages.MEMBERSHIP_BODIES:
             self.decoder.register(body_type)
 
     @given(BODIES)
--- a/hawthornfold/peers/tests/test_links.py
+++ b/hawthornfold/peers/tests/test_links.py
@@ -7,6 +7,7 @@
 from hawthornfold.peers import codec
 from hawthornfold.peers import create_key_pair
 from hawthornfold.peers import messages
+from hawthornfold.peers.measure import Relay
 from hawthornfold.peers.tests import fakes
 from hawthornfold.peers.tests.fakes import open_endpoint
 
@@ -105,7 +106,7 @@
         # Guards against a TCP connection that hangs for good while new
         # connections work.
         with open_endpoint('a') as a, open_endpoint('b') as b:
-            relay = fakes.StallingRelay(int(b.address.split(':')[1]))
+            relay = Relay(b.address)
             self.addCleanup(relay.close)
             a.links.send('b', relay.address, fakes.Note('first'))
             b.wait()
