Test that nodes exchange usable deltas

Cause: with deltas that no receiver can decode, all other tests still passed, because documents are then pulled again in full. Change: a test counts undecodable deltas and full documents after a change.

--- a/hawthornfold/configuration/tests/test_messages.py
+++ b/hawthornfold/configuration/tests/test_messages.py
@@ -111,6 +111,7 @@
         # Guards against nodes that all read the platform although one of
         # them did just now, and against an older age that replaces it.
         state, _, _ = create_state()
+        state.handle_announce(3_000.0, PEER, announce(age_ms=8_000.0))
         state.handle_announce(3_000.0, PEER, announce(age_ms=500.0))
         state.handle_announce(3_000.0, PEER, announce(age_ms=9_000.0))
         state.handle_announce(3_000.0, PEER, announce(age_ms=-1.0))
--- a/hawthornfold/configuration/tests/test_spread.py
+++ b/hawthornfold/configuration/tests/test_spread.py
@@ -101,6 +101,19 @@
         for node in simulation.nodes.values():
             self.assertIsNone(node.service.value('services/1'))
 
+    def test_nodes_exchange_usable_deltas(self):
+        # Guards against deltas that receivers cannot decode, which only
+        # show as twice the messages and full documents.
+        simulation = start()
+        counts = simulation.metrics.counts
+        counts.clear()
+        value = b'group ' * 500 + b'changed'
+        simulation.platform.write('services/1', value)
+        self.expect_in_force(simulation, 'services/1')
+        self.assertEqual(0, counts['configuration_bad_deltas',])
+        self.assertEqual(0, counts['configuration_served_bytes', 'full'])
+        self.assertGreater(counts['configuration_served_bytes', 'delta'], 0)
+
     def test_partition_merges_to_the_highest_revision(self):
         # Guards against a side that wins with the older document after a
         # partition heals; the side of data centre c sees a stale replica.
