Bound the time that documents and rules take on the event loop

A document that an operator publishes is parsed and compiled on the event loop of every node.

Documents have at most 100,000 values; rules at most 20,000 patterns and 64 header names. Coverage of rules is looked up with sets of bits by value and prefix instead of comparing pairs. The converter resolves annotations once.

Ruled out: yielding to the event loop inside the scanner, because a half checked document would then be visible to other green threads.

--- a/hawthornfold/documents/__init__.py
+++ b/hawthornfold/documents/__init__.py
@@ -2,6 +2,7 @@
 
 from hawthornfold.documents.document import MAX_BYTES
 from hawthornfold.documents.document import MAX_NESTING
+from hawthornfold.documents.document import MAX_VALUES
 from hawthornfold.documents.document import Document
 from hawthornfold.documents.document import format_path
 from hawthornfold.documents.document import parse_document
@@ -16,6 +17,7 @@
     'MAX_BYTES',
     'MAX_FAILURES',
     'MAX_NESTING',
+    'MAX_VALUES',
     'Document',
     'Fault',
     'convert_document',
--- a/hawthornfold/documents/document.py
+++ b/hawthornfold/documents/document.py
@@ -18,9 +18,11 @@
 # The platform's configuration service holds values of at most 1 MB.
 MAX_BYTES = 1_000_000
 MAX_NESTING = 64
+# Reporting a failure costs about a microsecond a value. The largest rules
+# document that the schema of rules allows has about 80,000 values.
+MAX_VALUES = 100_000
 
 _CODE_POINT = re.compile(r'U\+([0-9a-f]+)', re.IGNORECASE)
-_ODD_NUMBER = re.compile('Infinity|NaN|0[xX]')
 _NEAR = re.compile(r' near (\d+)')
 _CODE_POINT = re.compile(r'U\+([0-9a-f]+)', re.IGNORECASE)
 _NUMBER = re.compile(r'[+-]?(?:\d+\.?\d*|\.\d+)(?:[eE][+-]?\d+)?')
@@ -184,12 +186,18 @@
 
 
 def _check_content(text, value):
-    """Return Err for a duplicate key or an odd number, or None.
+    """Return Err for too many values or what pyjson5 lets pass, or None.
 
     Outside strings and comments a colon only occurs in an object member, so
     that counting colons finds a duplicate key without a scan in Python.
     """
     bare = scanner.strip_opaque(text)
+    values = sum(bare.count(mark) for mark in '[{,')
+    if values > MAX_VALUES:
+        return _fail(
+            ResultCode.DOCUMENT_TOO_LARGE,
+            f'about {values} values are more than {MAX_VALUES}',
+        )
     if bare.count(':') != _count_members(value):
         found = scanner.find_duplicate_key(text)
         if found is not None:
@@ -201,7 +209,7 @@
                 offset,
                 path,
             )
-    if _ODD_NUMBER.search(bare):
+    if scanner.has_odd_number(bare):
         found = scanner.find_odd_number(text)
         if found is not None:
             path, offset, word = found
--- a/hawthornfold/documents/scanner.py
+++ b/hawthornfold/documents/scanner.py
@@ -1,29 +1,36 @@
 """A linear scanner that finds where fields are in a document.
 
-It only runs after a failure, or to confirm one, on text whose structure
-pyjson5 has accepted; it therefore checks no syntax itself.
+It only runs to report a failure, on text that pyjson5 has accepted; it
+therefore checks no syntax itself.
 """
 
 import enum
 import re
-import typing
 
 import pyjson5
 
 _STRING = r'"[^"\\]*(?:\\.[^"\\]*)*"|\'[^\'\\]*(?:\\.[^\'\\]*)*\''
 _COMMENT = r'//[^\n\r\u2028\u2029]*|/\*.*?\*/'
-_SPACE = r'[\s\ufeff]+'
+_IGNORED = rf'(?:[\s\ufeff]+|{_COMMENT})'
 _OPAQUE = re.compile(f'{_STRING}|{_COMMENT}', re.DOTALL)
-_IGNORED = re.compile(f'(?:{_SPACE}|{_COMMENT})*', re.DOTALL)
+_GAP = re.compile(f'{_IGNORED}*', re.DOTALL)
 _TOKEN = re.compile(
-    f'(?P<ignored>{_SPACE}|{_COMMENT})|(?P<string>{_STRING})'
-    r'|(?P<mark>[{}\[\]:,])|(?P<word>[^\s\ufeff{}\[\]:,"\'/]+)',
+    rf'{_IGNORED}+|(?P<mark>[{{}}\[\]:,])'
+    rf'|(?P<text>{_STRING}|[^\s\ufeff{{}}\[\]:,"\'/]+)',
     re.DOTALL,
 )
+# On text without strings and comments. A word before a colon is a key.
+_ODD_NUMBER = re.compile(
+    r'(?<![\w$\\])[+-]?(?:Infinity|NaN|0[xX][0-9a-fA-F]+)(?![\w$\\])(?!\s*:)'
+)
 
 
 class Event(enum.Enum):
-    """What the scanner found."""
+    """What the scanner found at an offset.
+
+    KEY is the key of an object member, ITEM the start of an array item or of
+    the document, OPEN a bracket, and VALUE a string or word as a value.
+    """
 
     KEY = 'key'
     ITEM = 'item'
@@ -31,28 +38,6 @@
     VALUE = 'value'
 
 
-class Found(typing.NamedTuple):
-    """One finding.
-
-    Parameters
-    ----------
-    event : Event
-        KEY for the key of an object member, ITEM for the start of an array
-        item, OPEN for a bracket, VALUE for a string or word as a value.
-    depth : int
-        Number of containers around the finding.
-    step : str or int or None
-        The key, the index of the item, or the word.
-    offset : int
-        Characters before the finding.
-    """
-
-    event: Event
-    depth: int
-    step: object
-    offset: int
-
-
 def strip_opaque(text):
     """Return `text` without its strings and comments.
 
@@ -64,65 +49,80 @@
     return _OPAQUE.sub('', text)
 
 
+def has_odd_number(bare):
+    """Return whether a value is hexadecimal, infinite or not a number.
+
+    Parameters
+    ----------
+    bare : str
+        Text without strings and comments.
+
+    Examples
+    --------
+    >>> has_odd_number('{a: -Infinity}'), has_odd_number('{NaN: 10}')
+    (True, False)
+    """
+    return _ODD_NUMBER.search(bare) is not None
+
+
 def skip_ignored(text, offset):
     """Return the offset of the first token at or after `offset`."""
-    return _IGNORED.match(text, offset).end()
+    return _GAP.match(text, offset).end()
 
 
 def _decode_key(token):
-    if token[0] in '"\'':
-        if '\\' in token:
-            return pyjson5.decode(token)
-        return token[1:-1]
     if '\\' in token:
         return next(iter(pyjson5.decode(f'{{{token}:0}}')))
-    return token
+    return token[1:-1] if token[0] in '"\'' else token
 
 
 def scan_document(text):
-    """Yield a `Found` for every key, array item, bracket and value.
+    """Yield (event, depth, step, offset) for everything in a document.
+
+    `depth` is the number of containers around the finding. `step` is the key,
+    the index of the item, or the text of the value. Plain tuples, because
+    there are up to several hundred thousand.
 
     Examples
     --------
-    >>> [found.step for found in scan_document('{"a": [true, 7]}')]
+    >>> [step for _, _, step, _ in scan_document('{"a": [true, 7]}')]
     [0, None, 'a', None, 0, 'true', 1, '7']
     """
-    # One entry a container: the index of the next item, or None in objects.
+    yield Event.ITEM, 0, 0, skip_ignored(text, 0)
+    # The index of the next item, or None in an object, by container.
     indexes = []
-    # Whether the next string or word starts a member or an item.
+    # Whether the next text or bracket starts a member or an item.
     starts = False
+    depth = 0
     for match in _TOKEN.finditer(text):
         kind = match.lastgroup
-        if kind == 'ignored':
+        if kind is None:
             continue
         token = match.group()
-        offset = match.start()
-        depth = len(indexes)
-        if token == ',' and kind == 'mark':
-            starts = True
-            if indexes[-1] is not None:
-                indexes[-1] += 1
-            continue
-        if token == ':' and kind == 'mark':
-            continue
-        if kind == 'mark' and token in '}]':
-            indexes.pop()
-            starts = False
+        if kind == 'mark' and token in ',:}]':
+            if token == ',':
+                starts = True
+                if indexes[-1] is not None:
+                    indexes[-1] += 1
+            elif token != ':':
+                indexes.pop()
+                depth -= 1
+                starts = False
             continue
+        offset = match.start()
         if starts:
             starts = False
             if indexes[-1] is None:
-                yield Found(Event.KEY, depth, _decode_key(token), offset)
+                yield Event.KEY, depth, _decode_key(token), offset
                 continue
-            yield Found(Event.ITEM, depth, indexes[-1], offset)
-        elif depth == 0:
-            yield Found(Event.ITEM, 0, 0, offset)
+            yield Event.ITEM, depth, indexes[-1], offset
         if kind == 'mark':
             indexes.append(None if token == '{' else 0)
+            depth += 1
             starts = True
-            yield Found(Event.OPEN, depth + 1, None, offset)
+            yield Event.OPEN, depth, None, offset
         else:
-            yield Found(Event.VALUE, depth, token, offset)
+            yield Event.VALUE, depth, token, offset
 
 
 def find_duplicate_key(text):
@@ -135,15 +135,15 @@
     """
     seen = {}
     path = []
-    for found in scan_document(text):
-        if found.event is Event.OPEN:
-            seen[found.depth] = set()
-        elif found.event is not Event.VALUE and found.depth:
-            path[found.depth - 1 :] = [found.step]
-            if found.event is Event.KEY:
-                if found.step in seen[found.depth]:
-                    return tuple(path), found.offset
-                seen[found.depth].add(found.step)
+    for event, depth, step, offset in scan_document(text):
+        if event is Event.OPEN:
+            seen[depth] = set()
+        elif event is not Event.VALUE and depth:
+            path[depth - 1 :] = [step]
+            if event is Event.KEY:
+                if step in seen[depth]:
+                    return tuple(path), offset
+                seen[depth].add(step)
     return None
 
 
@@ -156,13 +156,13 @@
     (('a',), 6, '-Infinity')
     """
     path = []
-    for found in scan_document(text):
-        if found.event is Event.VALUE:
-            word = found.step.lstrip('+-').lower()
-            if word in ('infinity', 'nan') or word.startswith('0x'):
-                return tuple(path), found.offset, found.step
-        elif found.event is not Event.OPEN and found.depth:
-            path[found.depth - 1 :] = [found.step]
+    for event, depth, step, offset in scan_document(text):
+        if event is Event.VALUE:
+            word = step.lstrip('+-')
+            if word in ('Infinity', 'NaN') or word[:2] in ('0x', '0X'):
+                return tuple(path), offset, step
+        elif event is not Event.OPEN and depth:
+            path[depth - 1 :] = [step]
     return None
 
 
@@ -181,30 +181,28 @@
     >>> find_offsets('{"a": [7, 8]}', [(), ('a',), ('a', 1), ('b',)])
     {(): 0, ('a',): 1, ('a', 1): 10}
     """
-    # A tree of the wanted paths; the scan descends it alongside the document.
+    # A tree of the wanted paths, which the scan descends in step with the
+    # document; `None` as a key marks the end of a wanted path.
     root = {}
-    wanted = set(paths)
-    for path in wanted:
+    for path in paths:
         node = root
         for step in path:
             node = node.setdefault(step, {})
+        node[None] = path
     offsets = {}
+    missing = len(set(paths))
     nodes = [root]
-    path = []
-    for found in scan_document(text):
-        if len(offsets) == len(wanted):
-            break
-        if found.event is Event.VALUE or found.event is Event.OPEN:
-            continue
-        depth = found.depth
-        if depth == 0:
-            if () in wanted:
-                offsets[()] = found.offset
+    for event, depth, step, offset in scan_document(text):
+        if event is Event.VALUE or event is Event.OPEN:
             continue
-        path[depth - 1 :] = [found.step]
-        parent = nodes[depth - 1] if depth <= len(nodes) else None
-        child = parent.get(found.step) if parent else None
-        nodes[depth:] = [child]
-        if child is not None and tuple(path) in wanted:
-            offsets[tuple(path)] = found.offset
+        node = root
+        if depth:
+            parent = nodes[depth - 1]
+            node = parent.get(step) if parent else None
+            nodes[depth:] = [node]
+        if node and None in node:
+            offsets[node[None]] = offset
+            missing -= 1
+            if not missing:
+                break
     return offsets
--- a/hawthornfold/documents/schema.py
+++ b/hawthornfold/documents/schema.py
@@ -1,14 +1,14 @@
 """Conversion of documents to NamedTuples, with every fault reported.
 
-A schema is a NamedTuple class whose annotations are what
-`msgspec.convert` accepts, other such classes, and tuples or dictionaries of
-them. msgspec converts each field on its own, because it stops at the first
-fault of what it is given and an operator wants them all.
+A schema is a NamedTuple class whose annotations are other such classes,
+annotated tuples and dictionaries of them, literal strings, or any type that
+`msgspec.convert` accepts. msgspec converts the fields one at a time, because
+it stops at the first fault of what it is given and an operator wants them
+all.
 """
 
-import difflib
+import enum
 import functools
-import operator
 import re
 import typing
 
@@ -16,36 +16,14 @@
 
 from hawthornfold.codes import Failure
 from hawthornfold.codes import ResultCode
+from hawthornfold.documents import wording
 from hawthornfold.documents.document import format_path
 from hawthornfold.documents.document import shorten
 
 # Nobody reads more, and describing one fault costs more than finding it.
 MAX_FAILURES = 100
 
-_UNITS = {
-    'ms': 'milliseconds',
-    'bytes': 'bytes',
-    'percent': 'percent',
-}
-_TYPE_NAMES = {
-    dict: 'an object',
-    list: 'an array',
-    str: 'a string',
-    bool: 'a boolean',
-    int: 'an integer',
-    float: 'a number',
-    type(None): 'null',
-}
-_MSGSPEC_NAMES = {
-    'object': 'an object',
-    'array': 'an array',
-    'str': 'a string',
-    'bool': 'a boolean',
-    'int': 'an integer',
-    'float': 'a number',
-}
 _LEAF_PATH = re.compile(r' - at `\$((?:\[\d+\])*)`$')
-_MAX_NAME_CHARACTERS = 64
 _INVALID = object()
 
 
@@ -86,179 +64,169 @@
     return sorted(failures, key=lambda failure: failure[3:])
 
 
-def suggest(name, known):
-    """Return '; did you mean ...?' for the closest known name, or ''.
-
-    Examples
-    --------
-    >>> suggest('pert', ['port', 'host'])
-    '; did you mean "port"?'
-    """
-    # Comparing is quadratic in the length of the names.
-    if len(name) <= _MAX_NAME_CHARACTERS:
-        close = difflib.get_close_matches(name, sorted(known), 1)
-        if close:
-            return f'; did you mean "{close[0]}"?'
-    return ''
-
-
-def _show(value):
-    kind = _TYPE_NAMES.get(type(value), type(value).__name__)
-    if isinstance(value, str):
-        return f'the string "{shorten(value)}"'
-    if isinstance(value, (bool, type(None))):
-        return msgspec.json.encode(value).decode()
-    if isinstance(value, int) and value.bit_length() > 128:
-        return 'an integer of more than 128 bits'
-    if isinstance(value, (int, float)):
-        return f'{kind}, {value}'
-    return kind
+class _Kind(enum.Enum):
+    OBJECT = 'object'
+    ARRAY = 'array'
+    MAPPING = 'mapping'
+    CHOICE = 'choice'
+    LEAF = 'leaf'
 
 
-def _is_schema(hint):
-    return isinstance(hint, type) and hasattr(hint, '_field_defaults')
+class _Shape(typing.NamedTuple):
+    """What an annotation asks for.
 
-
-def _read_extra(hint, name):
-    """Return an entry of the `extra` of an annotated type, or None.
-
-    ``hidden`` says that values must not be shown; ``expected`` is the text
-    to show in place of a regular expression.
+    Parameters
+    ----------
+    kind : _Kind
+        How to convert it.
+    hint : object
+        What msgspec checks: the annotation, or that of the container alone.
+    accepts_null : bool
+        Whether None is accepted as well.
+    content : object
+        The schema of an object, the shape of the items of an array or
+        mapping, or the strings of a choice.
     """
-    for meta in getattr(hint, '__metadata__', ()):
-        if isinstance(meta, msgspec.Meta) and meta.extra:
-            return meta.extra.get(name)
-    return None
 
+    kind: _Kind
+    hint: object
+    accepts_null: bool = False
+    content: object = None
+
+
+def _read_shape(hint):
+    origin = typing.get_origin(hint)
+    arguments = typing.get_args(hint)
+    if isinstance(hint, type) and hasattr(hint, '_field_defaults'):
+        return _Shape(_Kind.OBJECT, hint, False, hint)
+    if origin is typing.Literal:
+        return _Shape(_Kind.CHOICE, hint, False, arguments)
+    if type(None) in arguments and len(arguments) == 2:
+        return _read_shape(arguments[0])._replace(accepts_null=True)
+    if origin is typing.Annotated:
+        items = typing.get_args(arguments[0])
+        container = typing.get_origin(arguments[0])
+        limits = hint.__metadata__
+        if container is tuple:
+            hint = typing.Annotated[list, *limits]
+            return _Shape(_Kind.ARRAY, hint, False, _read_shape(items[0]))
+        if container is dict:
+            hint = typing.Annotated[dict[str, typing.Any], *limits]
+            return _Shape(_Kind.MAPPING, hint, False, _read_shape(items[1]))
+    return _Shape(_Kind.LEAF, hint)
 
-def _name_types(expected):
-    """Return msgspec's wording with the type names of JSON.
 
-    Examples
-    --------
-    >>> _name_types('Expected `int | null`')
-    'expected an integer or null'
-    """
-    text = re.sub(
-        '`([a-z| ]+)`',
-        lambda match: ' or '.join(
-            _MSGSPEC_NAMES.get(name, name)
-            for name in match.group(1).split(' | ')
-        ),
-        expected,
-    )
-    return text[:1].lower() + text[1:].replace('`', '')
+# Resolving the annotations takes longer than converting an object.
+@functools.cache
+def _read_fields(schema):
+    hints = typing.get_type_hints(schema, include_extras=True)
+    return {name: _read_shape(hint) for name, hint in hints.items()}
 
 
 class _Converter:
+    """Collects the faults and the valid parts of one document."""
+
     def __init__(self):
         self.faults = []
         self.parts = {}
-
-    @property
-    def is_full(self):
-        return len(self.faults) >= MAX_FAILURES
+        self._methods = {
+            _Kind.OBJECT: self._convert_object,
+            _Kind.ARRAY: self._convert_array,
+            _Kind.MAPPING: self._convert_mapping,
+            _Kind.CHOICE: self._convert_choice,
+            _Kind.LEAF: self._convert_leaf,
+        }
+
+    def convert(self, value, shape, path):
+        """Return the converted value, or _INVALID after a report."""
+        if value is None and shape.accepts_null:
+            return None
+        if len(self.faults) >= MAX_FAILURES:
+            return _INVALID
+        return self._methods[shape.kind](value, shape, path)
 
     def _report(self, code, detail, path):
         self.faults.append(Fault(code, detail, path))
 
-    def convert(self, value, hint, path):
-        """Return the converted value, or _INVALID after a report."""
-        if self.is_full:
-            return _INVALID
-        if _is_schema(hint):
-            return self._convert_object(value, hint, path)
-        origin = typing.get_origin(hint)
-        arguments = typing.get_args(hint)
-        if origin is typing.Literal:
-            return self._convert_choice(value, arguments, path)
-        if type(None) in arguments:
-            if value is None:
-                return None
-            rest = tuple(a for a in arguments if a is not type(None))
-            return self.convert(
-                value, functools.reduce(operator.or_, rest), path
-            )
-        if origin is typing.Annotated and typing.get_origin(arguments[0]) in (
-            tuple,
-            dict,
-        ):
-            return self._convert_many(value, hint, arguments, path)
-        return self._convert_leaf(value, hint, path)
-
-    def _convert_object(self, value, schema, path):
+    def _convert_object(self, value, shape, path):
         if not isinstance(value, dict):
             self._report(
                 ResultCode.FIELD_TYPE,
-                f'expected an object, got {_show(value)}',
+                f'expected an object, got {wording.show_value(value)}',
                 path,
             )
             return _INVALID
-        hints = typing.get_type_hints(schema, include_extras=True)
-        for name in value:
-            if name not in hints and not self.is_full:
-                self._report(
-                    ResultCode.FIELD_UNKNOWN,
-                    f'there is no field "{shorten(name)}" here'
-                    + suggest(name, hints.keys() - value.keys()),
-                    (*path, name),
-                )
-        fields = {}
-        for name, hint in hints.items():
+        schema = shape.content
+        fields = _read_fields(schema)
+        if not value.keys() <= fields.keys():
+            self._report_unknown(value, fields, path)
+        converted = []
+        for name, field in fields.items():
             if name in value:
-                fields[name] = self.convert(value[name], hint, (*path, name))
+                item = self.convert(value[name], field, (*path, name))
             elif name in schema._field_defaults:
-                fields[name] = schema._field_defaults[name]
+                item = schema._field_defaults[name]
             else:
-                fields[name] = _INVALID
+                item = _INVALID
                 self._report(
                     ResultCode.FIELD_MISSING,
                     f'the field "{name}" is required',
                     (*path, name),
                 )
-        if any(field is _INVALID for field in fields.values()):
+            converted.append(item)
+        if _INVALID in converted:
             return _INVALID
-        part = self.parts[path] = schema(**fields)
+        part = self.parts[path] = schema(*converted)
         return part
 
-    def _convert_choice(self, value, choices, path):
-        if value in choices and isinstance(value, str):
+    def _report_unknown(self, value, fields, path):
+        absent = [name for name in fields if name not in value]
+        for name in value:
+            if name not in fields:
+                self._report(
+                    ResultCode.FIELD_UNKNOWN,
+                    f'there is no field "{shorten(name)}" here'
+                    + wording.suggest(name, absent),
+                    (*path, name),
+                )
+                if len(self.faults) >= MAX_FAILURES:
+                    break
+
+    def _convert_choice(self, value, shape, path):
+        choices = shape.content
+        if isinstance(value, str) and value in choices:
             return value
-        named = ', '.join(f'"{choice}"' for choice in choices)
+        code = ResultCode.FIELD_TYPE
+        hint = ''
         if isinstance(value, str):
             code = ResultCode.FIELD_RANGE
-            hint = suggest(value, choices)
-        else:
-            code = ResultCode.FIELD_TYPE
-            hint = ''
-        self._report(
-            code, f'expected one of {named}, got {_show(value)}{hint}', path
-        )
+            hint = wording.suggest(value, choices)
+        named = ', '.join(f'"{choice}"' for choice in choices)
+        shown = wording.show_value(value)
+        self._report(code, f'expected one of {named}, got {shown}{hint}', path)
         return _INVALID
 
-    def _convert_many(self, value, hint, arguments, path):
-        """Convert a tuple or a dictionary whose items are checked apart."""
-        container = typing.get_origin(arguments[0])
-        item_hint = typing.get_args(arguments[0])
-        any_items = dict[str, typing.Any] if container is dict else list
-        shallow = typing.Annotated[any_items, *hint.__metadata__]
-        if self._convert_leaf(value, shallow, path) is _INVALID:
+    def _convert_mapping(self, value, shape, path):
+        if self._convert_leaf(value, shape, path) is _INVALID:
+            return _INVALID
+        items = {
+            key: self.convert(item, shape.content, (*path, key))
+            for key, item in value.items()
+        }
+        return _INVALID if _INVALID in items.values() else items
+
+    def _convert_array(self, value, shape, path):
+        if self._convert_leaf(value, shape, path) is _INVALID:
             return _INVALID
-        if container is dict:
-            items = {
-                key: self.convert(item, item_hint[1], (*path, key))
-                for key, item in value.items()
-            }
-            return _INVALID if _INVALID in items.values() else items
         items = tuple(
-            self.convert(item, item_hint[0], (*path, index))
+            self.convert(item, shape.content, (*path, index))
             for index, item in enumerate(value)
         )
-        return _INVALID if any(i is _INVALID for i in items) else items
+        return _INVALID if _INVALID in items else items
 
-    def _convert_leaf(self, value, hint, path):
+    def _convert_leaf(self, value, shape, path):
         try:
-            return msgspec.convert(value, hint)
+            return msgspec.convert(value, shape.hint)
         except msgspec.ValidationError as error:
             message = str(error)
         match = _LEAF_PATH.search(message)
@@ -268,21 +236,16 @@
             for step in steps:
                 value = value[step]
             path = (*path, *steps)
-        code = ResultCode.FIELD_RANGE
-        expected, _, _ = message.partition(', got ')
-        if expected != message:
-            code = ResultCode.FIELD_TYPE
-        wording = _read_extra(hint, 'expected')
-        if wording and code is ResultCode.FIELD_RANGE:
-            detail = f'expected {wording}'
+        # msgspec names the actual type only when the type is the fault.
+        expected, got, _ = message.partition(', got ')
+        code = ResultCode.FIELD_TYPE if got else ResultCode.FIELD_RANGE
+        own_words = wording.read_extra(shape.hint, 'expected')
+        if own_words and not got:
+            detail = f'expected {own_words}'
         else:
-            detail = _name_types(expected)
-        names = [step for step in path if isinstance(step, str)]
-        unit = _UNITS.get(names[-1].rsplit('_', 1)[-1]) if names else None
-        if unit:
-            detail += f' ({unit})'
-        if not _read_extra(hint, 'hidden'):
-            detail += f', got {_show(value)}'
+            detail = wording.name_types(expected) + wording.name_unit(path)
+        if not wording.read_extra(shape.hint, 'hidden'):
+            detail += f', got {wording.show_value(value)}'
         self._report(code, detail, path)
         return _INVALID
 
@@ -332,6 +295,6 @@
     expected an integer (milliseconds), got the string "80ms"
     """
     converter = _Converter()
-    converted = converter.convert(document.value, schema, ())
+    converted = converter.convert(document.value, _read_shape(schema), ())
     faults = converter.faults[:MAX_FAILURES]
     return Conversion(None if faults else converted, converter.parts, faults)
--- a/hawthornfold/rules/compiling.py
+++ b/hawthornfold/rules/compiling.py
@@ -11,13 +11,12 @@
 from hawthornfold.rules import schema
 from hawthornfold.rules.decisions import URGENCIES
 from hawthornfold.rules.decisions import Decision
-from hawthornfold.rules.decisions import RequestFacts
+from hawthornfold.rules.index import RuleIndex
+from hawthornfold.rules.index import iterate_bits
 from hawthornfold.rules.patterns import PLAIN_FIELDS
 from hawthornfold.rules.patterns import compile_condition
 from hawthornfold.rules.ruleset import CompiledRule
-from hawthornfold.rules.ruleset import RuleIndex
 from hawthornfold.rules.ruleset import create_rule_set
-from hawthornfold.rules.ruleset import iterate_bits
 
 DEFAULT_NAME = 'default'
 
@@ -116,36 +115,42 @@
         first_use.setdefault(rule.name, f'that of rules[{number}]')
 
 
-def _create_sample(condition):
-    """Return facts that match `condition`, apart from its headers."""
-    values = {'service': '', 'kind': ''}
-    for name, pattern in condition.fields.items():
-        values[name] = min(pattern.exact or pattern.prefixes)
-    return RequestFacts(**values)
-
-
 def _check_reach(rules):
     """Yield a fault for every rule that an earlier one covers."""
     numbers = tuple(rules)
     conditions = [compile_condition(rule.when) for rule in rules.values()]
     index = RuleIndex(conditions)
     for place, condition in enumerate(conditions):
-        # A rule that covers this one matches every request of this one, so
-        # it is among the candidates for any of them.
-        sample = _create_sample(condition)
-        earlier = index.find_candidates(sample) & ((1 << place) - 1)
-        for other in iterate_bits(earlier):
-            if conditions[other].covers(condition):
-                number = numbers[place]
-                cover = numbers[other]
-                yield Fault(
-                    ResultCode.RULE_UNREACHABLE,
-                    f'"{rules[number].name}" never matches: '
-                    f'"{rules[cover].name}" (rules[{cover}]) '
-                    'matches everything it does',
-                    ('rules', number),
-                )
-                break
+        earlier = index.find_covering(condition) & ((1 << place) - 1)
+        if not earlier:
+            continue
+        number = numbers[place]
+        cover = numbers[next(iterate_bits(earlier))]
+        yield Fault(
+            ResultCode.RULE_UNREACHABLE,
+            f'"{rules[number].name}" never matches: "{rules[cover].name}" '
+            f'(rules[{cover}]) matches everything it does',
+            ('rules', number),
+        )
+
+
+def _check_size(rules):
+    """Yield a fault if checking the rules would take too long."""
+    patterns = 0
+    header_names = set()
+    for rule in rules.values():
+        patterns += sum(1 for pattern in _iterate_patterns(rule.when))
+        header_names.update(rule.when.headers)
+    for subject, count, limit in (
+        ('patterns', patterns, schema.MAX_PATTERNS),
+        ('different header names', len(header_names), schema.MAX_HEADER_NAMES),
+    ):
+        if count > limit:
+            yield Fault(
+                ResultCode.FIELD_RANGE,
+                f'the rules have {count} {subject}, more than {limit}',
+                ('rules',),
+            )
 
 
 def _check_parts(parts):
@@ -167,19 +172,9 @@
         if isinstance(part, schema.Rule)
     }
     yield from _check_names(rules)
-    total = sum(
-        1
-        for rule in rules.values()
-        for pattern in _iterate_patterns(rule.when)
-    )
-    if total > schema.MAX_PATTERNS:
-        yield Fault(
-            ResultCode.FIELD_RANGE,
-            f'the rules have {total} patterns, more than '
-            f'{schema.MAX_PATTERNS}',
-            ('rules',),
-        )
-    else:
+    too_large = list(_check_size(rules))
+    yield from too_large
+    if not too_large:
         yield from _check_reach(rules)
 
 
@@ -205,6 +200,7 @@
     ...     b'{"rules": [{"name": "fast", "when": {"kind": "search"},'
     ...     b' "then": {"deadline_ms": 80}}]}'
     ... )
+    >>> from hawthornfold.rules.decisions import RequestFacts
     >>> rule_set = compiled.ok_value
     >>> rule_set.match(RequestFacts('portal', 'search')).deadline_ms
     80
--- a/hawthornfold/rules/patterns.py
+++ b/hawthornfold/rules/patterns.py
@@ -23,24 +23,6 @@
         """Return whether the set contains `value`."""
         return value in self.exact or value.startswith(self.prefixes)
 
-    def covers(self, other):
-        """Return whether the set contains every string of `other`.
-
-        Examples
-        --------
-        >>> compile_pattern('voter-*').covers(compile_pattern(['voter-a']))
-        True
-        >>> compile_pattern(['a', 'b']).covers(compile_pattern('a*'))
-        False
-        """
-        # A prefix stands for endlessly many strings, which only a prefix of
-        # it covers.
-        if other.prefixes and not self.prefixes:
-            return False
-        return all(
-            prefix.startswith(self.prefixes) for prefix in other.prefixes
-        ) and all(self.matches(value) for value in other.exact)
-
 
 def compile_pattern(pattern):
     """Return the `PatternSet` of a string or list of strings.
@@ -91,22 +73,15 @@
                 return f'headers.{name}'
         return None
 
-    def covers(self, other):
-        """Return whether every request that matches `other` matches this."""
-        for name, pattern in self.fields.items():
-            narrower = other.fields.get(name, _ANYTHING)
-            if not pattern.covers(narrower):
-                return False
+    def matches_headers(self, headers):
+        """Return whether the conditions on headers hold."""
         for name, pattern in self.headers.items():
-            narrower = other.headers.get(name)
-            if narrower is None or not pattern.covers(narrower):
+            value = headers.get(name)
+            if value is None or not pattern.matches(value):
                 return False
         return True
 
 
-_ANYTHING = PatternSet(frozenset(), ('',))
-
-
 def compile_condition(when):
     """Return the `Condition` of the `when` object of a rule."""
     fields = {}
--- a/hawthornfold/rules/ruleset.py
+++ b/hawthornfold/rules/ruleset.py
@@ -3,12 +3,10 @@
 import typing
 
 from hawthornfold.rules.decisions import Decision
+from hawthornfold.rules.index import RuleIndex
+from hawthornfold.rules.index import iterate_bits
 from hawthornfold.rules.patterns import Condition
 
-# The fields that tell rules apart in practice. Each costs one dictionary
-# lookup a request; path and headers are left to the rules that remain.
-INDEXED_FIELDS = ('service', 'kind', 'caller_class', 'data_centre')
-
 
 class CompiledRule(typing.NamedTuple):
     """One rule, ready to match."""
@@ -51,64 +49,6 @@
     decision: Decision | None
 
 
-class _FieldIndex:
-    """Sets of rules, as bits of an integer, by value of one field."""
-
-    def __init__(self, name, conditions):
-        by_value = {}
-        others = 0
-        for number, condition in enumerate(conditions):
-            pattern = condition.fields.get(name)
-            if pattern is None or pattern.prefixes:
-                others |= 1 << number
-                continue
-            for value in pattern.exact:
-                by_value[value] = by_value.get(value, 0) | 1 << number
-        for value in by_value:
-            by_value[value] |= others
-        # Rules with prefixes may match any value; their condition decides.
-        self._others = others
-        self._by_value = by_value
-
-    def find_candidates(self, value):
-        """Return the rules that may match `value`, rule n as bit n."""
-        return self._by_value.get(value, self._others)
-
-
-class RuleIndex:
-    """Finds the few rules that may match given values."""
-
-    def __init__(self, conditions):
-        self._everything = (1 << len(conditions)) - 1
-        # A field that no rule names narrows nothing.
-        self._indexes = tuple(
-            (name, _FieldIndex(name, conditions))
-            for name in INDEXED_FIELDS
-            if any(name in condition.fields for condition in conditions)
-        )
-
-    def find_candidates(self, facts):
-        """Return a superset of the matching rules, rule n as bit n."""
-        candidates = self._everything
-        for name, index in self._indexes:
-            candidates &= index.find_candidates(getattr(facts, name))
-        return candidates
-
-
-def iterate_bits(bits):
-    """Yield the numbers of the set bits, lowest first.
-
-    Examples
-    --------
-    >>> list(iterate_bits(0b10010))
-    [1, 4]
-    """
-    while bits:
-        lowest = bits & -bits
-        yield lowest.bit_length() - 1
-        bits ^= lowest
-
-
 class RuleSet:
     """An immutable, ordered set of rules; the first that matches decides."""
 
@@ -144,7 +84,7 @@
         rules = self._rules
         for number in iterate_bits(self._index.find_candidates(facts)):
             rule = rules[number]
-            if rule.condition.find_difference(facts) is None:
+            if rule.condition.matches_headers(facts.headers):
                 return rule.decision
         return self._default
 
--- a/hawthornfold/rules/schema.py
+++ b/hawthornfold/rules/schema.py
@@ -7,11 +7,12 @@
 
 import msgspec
 
-# Checking for unreachable rules compares pairs of rules on the event loop.
+# These bound the time that compiling takes on the event loop.
 MAX_RULES = 2_000
 MAX_PATTERNS = 20_000
 MAX_PATTERNS_PER_FIELD = 100
 MAX_HEADERS = 16
+MAX_HEADER_NAMES = 64
 
 
 def _between(kind, lowest, highest):
@@ -28,7 +29,7 @@
         },
     ),
 ]
-PatternText = typing.Annotated[str, msgspec.Meta(max_length=1_024)]
+PatternText = typing.Annotated[str, msgspec.Meta(max_length=256)]
 Pattern = (
     PatternText
     | typing.Annotated[
@@ -39,17 +40,17 @@
 
 
 class When(typing.NamedTuple):
-    """The condition of a rule; a field that is missing matches anything."""
+    """The condition of a rule; None, for a missing field, matches anything."""
 
-    service: Pattern | None = None
-    kind: Pattern | None = None
-    caller_class: Pattern | None = None
-    method: Pattern | None = None
-    path: Pattern | None = None
+    service: Pattern = None
+    kind: Pattern = None
+    caller_class: Pattern = None
+    method: Pattern = None
+    path: Pattern = None
     headers: typing.Annotated[
         dict[str, Pattern], msgspec.Meta(max_length=MAX_HEADERS)
     ] = {}
-    data_centre: Pattern | None = None
+    data_centre: Pattern = None
 
 
 class Then(typing.NamedTuple):
@@ -64,17 +65,16 @@
     below_coverage: typing.Literal['partial', 'refuse'] = 'partial'
     hedge: bool = False
     max_retries: _between(int, 0, 10) = 0
-    extra_load_percent: _between(float, 0, 100) = 5
+    extra_load_percent: _between(float, 0, 100) = 5.0
     snapshot: typing.Literal['restart', 'pin'] = 'restart'
 
 
 class Rule(typing.NamedTuple):
-    """One rule; `note` is free text for operators."""
+    """One rule."""
 
     name: RuleName
     when: When
     then: Then
-    note: typing.Annotated[str, msgspec.Meta(max_length=1_024)] = ''
 
 
 class RulesDocument(typing.NamedTuple):
