Add explain, status, audit, errors and keys to the command line

Operators need to see why a request is handled as it is, offline from a rules file and from a running node, without reading code or logs.

The commands print tables by default and JSON on request, describe a node that does not answer in one line, and document their exit statuses in the help. urllib3 runs without retries and redirects, so that one command is one request.

Ruled out: rendering with the rich library that cappa brings, because it reads brackets in values as markup.

--- a/hawthornfold/commands/checking.py
+++ b/hawthornfold/commands/checking.py
@@ -73,14 +73,14 @@
 def check_file(path, kind=None):
     """Check a file and print the outcome; return the exit status."""
     read = read_file(path)
-    if read.is_err():
-        failures = [read.err_value]
-    else:
-        checked = check_bytes(read.ok_value, kind)
-        failures = checked.err_value if checked.is_err() else []
-    for failure in failures:
-        print(output.format_failure(failure))
-    if failures:
+    checked = (
+        check_bytes(read.ok_value, kind)
+        if read.is_ok()
+        else Err([read.err_value])
+    )
+    if checked.is_err():
+        for failure in checked.err_value:
+            print(output.format_failure(failure))
         return output.EXIT_INVALID
     print('valid')
     return output.EXIT_DONE
--- /dev/null
+++ b/hawthornfold/commands/explaining.py
@@ -0,0 +1,93 @@
+"""The offline half of ``hawthornfold explain``."""
+
+from result import Err
+
+from hawthornfold.codes import Failure
+from hawthornfold.codes import ResultCode
+from hawthornfold.commands import output
+from hawthornfold.documents import read_file
+from hawthornfold.rules import URGENCIES
+from hawthornfold.rules import compile_rules
+
+_URGENCY_NAMES = {number: name for name, number in URGENCIES.items()}
+
+
+def _describe_decision(decision):
+    """Return the fields of a decision under the names rules use."""
+    fields = decision._asdict()
+    fields['urgency'] = _URGENCY_NAMES[decision.urgency]
+    fields['snapshot'] = fields.pop('snapshot_policy')
+    return fields
+
+
+def _list_considered(explanation):
+    """Return the traces up to the rule that decided."""
+    considered = []
+    for trace in explanation.traces:
+        considered.append(trace)
+        if trace.matched:
+            break
+    return considered
+
+
+def describe_explanation(explanation):
+    """Return an explanation as built-in values, for JSON.
+
+    Only rules up to the one that decides are listed.
+    """
+    decision = explanation.decision
+    return {
+        'decision': decision and _describe_decision(decision),
+        'considered': [
+            trace._asdict() for trace in _list_considered(explanation)
+        ],
+    }
+
+
+def format_explanation(explanation):
+    """Return an explanation as text."""
+    rows = [
+        [
+            trace.rule,
+            'matches' if trace.matched else f'differs in {trace.difference}',
+        ]
+        for trace in _list_considered(explanation)
+    ]
+    blocks = [output.format_table(['rule', 'outcome'], rows)]
+    if explanation.decision is not None:
+        fields = _describe_decision(explanation.decision)
+        blocks.append(output.format_sections(fields, 'decision'))
+    return '\n\n'.join(blocks)
+
+
+def explain_facts(path, facts, as_json):
+    """Print how a rules file handles a request; return the exit status.
+
+    Parameters
+    ----------
+    path : str
+        The rules file.
+    facts : RequestFacts
+        The request.
+    as_json : bool
+        Whether to print JSON instead of text.
+    """
+    read = read_file(path)
+    compiled = (
+        compile_rules(read.ok_value) if read.is_ok() else Err([read.err_value])
+    )
+    if compiled.is_err():
+        for failure in compiled.err_value:
+            output.print_error(output.format_failure(failure))
+        return output.EXIT_INVALID
+    explanation = compiled.ok_value.explain(facts)
+    if as_json:
+        print(output.format_json(describe_explanation(explanation)))
+    else:
+        print(format_explanation(explanation))
+    if explanation.decision is None:
+        detail = 'no rule matches and there is no default'
+        failure = Failure(ResultCode.RULE_NOT_MATCHED, detail)
+        output.print_error(output.format_failure(failure))
+        return output.EXIT_FAILED
+    return output.EXIT_DONE
--- a/hawthornfold/commands/line.py
+++ b/hawthornfold/commands/line.py
@@ -1,6 +1,7 @@
 """The command line: arguments, help texts and exit statuses."""
 
 import dataclasses
+import os
 import sys
 import typing
 
@@ -8,8 +9,71 @@
 
 import hawthornfold
 from hawthornfold.commands import checking
+from hawthornfold.commands import explaining
+from hawthornfold.commands import operators
 from hawthornfold.commands import output
+from hawthornfold.commands import references
 from hawthornfold.commands import serving
+from hawthornfold.rules import RequestFacts
+
+_MAX_AUDIT_ENTRIES = 4_096
+
+
+def parse_address(text):
+    """Return ``host:port`` unchanged if it is one.
+
+    Examples
+    --------
+    >>> parse_address('10.0.0.5:8081')
+    '10.0.0.5:8081'
+    """
+    host, _, port = text.rpartition(':')
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not is_port or not 1 <= int(port) <= 65_535:
+        raise ValueError('expected HOST:PORT, as in 10.0.0.5:8081')
+    if any(character in '/@?# \t\r\n' for character in host):
+        raise ValueError('expected HOST:PORT without a scheme or path')
+    return text
+
+
+def parse_headers(texts):
+    """Return a dictionary of ``name=value`` texts by lowercase name.
+
+    Examples
+    --------
+    >>> parse_headers(['X-App=web'])
+    {'x-app': 'web'}
+    """
+    headers = {}
+    for text in texts:
+        name, equals, value = text.partition('=')
+        if not name or not equals:
+            raise ValueError('expected NAME=VALUE, as in x-app=web')
+        headers[name.lower()] = value
+    return headers
+
+
+def parse_limit(text):
+    """Return the number of entries to ask for, from 1 to 4,096."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 4):
+        raise ValueError('expected a whole number')
+    if not 1 <= int(text) <= _MAX_AUDIT_ENTRIES:
+        raise ValueError(f'expected 1 to {_MAX_AUDIT_ENTRIES}')
+    return int(text)
+
+
+_Json = typing.Annotated[
+    bool, cappa.Arg(long='--json', help='Print JSON instead of text.')
+]
+_Node = typing.Annotated[
+    str,
+    cappa.Arg(
+        long='--node',
+        value_name='HOST:PORT',
+        parse=parse_address,
+        help="The node's operators' port.",
+    ),
+]
 
 
 @cappa.command(name='serve')
@@ -17,6 +81,9 @@
 class Serve:
     """Run a node until SIGTERM or SIGINT.
 
+    The node stops gracefully: it fails its readiness check, finishes the
+    requests in progress, and then exits.
+
     Example: hawthornfold serve --settings settings-entry-1.json
     """
 
@@ -32,12 +99,18 @@
 @cappa.command(name='check')
 @dataclasses.dataclass(frozen=True)
 class Check:
-    """Check a settings or rules file; print one line per fault.
+    """Check a settings or rules file before it is used.
+
+    Prints `valid`, or one line per fault with its result code, its line and
+    column, and the path of its field. All faults are reported at once.
 
     Example: hawthornfold check examples/lipovec/rules.json
     """
 
-    file: typing.Annotated[str, cappa.Arg(value_name='FILE', help='File.')]
+    file: typing.Annotated[
+        str,
+        cappa.Arg(value_name='FILE', help='JSON with comments, up to 1 MB.'),
+    ]
     kind: typing.Annotated[
         typing.Literal['settings', 'rules'] | None,
         cappa.Arg(
@@ -51,12 +124,193 @@
         return checking.check_file(self.file, self.kind)
 
 
+@cappa.command(name='explain')
+@dataclasses.dataclass(frozen=True)
+class Explain:
+    """Say which rule handles a request, and why.
+
+    From a rules file: prints for every rule up to the deciding one the first
+    field that differs, and the decision.
+
+    Example: hawthornfold explain --rules rules.json --service voter-portal
+    --kind search --header x-app=web
+
+    From a running node: prints what it did for a request, by the request_id
+    of the answer.
+
+    Example: hawthornfold explain --node 10.0.0.5:8081 REQUEST_ID
+    """
+
+    request_id: typing.Annotated[
+        str | None,
+        cappa.Arg(
+            value_name='REQUEST_ID',
+            required=False,
+            help='A request the node has handled; with --node.',
+        ),
+    ] = None
+    node: typing.Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            value_name='HOST:PORT',
+            parse=parse_address,
+            help="The node's operators' port.",
+        ),
+    ] = None
+    rules: typing.Annotated[
+        str | None,
+        cappa.Arg(long=True, value_name='FILE', help='Rules file.'),
+    ] = None
+    service: typing.Annotated[
+        str | None, cappa.Arg(long=True, help='Service of the request.')
+    ] = None
+    kind: typing.Annotated[
+        str | None,
+        cappa.Arg(long=True, help='Kind: search, status or record.'),
+    ] = None
+    caller_class: typing.Annotated[
+        str, cappa.Arg(long=True, help='Value of X-Caller-Class.')
+    ] = ''
+    method: typing.Annotated[
+        str, cappa.Arg(long=True, help='HTTP method.')
+    ] = 'POST'
+    path: typing.Annotated[str, cappa.Arg(long=True, help='HTTP path.')] = (
+        '/v1/query'
+    )
+    data_centre: typing.Annotated[
+        str, cappa.Arg(long=True, help='Data centre of the entry node.')
+    ] = ''
+    header: typing.Annotated[
+        dict,
+        cappa.Arg(
+            long=True,
+            value_name='NAME=VALUE',
+            parse=parse_headers,
+            action=cappa.ArgAction.append,
+            help='A request header; may be repeated.',
+        ),
+    ] = dataclasses.field(default_factory=dict)
+    json: _Json = False
+
+    def __call__(self):
+        """Run the command; return the exit status."""
+        if self.node and self.request_id and not self.rules:
+            return operators.print_request(
+                self.node, self.request_id, self.json
+            )
+        if self.node or self.request_id or not self.rules:
+            output.print_error(
+                'give either --rules with --service and --kind, or --node '
+                'with a REQUEST_ID'
+            )
+            return output.EXIT_INVALID
+        if self.service is None or self.kind is None:
+            output.print_error('--rules needs --service and --kind')
+            return output.EXIT_INVALID
+        facts = RequestFacts(
+            self.service,
+            self.kind,
+            self.caller_class,
+            self.method,
+            self.path,
+            self.header,
+            self.data_centre,
+        )
+        return explaining.explain_facts(self.rules, facts, self.json)
+
+
+@cappa.command(name='status')
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """Print what a running node reports about itself.
+
+    Example: hawthornfold status --node 10.0.0.5:8081
+    """
+
+    node: _Node
+    json: _Json = False
+
+    def __call__(self):
+        """Run the command; return the exit status."""
+        return operators.print_status(self.node, self.json)
+
+
+@cappa.command(name='audit')
+@dataclasses.dataclass(frozen=True)
+class Audit:
+    """Print the changes a running node has recorded.
+
+    With --follow, goes on with new entries until interrupted.
+
+    Example: hawthornfold audit --node 10.0.0.5:8081 --limit 20 --follow
+    """
+
+    node: _Node
+    limit: typing.Annotated[
+        int,
+        cappa.Arg(
+            long=True, parse=parse_limit, help='Most entries to ask for.'
+        ),
+    ] = 100
+    follow: typing.Annotated[
+        bool, cappa.Arg(long=True, help='Go on with new entries.')
+    ] = False
+    json: _Json = False
+
+    def __call__(self):
+        """Run the command; return the exit status."""
+        return operators.print_audit(
+            self.node, self.limit, self.json, self.follow
+        )
+
+
+@cappa.command(name='errors')
+@dataclasses.dataclass(frozen=True)
+class Errors:
+    """Print the table of result codes.
+
+    Example: hawthornfold errors
+    """
+
+    markdown: typing.Annotated[
+        bool, cappa.Arg(long=True, help='Print docs/errors.md.')
+    ] = False
+
+    def __call__(self):
+        """Run the command; return the exit status."""
+        return references.print_codes(self.markdown)
+
+
+@cappa.command(name='keys')
+@dataclasses.dataclass(frozen=True)
+class Keys:
+    """Print a new CURVE key pair for `peers.keys` in the settings.
+
+    Keep the secret out of version control.
+
+    Example: hawthornfold keys
+    """
+
+    def __call__(self):
+        """Run the command; return the exit status."""
+        return references.print_keys()
+
+
 @cappa.command(name='hawthornfold')
 @dataclasses.dataclass(frozen=True)
 class CommandLine:
-    """A query tier over many shards, driven by when-then rules."""
+    """A query tier over many shards, driven by when-then rules.
+
+    Start with: hawthornfold check examples/lipovec/rules.json
 
-    command: cappa.Subcommands[Serve | Check]
+    Exit status: 0 done; 1 a node does not answer, or no rule matches; 2 a
+    file is not valid, or the arguments are wrong; 130 interrupted.
+    """
+
+    command: cappa.Subcommands[
+        Serve | Check | Explain | Status | Audit | Errors | Keys
+    ]
 
 
 def main(arguments=None):
@@ -69,10 +323,18 @@
     """
     # File names and values need not fit the terminal's encoding.
     for stream in (sys.stdout, sys.stderr):
-        stream.reconfigure(errors='backslashreplace')
+        if hasattr(stream, 'reconfigure'):
+            stream.reconfigure(errors='backslashreplace')
     try:
-        return cappa.invoke(
+        status = cappa.invoke(
             CommandLine, argv=arguments, version=hawthornfold.__version__
         )
+        sys.stdout.flush()
     except KeyboardInterrupt:
         return output.EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader of a pipe, such as head, has seen enough; Python would
+        # complain about the same pipe again when it flushes at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return output.EXIT_DONE
+    return status
--- /dev/null
+++ b/hawthornfold/commands/operators.py
@@ -0,0 +1,189 @@
+"""Commands that ask a running node over its operators' port."""
+
+import collections
+import re
+import time
+import urllib.parse
+
+import msgspec
+from result import Err
+from result import Ok
+import urllib3
+
+from hawthornfold.commands import output
+
+_TIMEOUT_SECONDS = 5.0
+_FOLLOW_SECONDS = 1.0
+# A node's status lists its peers and servers; this is far above 7,200 nodes.
+_MAX_RESPONSE_BYTES = 64_000_000
+_ERRNO = re.compile(r'^\[Errno -?\d+\] ')
+
+
+def _describe_error(error):
+    # urllib3 derives refused connections from connection timeouts.
+    if isinstance(error, urllib3.exceptions.TimeoutError) and not isinstance(
+        error, urllib3.exceptions.NewConnectionError
+    ):
+        return f'no answer within {_TIMEOUT_SECONDS:g} s'
+    # The text of urllib3's errors begins with the form of an object.
+    text = str(error).rpartition(': ')[2]
+    return _ERRNO.sub('', text) or type(error).__name__
+
+
+def _read_json(pool, url):
+    """Return Ok with the decoded body of a 200, or Err with a sentence."""
+    try:
+        response = pool.request(
+            'GET', url, redirect=False, retries=False, preload_content=False
+        )
+        try:
+            body = response.read(_MAX_RESPONSE_BYTES + 1)
+        finally:
+            response.close()
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        return Err(_describe_error(error))
+    if len(body) > _MAX_RESPONSE_BYTES:
+        return Err('the answer is too large')
+    try:
+        value = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        value = None
+    if response.status != 200:
+        detail = value.get('detail') if isinstance(value, dict) else None
+        return Err(f'status {response.status}: {detail or response.reason}')
+    if not isinstance(value, (dict, list)):
+        return Err('the answer is not a JSON object or array')
+    return Ok(value)
+
+
+class NodeReader:
+    """Reads the operators' resources of one node.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the operators' port.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(
+                connect=_TIMEOUT_SECONDS, read=_TIMEOUT_SECONDS
+            ),
+        )
+
+    def read(self, path):
+        """Return Ok with decoded JSON, or Err with a sentence."""
+        url = f'http://{self._address}/v1/operator/{path}'
+        read = _read_json(self._pool, url)
+        if read.is_err():
+            return Err(f'{self._address}: {read.err_value}')
+        return read
+
+
+def _print_resource(reader, path, as_json, format_value):
+    read = reader.read(path)
+    if read.is_err():
+        output.print_error(read.err_value)
+        return output.EXIT_FAILED
+    value = read.ok_value
+    print(output.format_json(value) if as_json else format_value(value))
+    return output.EXIT_DONE
+
+
+def print_status(address, as_json):
+    """Print the status of a node; return the exit status."""
+    return _print_resource(
+        NodeReader(address), 'status', as_json, output.format_sections
+    )
+
+
+def print_request(address, request_id, as_json):
+    """Print what a node did for a request; return the exit status."""
+    path = 'explain/' + urllib.parse.quote(request_id, safe='')
+    return _print_resource(
+        NodeReader(address), path, as_json, output.format_sections
+    )
+
+
+def _find_entries(value):
+    """Return the audit entries of an answer, oldest first.
+
+    Examples
+    --------
+    >>> _find_entries({'entries': [{'kind': 'rules'}]})
+    [{'kind': 'rules'}]
+    """
+    if isinstance(value, dict):
+        value = value.get('entries', [])
+    return [entry for entry in value if isinstance(entry, dict)]
+
+
+def _encode_entry(entry):
+    return msgspec.json.encode(entry, order='sorted')
+
+
+def find_new_entries(previous, current):
+    """Return the entries of `current` that `previous` does not hold.
+
+    Examples
+    --------
+    >>> find_new_entries([{'at': 1}], [{'at': 1}, {'at': 2}])
+    [{'at': 2}]
+    """
+    known = collections.Counter(map(_encode_entry, previous))
+    new = []
+    for entry in current:
+        encoded = _encode_entry(entry)
+        if known[encoded]:
+            known[encoded] -= 1
+        else:
+            new.append(entry)
+    return new
+
+
+def _print_entries(entries, as_json):
+    for entry in entries:
+        if as_json:
+            print(_encode_entry(entry).decode(), flush=True)
+        else:
+            print(output.format_cell(entry), flush=True)
+
+
+def print_audit(address, limit, as_json, follow):
+    """Print the audit trail of a node; return the exit status.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the operators' port.
+    limit : int
+        Most entries to ask for.
+    as_json : bool
+        Whether to print JSON, one line an entry when following.
+    follow : bool
+        Whether to go on with new entries until interrupted.
+    """
+    reader = NodeReader(address)
+    path = f'audit?limit={limit}'
+    if not follow:
+        return _print_resource(
+            reader,
+            path,
+            as_json,
+            lambda value: output.format_records(_find_entries(value)),
+        )
+    known = []
+    is_reachable = True
+    while True:
+        read = reader.read(path)
+        if read.is_err() and is_reachable:
+            output.print_error(read.err_value)
+        is_reachable = read.is_ok()
+        if is_reachable:
+            entries = _find_entries(read.ok_value)
+            _print_entries(find_new_entries(known, entries), as_json)
+            known = entries
+        time.sleep(_FOLLOW_SECONDS)
