Parse request heads of emulated servers at less cost

http.server parses header fields as an email message. In a profile of 20 closed-loop connections that was over half of the processor time of an exchange. A parser of the few fields that are read replaces it. Measured with 10 servers, 20 connections, 5 s: 432 us of processor time per exchange before, 336 us after (machine shared with other work).

--- a/hawthornfold/emulator/web.py
+++ b/hawthornfold/emulator/web.py
@@ -17,6 +17,8 @@
 import greenlet
 import msgspec
 
+from hawthornfold.emulator import web_protocol
+
 LOOPBACK = '127.0.0.1'
 MAX_BODY_BYTES = 4 << 20
 
@@ -161,15 +163,6 @@
     """Do nothing: a connection is closed by its own greenlet only."""
 
 
-class _Protocol(wsgi.HttpProtocol):
-    """Hands the connection to the application with each request."""
-
-    def get_environ(self):
-        environ = super().get_environ()
-        environ['hawthornfold.state'] = self.conn_state
-        return environ
-
-
 class HttpServer:
     """One listening port on loopback.
 
@@ -235,7 +228,7 @@
             (LOOPBACK, self._port),
             self._respond,
             log_output=False,
-            protocol=_Protocol,
+            protocol=web_protocol.EmulatorProtocol,
             debug=True,
         )
         self._acceptor = eventlet.spawn(self._accept, self._listener)
@@ -294,7 +287,7 @@
         request = Request(
             environ['REQUEST_METHOD'],
             environ['PATH_INFO'],
-            dict(urllib.parse.parse_qsl(environ.get('QUERY_STRING', ''))),
+            dict(urllib.parse.parse_qsl(environ['QUERY_STRING'])),
             environ['wsgi.input'].read(MAX_BODY_BYTES),
             connection,
         )
--- /dev/null
+++ b/hawthornfold/emulator/web_protocol.py
@@ -0,0 +1,91 @@
+"""Request heads parsed at less cost than `http.server` does.
+
+`http.server` parses header fields as an email message, which took over half
+of the processor time of an emulated exchange. Emulated servers share the
+machine with the tier that is measured, so their own cost is kept low.
+"""
+
+import urllib.parse
+
+from eventlet import wsgi
+
+_BAD_REQUEST = (
+    b'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
+
+
+class HeaderFields(dict):
+    """Header fields by lowercase name; a repeated one keeps its last value.
+
+    Examples
+    --------
+    >>> HeaderFields({'content-length': '2'}).get('Content-Length')
+    '2'
+    """
+
+    def get(self, name, default=None):
+        """Return the value of `name` in any case."""
+        return super().get(name.lower(), default)
+
+
+class EmulatorProtocol(wsgi.HttpProtocol):
+    """Hands the connection state to the application with each request."""
+
+    def parse_request(self):
+        """Parse the request line and the header fields.
+
+        Returns
+        -------
+        bool
+            False when the request was malformed; it has been refused then.
+        """
+        self.close_connection = True
+        self.requestline = self.raw_requestline.decode('latin-1').strip()
+        words = self.requestline.split(' ')
+        if len(words) != 3 or not words[2].startswith('HTTP/1.'):
+            return self._refuse()
+        self.command, self.path, self.request_version = words
+        fields = HeaderFields()
+        while True:
+            line = self.rfile.readline()
+            if line in (b'\r\n', b'\n'):
+                break
+            name, colon, value = line.decode('latin-1').partition(':')
+            if not colon:
+                return self._refuse()
+            fields[name.lower()] = value.strip()
+        self.headers = fields
+        wanted = fields.get('connection', '').lower()
+        if self.request_version == 'HTTP/1.1':
+            self.close_connection = wanted == 'close'
+        else:
+            self.close_connection = wanted != 'keep-alive'
+        return True
+
+    def get_environ(self):
+        """Return the part of a WSGI environment that the emulator reads."""
+        path, _, query = self.path.partition('?')
+        fields = self.headers
+        expects = fields.get('expect', '').lower() == '100-continue'
+        body = wsgi.Input(
+            self.rfile,
+            fields.get('content-length', '0'),
+            self.connection,
+            wfile=self.wfile if expects else None,
+            wfile_line=b'HTTP/1.1 100 Continue\r\n' if expects else None,
+            chunked_input=fields.get('transfer-encoding') == 'chunked',
+        )
+        return {
+            'REQUEST_METHOD': self.command,
+            'PATH_INFO': urllib.parse.unquote(path),
+            'QUERY_STRING': query,
+            'wsgi.input': body,
+            'eventlet.input': body,
+            'eventlet.posthooks': [],
+            'hawthornfold.state': self.conn_state,
+        }
+
+    def _refuse(self):
+        self.wfile.write(_BAD_REQUEST)
+        return False
