Send at-most-once requests with the ticket the tier asks for

The tier refuses a non-idempotent request that carries no ticket with status 428 and a new ticket; demo and load generator now send the request again with it, as a caller has to. The demo also drew document ids from the full deployment, which the small one does not hold.

--- a/hawthornfold/emulator/demo.py
+++ b/hawthornfold/emulator/demo.py
@@ -12,6 +12,7 @@
 from hawthornfold.clock import create_system_clock
 from hawthornfold.emulator import deployments
 from hawthornfold.emulator import fleet as fleets
+from hawthornfold.emulator import load
 from hawthornfold.emulator import mixes
 from hawthornfold.emulator import processes
 
@@ -19,24 +20,6 @@
 _ROUNDS = 2
 
 
-class SampleQuery(typing.NamedTuple):
-    """A query the demo sends: body fields, and the class of its caller."""
-
-    service: str
-    kind: str
-    text: str
-    caller_class: str
-
-
-QUERIES = {
-    name: tuple(
-        SampleQuery(kind.service, kind.kind, kind.texts[0], kind.caller_class)
-        for kind in mixes.build_mix(deployments.create_deployment(name))
-    )
-    for name in ('lipovec', 'monterrey')
-}
-
-
 def create_demo_deployments():
     """Create both deployments with fewer services.
 
@@ -51,20 +34,20 @@
     )
 
 
-def format_answer(query, status, answer):
+def format_answer(kind, status, answer):
     """Describe one answer on a line.
 
     Examples
     --------
-    >>> query = SampleQuery('clerk-desk', 'record', 'x', 'clerk')
-    >>> print(format_answer(query, 200, {
+    >>> kind = mixes.build_mix(deployments.create_lipovec())[3]
+    >>> print(format_answer(kind, 200, {
     ...     'outcome': 'complete', 'snapshot': 's1', 'rule': 'records',
     ...     'coverage': {'answered_weight': 9, 'total_weight': 9},
     ...     'total': 4, 'latency_ms': 21.5}))
     clerk-desk/record    200 complete s1 coverage 9/9 21.5 ms rule records, \
 4 hits
     """
-    name = f'{query.service}/{query.kind}'
+    name = f'{kind.service}/{kind.kind}'
     coverage = answer.get('coverage') or {}
     return (
         f'{name:20} {status} {answer.get("outcome")} {answer.get("snapshot")}'
@@ -76,24 +59,6 @@
     )
 
 
-def send_query(pool, port, query):
-    """Send one query to an entry node; return status and answer."""
-    response = pool.request(
-        'POST',
-        f'http://127.0.0.1:{port}/v1/query',
-        json={
-            'service': query.service,
-            'kind': query.kind,
-            'text': query.text,
-            'limit': 3,
-        },
-        headers={'X-Caller-Class': query.caller_class},
-        timeout=5.0,
-        retries=False,
-    )
-    return response.status, response.json()
-
-
 def query_deployment(fleet, write):
     """Send every sample query to the entry nodes in turn.
 
@@ -112,15 +77,17 @@
     pool = processes.create_pool()
     balancer = fleet.create_balancer()
     failed = 0
-    queries = QUERIES[fleet.plan.deployment.name] * _ROUNDS
-    for query in queries:
+    for kind in mixes.build_mix(fleet.plan.deployment) * _ROUNDS:
         target = balancer.peek()
         balancer.step()
+        url = f'http://127.0.0.1:{target.port}/v1/query'
         try:
-            status, answer = send_query(pool, target.port, query)
-        except urllib3.exceptions.HTTPError as error:
+            status, answer = load.exchange_query(
+                pool, url, kind, kind.texts[0], limit=3
+            )
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
             status, answer = 0, {'outcome': 'no answer', 'detail': str(error)}
-        write(f'  {target.name} {format_answer(query, status, answer)}')
+        write(f'  {target.name} {format_answer(kind, status, answer)}')
         failed += answer.get('outcome') != 'complete'
     return failed
 
--- a/hawthornfold/emulator/load.py
+++ b/hawthornfold/emulator/load.py
@@ -23,6 +23,7 @@
 # Longer than any rule's deadline: an answer that is still missing by then
 # counts as lost.
 _ANSWER_LIMIT_S = 8.0
+_TICKET_REQUIRED = 428
 
 
 class QueryKind(typing.NamedTuple):
@@ -153,6 +154,56 @@
     return spec._asdict() | {'mix': [kind._asdict() for kind in spec.mix]}
 
 
+def exchange_query(pool, url, kind, text, limit=10):
+    """Send a query as a caller does; return status and answer.
+
+    A request that must run at most once is refused with a ticket when it
+    carries none, and is then sent again with that ticket.
+
+    Parameters
+    ----------
+    pool : urllib3.HTTPConnectionPool or urllib3.PoolManager
+        Connections to use.
+    url : str
+        Where to send the query.
+    kind : QueryKind
+        Service, kind and class of caller.
+    text : str
+        What to ask for.
+    limit : int
+        Hits to return at most.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        When there is no answer.
+    ValueError
+        When the answer is no JSON.
+    """
+    headers = {'X-Caller-Class': kind.caller_class}
+    query = {
+        'service': kind.service,
+        'kind': kind.kind,
+        'text': text,
+        'limit': limit,
+    }
+    while True:
+        response = pool.request(
+            'POST',
+            url,
+            json=query,
+            headers=headers,
+            timeout=_ANSWER_LIMIT_S,
+            retries=False,
+            redirect=False,
+        )
+        answer = response.json()
+        needs_ticket = response.status == _TICKET_REQUIRED
+        if not needs_ticket or 'X-Ticket' in headers:
+            return response.status, answer
+        headers['X-Ticket'] = answer['ticket']
+
+
 class LoadGenerator:
     """Sends the requests of one spec."""
 
@@ -204,20 +255,9 @@
         target = self._balancer.peek()
         self._balancer.step()
         try:
-            response = self._pools[target.name].request(
-                'POST',
-                '/v1/query',
-                json={
-                    'service': kind.service,
-                    'kind': kind.kind,
-                    'text': arrival.text,
-                    'limit': 10,
-                },
-                headers={'X-Caller-Class': kind.caller_class},
-                timeout=_ANSWER_LIMIT_S,
-                redirect=False,
+            _, answer = exchange_query(
+                self._pools[target.name], '/v1/query', kind, arrival.text
             )
-            answer = response.json()
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             if is_measured:
                 latency_ms = self._clock.now_ms() - intended_ms
