--- a/hawthornfold/emulator/bench.py
+++ b/hawthornfold/emulator/bench.py
@@ -19,6 +19,7 @@
 from hawthornfold.emulator import load
 from hawthornfold.emulator import measures
 from hawthornfold.emulator import mixes
+from hawthornfold.emulator import probe
 from hawthornfold.emulator import processes
 from hawthornfold.emulator import recorder
 from hawthornfold.emulator import scenarios as scenario_tables
@@ -71,6 +72,11 @@
     nodes : int
         Number of entry nodes.
 
+    Raises
+    ------
+    ValueError
+        When a scenario, variant or deployment does not exist.
+
     Examples
     --------
     >>> plan = plan_bench(50, ['steady'], 'small', ['tier', 'naive'])
@@ -79,12 +85,20 @@
     """
     if 'all' in scenario_names:
         scenario_names = tuple(scenario_tables.SCENARIOS)
+    unknown = set(scenario_names) - set(scenario_tables.SCENARIOS)
+    unknown |= set(variants) - set(VARIANTS)
+    if unknown or deployment not in deployments.DEPLOYMENTS:
+        raise ValueError(f'unknown name: {sorted(unknown) or deployment}')
     runs = len(scenario_names) * len(variants)
     rest = seconds - len(variants) * _FLEET_OVERHEAD_S - runs * _RUN_OVERHEAD_S
     return Plan(
         deployments.create_deployment(deployment),
         tuple(variants),
-        tuple(scenario_tables.SCENARIOS[name] for name in scenario_names),
+        tuple(
+            scenario
+            for name, scenario in scenario_tables.SCENARIOS.items()
+            if name in scenario_names
+        ),
         max(rest / runs, _LEAST_RUN_S),
         nodes,
     )
@@ -128,8 +142,11 @@
             servers_per_process=_SERVERS_PER_PROCESS,
         ) as fleet:
             results = {}
+            direct_ms = probe.measure_direct_exchange(fleet)
             for scenario in self._plan.scenarios:
-                results[scenario.name] = self._run_scenario(fleet, scenario)
+                result = self._run_scenario(fleet, scenario)
+                result['direct_exchange_added_p50_ms'] = direct_ms
+                results[scenario.name] = result
                 self._describe(variant, scenario, results[scenario.name])
             return results
 
@@ -237,6 +254,7 @@
         self._write(
             f'{scenario.name} {variant}: extra {result["extra_sent_percent"]}%'
             f', added p50 {result["added_p50_ms"]["node"]} ms'
+            f' (direct exchange {result["direct_exchange_added_p50_ms"]})'
             f', {result["node_cpu_ms_per_query"]} ms of node cpu per query'
             f', lost {result["lost"]}, doubled {result["doubled"]}'
             f', falsely refused {result["falsely_refused"]}'
@@ -291,7 +309,7 @@
     }
 
 
-def run_bench(plan, write=print):
+def run_bench(plan, write=demo.write_line):
     """Run experiments; the last line written is the JSON of all results.
 
     Returns
@@ -336,14 +354,14 @@
     def __call__(self):
         """Run the experiments."""
         demo.raise_on_sigterm()
-        raise cappa.Exit(
-            code=run_bench(
-                plan_bench(
-                    self.seconds,
-                    self.scenario,
-                    self.deployment,
-                    self.variant,
-                    self.nodes,
-                )
+        try:
+            plan = plan_bench(
+                self.seconds,
+                self.scenario,
+                self.deployment,
+                self.variant,
+                self.nodes,
             )
-        )
+        except ValueError as error:
+            raise cappa.Exit(str(error), code=2)
+        raise cappa.Exit(code=run_bench(plan))
--- a/hawthornfold/emulator/demo.py
+++ b/hawthornfold/emulator/demo.py
@@ -115,7 +115,12 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
 
 
-def run_demo(keep=False, write=print):
+def write_line(text):
+    """Print a line at once, also into a pipe."""
+    print(text, flush=True)
+
+
+def run_demo(keep=False, write=write_line):
     """Run the demo.
 
     Parameters
--- a/hawthornfold/emulator/scenarios.py
+++ b/hawthornfold/emulator/scenarios.py
@@ -149,8 +149,9 @@
     Scenario('replica_lost', 0.3, _nothing, _lose_replicas, _restore_replicas),
     Scenario('lying_load', 0.4, _begin_lying_load, _nothing, _clear_faults),
     Scenario('overload', 1.5, _nothing, _nothing, _nothing),
-    Scenario('rolling_upgrade', 0.3, _nothing, _upgrade, _end_upgrade),
     Scenario('node_killed', 0.3, _nothing, _kill_node, _end_kill),
+    # Last, since undoing an upgrade is a change of its own.
+    Scenario('rolling_upgrade', 0.3, _nothing, _upgrade, _end_upgrade),
 )
 SCENARIOS = {scenario.name: scenario for scenario in _ALL}
 # Few enough for runs of five seconds each within a minute.
