--- a/hawthornfold/platforms/replies.py
+++ b/hawthornfold/platforms/replies.py
@@ -246,7 +246,8 @@
 
     Examples
     --------
-    >>> parse_vms('vms', b'[["a","127.0.0.1:7000","dc","live","entry"]]').ok()[0].name
+    >>> value = b'[["a","127.0.0.1:7000","dc","live","entry"]]'
+    >>> parse_vms('vms', value).ok()[0].name
     'a'
     >>> parse_vms('vms', b'{}').is_err()
     True
