--- a/hawthornfold/backends/diagnosis.py
+++ b/hawthornfold/backends/diagnosis.py
@@ -14,10 +14,12 @@
 # While open, the server is probed at this interval.
 PROBE_INTERVAL_MS = 500.0
 # An exchange is silent for long enough to be probed after this multiple of
-# the smoothed service time. Stragglers of ten times the mean are hedged and
-# cancelled by the entry long before.
-SILENCE_FACTOR = 4.0
-MIN_SILENCE_MS = 60.0
+# the smoothed service time. A straggler of ten times the mean must not be
+# taken for a silent connection: at a factor of 4 running work was thrown away
+# and sent again, and the straggler p99 was worse than the naive version's.
+# The entry's hedge covers the time before.
+SILENCE_FACTOR = 15.0
+MIN_SILENCE_MS = 150.0
 
 
 class Verdict(enum.Enum):
--- a/hawthornfold/hedging/budget.py
+++ b/hawthornfold/hedging/budget.py
@@ -6,6 +6,9 @@
 # hundreds would reach the servers just when one of them became slow.
 CAPACITY = 40.0
 INITIAL = 10.0
+# Less urgent work leaves this many tokens to urgent work. Without a reserve
+# ordinary queueing used up the budget and urgent stragglers got no hedge.
+URGENT_RESERVE = 10.0
 
 
 class ExtraLoadBudget:
@@ -37,9 +40,10 @@
         self._primary += count
         self._bucket.add(count * extra_load_percent / 100.0)
 
-    def take(self):
+    def take(self, urgency=0):
         """Take the token of one extra sub-request, if there is one."""
-        if self._bucket.take():
+        reserve = 0.0 if urgency == 0 else URGENT_RESERVE
+        if self._bucket.tokens >= 1.0 + reserve and self._bucket.take():
             self._extra += 1
             return True
         self._refused += 1
--- a/hawthornfold/hedging/delay.py
+++ b/hawthornfold/hedging/delay.py
@@ -1,20 +1,22 @@
 """When a sub-request without an answer is worth a hedge.
 
 The delay is a high quantile of recent sub-request latencies of the service
-group. It alone hedges 3% of sub-requests, which leaves 2% of the default
-budget of 5% for stragglers and retries. It is also bounded by the deadline: a
-hedge that cannot answer in time is useless.
+group, kept for each urgency: ordinary work that queues behind urgent work
+would otherwise raise the delay of urgent hedges. The quantile alone hedges 3%
+of sub-requests, which leaves 2% of the default budget of 5% for stragglers
+and retries. The delay is also bounded by the deadline: a hedge that cannot
+answer in time is useless.
 """
 
 import hdrh.histogram
 
 QUANTILE_PERCENT = 97.0
-INITIAL_DELAY_MS = 30.0
+INITIAL_DELAY_MS = 50.0
 MIN_DELAY_MS = 2.0
-# The estimate is refreshed after this many samples; the histogram then
-# starts over so that it follows changes of load.
+# The estimate is refreshed at each multiple of REFRESH_SAMPLES; the histogram
+# starts over after WINDOW_SAMPLES so that it follows changes of load.
 WINDOW_SAMPLES = 2000
-REFRESH_SAMPLES = 200
+REFRESH_SAMPLES = 100
 # A hedge needs about one median to answer; it is sent no later than this
 # part of the deadline.
 LATEST_SHARE = 0.5
@@ -23,7 +25,7 @@
 
 
 class HedgeDelay:
-    """Tracks the latency quantile of one service group."""
+    """Tracks the latency quantile of one class of one service group."""
 
     def __init__(self):
         self._histogram = hdrh.histogram.HdrHistogram(1, _HIGHEST, 2)
@@ -56,7 +58,7 @@
 
 
 def create_hedge_delay():
-    """Create the tracker of one service group.
+    """Create the tracker of one urgency class of one service group.
 
     Examples
     --------
--- a/hawthornfold/limits/queue.py
+++ b/hawthornfold/limits/queue.py
@@ -1,8 +1,9 @@
 """The queue of one backend server, held by its owner.
 
-Items are ordered by urgency, then deadline, then the hash of the request id.
-The order depends only on the query, so under overload the owners of all
-servers drop the sub-requests of the same queries.
+Items run in the order of urgency, then deadline. When more wait than can run
+by their deadline, those of least urgency and highest hash of the request id
+are refused. That depends on the query alone, so under overload the owners of
+all servers drop the sub-requests of the same queries.
 """
 
 import heapq
@@ -10,6 +11,9 @@
 
 QUEUE_CAPACITY = 256
 SERVICE_SMOOTHING = 0.1
+# Part of its remaining time that an item may spend in the queue; the rest is
+# for the service, whose tail is long, and for a hedge.
+WAIT_SHARE = 0.5
 
 
 class QueueItem(typing.NamedTuple):
@@ -91,15 +95,26 @@
         )
         self._sequence += 1
         evicted = None
-        if len(self._waiting) >= self._capacity:
-            evicted = max(self._waiting.values())
-            if evicted < item:
+        if len(self._waiting) >= self._room(item, now_ms):
+            evicted = max(self._waiting.values(), key=_shedding_rank)
+            if _shedding_rank(evicted) <= _shedding_rank(item):
                 return None, None
             del self._waiting[evicted.sequence]
         self._waiting[item.sequence] = item
         heapq.heappush(self._heap, item)
         return item.sequence, evicted
 
+    def _room(self, item, now_ms):
+        """Return how many items may wait so that `item` has a chance.
+
+        More would only expire after their callers have waited in vain.
+        """
+        if self._service_ms == 0.0:
+            return self._capacity
+        allowed_ms = WAIT_SHARE * (item.deadline_ms - now_ms)
+        rounds = allowed_ms / self._service_ms
+        return max(1, min(self._capacity, int(rounds * self._slots)))
+
     def cancel(self, sequence):
         """Drop a waiting item; return whether it was waiting."""
         return self._waiting.pop(sequence, None) is not None
@@ -149,6 +164,14 @@
         return waiting
 
 
+def _shedding_rank(item):
+    """Rank items for shedding: by the query only, never by arrival.
+
+    The owners of all servers of a query thus shed the same queries.
+    """
+    return (item.urgency, item.order)
+
+
 def create_server_queue(slots, capacity=QUEUE_CAPACITY):
     """Create the queue of a server with `slots` slots.
 
--- a/hawthornfold/nodes/status.py
+++ b/hawthornfold/nodes/status.py
@@ -28,7 +28,7 @@
         ],
         'configuration': _describe_configuration(context, now_ms),
         'groups': {
-            group.name: _describe_group(context, group)
+            group.name: _describe_group(context, group, now_ms)
             for group in context.groups.all()
         },
         'servers': {
@@ -67,19 +67,21 @@
     }
 
 
-def _describe_group(context, group):
+def _describe_group(context, group, now_ms):
     state = context.groups.state(group.name)
     selector = state.selector
     return {
         'snapshot': selector.current,
         'snapshots': {
             layout.snapshot: {
-                'reachable_weight': selector.reachable_weight(layout),
+                'reachable_weight': selector.reachable_weight(layout, now_ms),
                 'total_weight': layout.total_weight,
             }
             for layout in group.layouts
         },
-        'hedge_delay_ms': round(state.hedge_delay.delay_ms, 2),
+        'hedge_delays_ms': [
+            round(delay.delay_ms, 2) for delay in state.hedge_delays
+        ],
         'admission_limit': state.admission.limit,
     }
 
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -274,6 +274,8 @@
         failure = outcome.err_value
         if failure.incarnation and failure.held:
             state.learn(failure.incarnation, failure.held, False, now_ms)
+        elif failure.code is ResultCode.BACKEND_SNAPSHOT:
+            state.forget_snapshot(job.work.snapshot)
         if failure.code is ResultCode.BACKEND_DRAINING:
             self.report_refusal(
                 state.server.name, failure.incarnation, self._node
--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -75,6 +75,15 @@
         self.queue.set_slots(self.ramp.allowed(now_ms))
         return is_restarted
 
+    def forget_snapshot(self, snapshot):
+        """Take over that the server refused a snapshot as not held.
+
+        The refusal may not say what the server holds instead, so its health
+        report is due at once.
+        """
+        self.held = tuple(name for name in self.held if name != snapshot)
+        self.last_health_ms = None
+
     def close(self):
         """Close the connections; return the jobs that still waited."""
         self.pool.close()
--- a/hawthornfold/queries/execution.py
+++ b/hawthornfold/queries/execution.py
@@ -225,7 +225,7 @@
         actions = []
         for part in plan_fanout(shards, choose):
             if kind in (AttemptKind.HEDGE, AttemptKind.RETRY):
-                if not self._budget.take():
+                if not self._budget.take(self._decision.urgency):
                     continue
             elif kind is AttemptKind.PRIMARY:
                 self._budget.record_primary(
@@ -375,12 +375,12 @@
             return None
         tried = {run.layout.snapshot for run in self._ended_runs}
         tried.add(self._run.layout.snapshot)
-        alternatives = self._selector.list_alternatives(tried)
+        alternatives = self._selector.list_alternatives(tried, now_ms)
         if not alternatives:
             return None
         layout = self._group.find_layout(alternatives[0])
-        reachable = self._selector.reachable_weight(layout)
-        if reachable / layout.total_weight <= _covered_share(self._run):
+        share = self._selector.share(layout, now_ms)
+        if share <= _covered_share(self._run):
             return None
         self._ended_runs.append(self._run)
         return self._pin(layout, now_ms)
--- a/hawthornfold/queries/groups.py
+++ b/hawthornfold/queries/groups.py
@@ -3,6 +3,7 @@
 import logbook
 
 from hawthornfold.hedging import create_hedge_delay
+from hawthornfold.shedding import URGENCIES
 from hawthornfold.shedding import create_admission_controller
 from hawthornfold.snapshots import create_snapshot_selector
 
@@ -17,7 +18,9 @@
     def __init__(self, group):
         self.group = group
         self.selector = create_snapshot_selector(group)
-        self.hedge_delay = create_hedge_delay()
+        self.hedge_delays = tuple(
+            create_hedge_delay() for _ in range(URGENCIES)
+        )
         self.admission = create_admission_controller()
 
 
--- a/hawthornfold/queries/runner.py
+++ b/hawthornfold/queries/runner.py
@@ -35,6 +35,14 @@
         ResultCode.BACKEND_SILENT,
     }
 )
+# Ends of attempts whose waiting time tells of the load of the servers.
+_QUEUE_CODES = frozenset(
+    {
+        ResultCode.OK,
+        ResultCode.QUEUE_FULL,
+        ResultCode.DEADLINE_EXCEEDED,
+    }
+)
 
 _LOG = logbook.Logger('queries')
 
@@ -134,7 +142,7 @@
             group_state.selector,
             chooser,
             self._budget,
-            group_state.hedge_delay,
+            group_state.hedge_delays[decision.urgency],
             now_ms,
         )
         query = _RunningQuery(execution, group_state)
@@ -230,24 +238,28 @@
             return
         if reply.incarnation:
             query.group_state.selector.observe(
-                reply.server, reply.incarnation, reply.held
+                reply.server, reply.incarnation, reply.held, now_ms
             )
         if code in _SERVER_REFUSALS:
-            query.group_state.selector.set_usable(reply.server, False)
+            query.group_state.selector.mark_unusable(reply.server, now_ms)
 
     def _record_latency(self, query, reply, now_ms):
         execution = query.execution
+        if reply.code in _QUEUE_CODES:
+            # Work that was refused by an owner's queue waited in vain; it
+            # is the clearest sign of overload.
+            query.group_state.admission.record_wait(
+                execution.decision.urgency,
+                reply.wait_ms,
+                execution.decision.deadline_ms,
+                now_ms,
+            )
         if reply.code != 0 or reply.attempt > len(execution.attempts):
             return
         attempt = execution.attempts[reply.attempt - 1]
-        query.group_state.admission.record_wait(
-            execution.decision.urgency,
-            reply.wait_ms,
-            execution.decision.deadline_ms,
-            now_ms,
-        )
         if attempt.kind is AttemptKind.PRIMARY:
-            query.group_state.hedge_delay.record(now_ms - attempt.sent_ms)
+            delay = query.group_state.hedge_delays[execution.decision.urgency]
+            delay.record(now_ms - attempt.sent_ms)
 
     # Actions
 
--- a/hawthornfold/queries/targets.py
+++ b/hawthornfold/queries/targets.py
@@ -34,7 +34,7 @@
         servers = [
             name
             for name in shard.replicas
-            if self._selector.holds(name, snapshot) is not False
+            if self._selector.holds(name, snapshot, now_ms) is not False
         ]
         servers.sort(key=self._rank)
         # A refusal since the query began changes the order.
--- a/hawthornfold/shedding/admission.py
+++ b/hawthornfold/shedding/admission.py
@@ -22,12 +22,14 @@
 # 100 ms and no minimum, 8 to 15% of ordinary queries were refused at 40%
 # load.
 INTERVAL_MS = 100.0
-MIN_REPLIES = 40
+MIN_REPLIES = 20
 # A reply is late when its sub-request waited for more than this share of the
 # query's deadline; the service itself and a hedge need the rest.
-LATE_DEADLINE_SHARE = 0.3
+LATE_DEADLINE_SHARE = 0.25
 LATE_SHARE = 0.10
-DECREASE_SHARE = 0.10
+# The step down grows with the share of late replies, up to this part of the
+# admitted load.
+DECREASE_SHARE = 0.30
 INCREASE_SHARE = 0.02
 
 
@@ -97,7 +99,10 @@
             return
         late_class = self._find_late_class()
         if late_class is not None:
-            self._lower_limit(late_class * LEVELS_PER_URGENCY)
+            late_share = self._late[late_class] / self._replies[late_class]
+            self._lower_limit(
+                late_class * LEVELS_PER_URGENCY, late_share * DECREASE_SHARE
+            )
         elif sum(self._replies) >= MIN_REPLIES or self._is_idle(now_ms):
             self._raise_limit()
         else:
@@ -123,9 +128,9 @@
         """Return whether too little arrives to ever judge by."""
         return now_ms - self._interval_start_ms > 10 * INTERVAL_MS
 
-    def _lower_limit(self, floor):
+    def _lower_limit(self, floor, share):
         admitted = sum(self._arrivals[: self._limit])
-        surplus = admitted * DECREASE_SHARE
+        surplus = admitted * share
         # One level is always admitted, so that replies tell of recovery.
         while surplus > 0 and self._limit > floor + 1:
             self._limit -= 1
--- a/hawthornfold/snapshots/selector.py
+++ b/hawthornfold/snapshots/selector.py
@@ -11,12 +11,18 @@
 
 # A newer snapshot must be reachable for this long before queries pin it.
 CUTOVER_HOLD_MS = 500.0
+# How long a node believes that a server lacks a snapshot or takes no work
+# without asking its owner again. The owner answers from its health checks,
+# so the question costs the server nothing.
+NEGATIVE_LIFETIME_MS = 3000.0
 
 
 class _ServerView(typing.NamedTuple):
-    incarnation: str
+    """What a server reported last, and until when it refuses work."""
+
     held: frozenset[str]
-    usable: bool
+    seen_ms: float
+    unusable_until_ms: float
 
 
 class SnapshotSelector:
@@ -46,54 +52,64 @@
         if group.find_layout(self._current) is None:
             self._current = None
 
-    def observe(self, server, incarnation, held):
+    def observe(self, server, incarnation, held, now_ms):
         """Record the snapshots that `server` reports to hold."""
-        self._views[server] = _ServerView(incarnation, frozenset(held), True)
+        self._views[server] = _ServerView(frozenset(held), now_ms, 0.0)
 
-    def set_usable(self, server, usable):
-        """Record whether `server` takes work (drain, breaker)."""
+    def mark_unusable(self, server, now_ms):
+        """Record that `server` takes no work at the moment."""
+        until_ms = now_ms + NEGATIVE_LIFETIME_MS
         view = self._views.get(server)
         if view is None:
-            view = _ServerView('', frozenset(), usable)
-            if usable:
-                return
-        self._views[server] = view._replace(usable=usable)
+            view = _ServerView(None, now_ms, until_ms)
+        self._views[server] = view._replace(unusable_until_ms=until_ms)
+
+    def holds(self, server, snapshot, now_ms):
+        """Return True, False, or None when that is not known.
 
-    def holds(self, server, snapshot):
-        """Return True, False, or None when `server` has not reported."""
+        That a server lacks a snapshot is believed for a short time only:
+        nobody would ask it again and learn that it has changed.
+        """
         view = self._views.get(server)
-        if view is None or not view.incarnation:
+        if view is None or view.held is None:
             return None
-        return snapshot in view.held
+        if snapshot in view.held:
+            return True
+        if now_ms - view.seen_ms > NEGATIVE_LIFETIME_MS:
+            return None
+        return False
 
-    def reachable_weight(self, layout):
+    def reachable_weight(self, layout, now_ms):
         """Return the weight of `layout` with at least one usable replica."""
         return sum(
             shard.weight
             for shard in layout.shards
-            if any(self._serves(name, layout) for name in shard.replicas)
+            if any(
+                self._serves(name, layout, now_ms) for name in shard.replicas
+            )
         )
 
-    def _serves(self, server, layout):
+    def _serves(self, server, layout, now_ms):
         view = self._views.get(server)
+        # Before any report the oldest layout is taken at its word, so that
+        # the first queries after start have a snapshot to pin.
+        is_oldest = layout is self._group.layouts[0]
         if view is None:
-            # Before any report the oldest layout is taken at its word, so
-            # that the first queries after start have a snapshot to pin.
-            return layout is self._group.layouts[0]
-        if not view.usable:
+            return is_oldest
+        if now_ms < view.unusable_until_ms:
             return False
-        if not view.incarnation:
-            return layout is self._group.layouts[0]
+        if view.held is None:
+            return is_oldest
         return layout.snapshot in view.held
 
     def advance(self, now_ms):
         """Re-evaluate the choice; a cutover needs `hold_ms` of evidence."""
-        best = self._find_best()
+        best = self._find_best(now_ms)
         if best == self._current:
             self._candidate = None
             return
         current = self._group.find_layout(self._current)
-        if current is None or self.reachable_weight(current) == 0:
+        if current is None or self.reachable_weight(current, now_ms) == 0:
             self._switch(best)
             return
         if best != self._candidate:
@@ -102,7 +118,7 @@
         if now_ms - self._candidate_since_ms >= self._hold_ms:
             self._switch(best)
 
-    def list_alternatives(self, excluded):
+    def list_alternatives(self, excluded, now_ms):
         """Return snapshot names a restarted query may pin, best first.
 
         Parameters
@@ -115,27 +131,31 @@
             for layout in self._group.layouts
             if layout.snapshot not in excluded
         ]
-        ranked = sorted(layouts, key=self._share, reverse=True)
-        return [x.snapshot for x in ranked if self.reachable_weight(x)]
+        ranked = sorted(
+            ((self.share(layout, now_ms), layout) for layout in layouts),
+            key=lambda entry: entry[0],
+            reverse=True,
+        )
+        return [layout.snapshot for share, layout in ranked if share > 0]
 
-    def _share(self, layout):
+    def share(self, layout, now_ms):
         """Return the reachable part of the layout, between 0 and 1."""
-        return self.reachable_weight(layout) / layout.total_weight
+        return self.reachable_weight(layout, now_ms) / layout.total_weight
 
     def _switch(self, snapshot):
         self._current = snapshot
         self._candidate = None
 
-    def _find_best(self):
+    def _find_best(self, now_ms):
         """Return the newest snapshot that reaches as much as any older one.
 
         Shares are compared, not weights, because a repartitioned or grown
         index has another total.
         """
         best = self._group.layouts[0]
-        best_share = self._share(best)
+        best_share = self.share(best, now_ms)
         for layout in self._group.layouts[1:]:
-            share = self._share(layout)
+            share = self.share(layout, now_ms)
             if share > 0 and share >= best_share:
                 best, best_share = layout, share
         return best.snapshot
