--- /dev/null
+++ b/hawthornfold/emulator/tests/test_server_model.py
@@ -0,0 +1,147 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hawthornfold.emulator import ledger
+from hawthornfold.emulator import server_model
+from hawthornfold.emulator import server_spec
+from hawthornfold.emulator.tests import clients
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ['submit', 'finish', 'close', 'deadline', 'restart', 'drain']
+        ),
+        strategies.integers(0, 5),
+    ),
+    max_size=60,
+)
+
+
+class _Bench:
+    """A model, its ledger, and what a test saw run in its slots."""
+
+    def __init__(self, **changes):
+        self.records = ledger.create_ledger()
+        self.model = server_model.create_server_model(
+            clients.create_spec(**changes)
+        )
+        self.now_ms = 0.0
+        self.seen_running = set()
+
+    def submit(self, deadline_ms=1000.0, **changes):
+        fields = {'shards': ('a',), 'snapshot': 's1', **changes}
+        record = self.records.open_record(
+            'b1',
+            self.model.incarnation,
+            1,
+            f'q{len(self.records.list_records())}',
+            1,
+            fields['shards'],
+            fields['snapshot'],
+            self.now_ms,
+            self.now_ms + deadline_ms,
+        )
+        self.model.submit(record, self.now_ms)
+        return record
+
+    def apply(self, action, number):
+        model = self.model
+        self.now_ms += 1.0
+        pending = (*model.running, *model.queued)
+        if action == 'submit':
+            self.submit(deadline_ms=number * 4.0)
+        elif action == 'restart':
+            model.begin_incarnation(0, self.now_ms)
+        elif action == 'drain':
+            faults = server_spec.Faults(draining=number % 2 == 0)
+            model.set_faults(faults, self.now_ms)
+        elif action == 'finish' and model.running:
+            running = model.running
+            model.finish(running[number % len(running)], self.now_ms)
+        elif action in ('close', 'deadline') and pending:
+            cause = 'closed' if action == 'close' else action
+            chosen = pending[number % len(pending)]
+            model.cancel(chosen, self.now_ms, cause)
+        self.seen_running.update(model.running)
+
+
+class ServerModelTest(unittest.TestCase):
+    # Guards against work that runs and is missing from the ledger, or that
+    # the ledger (and so the reply) calls not run: the at-most-once
+    # experiments rest on this.
+    @hypothesis.given(_STEPS)
+    @hypothesis.settings(deadline=None, max_examples=200)
+    def test_ledger_never_misses_work_that_ran(self, steps):
+        bench = _Bench(slots=2, queue=2)
+        for action, number in steps:
+            bench.apply(action, number)
+            self.assertLessEqual(len(bench.model.running), 2)
+            self.assertLessEqual(len(bench.model.queued), 2)
+        for record in bench.records.list_records():
+            ran = record in bench.seen_running
+            self.assertEqual(ran, record.started_ms is not None)
+            never_ran = (ledger.REFUSED, ledger.CANCELLED_QUEUED)
+            if record.outcome in never_ran:
+                self.assertFalse(ran)
+            elif record.outcome != ledger.QUEUED:
+                self.assertTrue(ran)
+
+    # Guards against queues that reorder work or lose a freed slot.
+    def test_queue_is_first_in_first_out(self):
+        bench = _Bench(slots=1, queue=2)
+        first, second, third = (bench.submit() for _ in range(3))
+        self.assertEqual('overloaded', bench.submit().reason)
+        self.assertEqual((second,), bench.model.finish(first, 1.0))
+        self.assertEqual((third,), bench.model.cancel(second, 2.0, 'closed'))
+        self.assertEqual(ledger.CANCELLED_RUNNING, second.outcome)
+
+    # Guards against queued work that starts after its deadline.
+    def test_late_queued_work_is_refused_when_a_slot_frees(self):
+        bench = _Bench(slots=1)
+        first = bench.submit()
+        late = bench.submit(deadline_ms=5.0)
+        self.assertEqual((late,), bench.model.finish(first, 10.0))
+        self.assertEqual((ledger.REFUSED, 'deadline'), _end_of(late))
+        self.assertIsNone(late.started_ms)
+
+    # Guards against unknown shards and snapshots being answered as empty.
+    def test_unknown_snapshot_and_shard_are_refused(self):
+        bench = _Bench()
+        refused = (ledger.REFUSED, 'snapshot')
+        self.assertEqual(refused, _end_of(bench.submit(snapshot='s2')))
+        self.assertEqual(refused, _end_of(bench.submit(shards=('z',))))
+
+    # Guards against restarts that keep a drain state or the incarnation.
+    def test_restart_ends_draining_and_starts_cold(self):
+        bench = _Bench()
+        before = bench.model.incarnation
+        bench.model.set_faults(server_spec.Faults(draining=True), 0.0)
+        bench.model.begin_incarnation(0, 1.0, cold_ms=10.0, cold_factor=5.0)
+        self.assertLess(before, bench.model.incarnation)
+        report = bench.model.report_health(2.0)
+        self.assertEqual((False, True), (report.draining, report.cold))
+        self.assertFalse(bench.model.report_health(11.0).cold)
+
+    # Guards against health faults that do not lag or lie as asked.
+    def test_health_lags_and_load_lies(self):
+        bench = _Bench()
+        lag = server_spec.Faults(draining=True, health_lag_ms=100.0)
+        bench.model.set_faults(lag, 50.0)
+        self.assertFalse(bench.model.report_health(149.0).draining)
+        self.assertTrue(bench.model.report_health(150.0).draining)
+        lie = server_spec.Faults(load_report=0.5)
+        bench.model.set_faults(lie, 200.0)
+        self.assertEqual(0.5, bench.model.report_health(200.0).load)
+
+    # Guards against shares that hit all requests or none.
+    def test_shares_choose_some_requests(self):
+        bench = _Bench(slots=100)
+        bench.model.set_faults(server_spec.Faults(shed_share=0.3), 0.0)
+        outcomes = [bench.submit().outcome for _ in range(100)]
+        self.assertTrue(10 < outcomes.count(ledger.REFUSED) < 60)
+
+
+def _end_of(record):
+    return record.outcome, record.reason
--- a/hawthornfold/emulator/web.py
+++ b/hawthornfold/emulator/web.py
@@ -231,6 +231,8 @@
             protocol=web_protocol.EmulatorProtocol,
             debug=True,
         )
+        # Field names are written in the usual case already.
+        self._wsgi.capitalize_response_headers = False
         self._acceptor = eventlet.spawn(self._accept, self._listener)
 
     def stop(self):
