--- a/hawthornfold/emulator/proxy.py
+++ b/hawthornfold/emulator/proxy.py
@@ -215,6 +215,7 @@
             'target': self._spec.target,
             'connections': len(self._links),
             'stalled': sum(link.is_stalled for link in self._links),
+            'with_gap': sum(link.has_gap for link in self._links),
             'accepted': self._accepted,
             'fault': self._fault,
         }
--- a/hawthornfold/emulator/server_port.py
+++ b/hawthornfold/emulator/server_port.py
@@ -153,6 +153,7 @@
             work = _DECODER.decode(request.body)
         except msgspec.DecodeError as error:
             return web.encode_reply({'ran': False, 'detail': str(error)}, 400)
+        request.connection.send_leftover()
         now_ms = self._clock.now_ms()
         record = self._records.open_record(
             self._model.spec.name,
@@ -237,10 +238,11 @@
             ('X-Attempt', str(attempt)),
         )
         extra = TRUNCATED_BYTES if faults.truncate else 0
-        trailer = b''
         if faults.duplicate:
-            trailer = _encode_raw(headers, body)
-        return web.Reply(200, body, headers, extra, trailer)
+            # A client that reads ahead drops a second response that follows
+            # at once; one that is read in place of the next is misdelivered.
+            connection.leftover = _encode_raw(headers, body)
+        return web.Reply(200, body, headers, extra)
 
     def _encode(self, work, request_id, attempt, wrong_snapshot):
         snapshot, shards = work.snapshot, work.shards
--- a/hawthornfold/emulator/server_spec.py
+++ b/hawthornfold/emulator/server_spec.py
@@ -70,7 +70,7 @@
     crossed : bool
         Answers carry the request id and attempt of another request.
     duplicate : bool
-        Each answer is sent twice.
+        Each answer is sent again in front of the next one of its connection.
     truncate : bool
         Content-Length exceeds the body, after which the connection closes.
     late_ms : float
--- a/hawthornfold/emulator/tests/clients.py
+++ b/hawthornfold/emulator/tests/clients.py
@@ -14,6 +14,10 @@
 ENDLESS_MS = 1e7
 
 
+# What a client sees when its connection ends early.
+CONNECTION_ERRORS = (client.HTTPException, OSError)
+
+
 def open_connection(port):
     return client.HTTPConnection('127.0.0.1', port, timeout=PATIENCE_S)
 
@@ -62,7 +66,7 @@
 
 
 def create_spec(name='b1', **changes):
-    shards = [server_spec.ShardSpec('a', 50)]
+    shards = [server_spec.ShardSpec('a', 200)]
     fields = {
         'name': name,
         'group': 'portal',
--- a/hawthornfold/emulator/web.py
+++ b/hawthornfold/emulator/web.py
@@ -55,15 +55,12 @@
     extra_length : int
         Added to the declared Content-Length; the connection is closed after
         the body, so that the client sees a truncated reply.
-    trailer : bytes
-        Raw bytes sent after the body, beyond the declared length.
     """
 
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
     extra_length: int = 0
-    trailer: bytes = b''
 
 
 class ConnectionAborted(Exception):
@@ -79,11 +76,19 @@
         The accepted socket.
     number : int
         Count of connections of this server, from 1.
+
+    Attributes
+    ----------
+    is_stalled : bool
+        Set by the stall fault: no further request is answered.
+    leftover : bytes
+        Raw response to send ahead of the next one.
     """
 
     def __init__(self, sock, number):
         self.number = number
         self.is_stalled = False
+        self.leftover = b''
         self._socket = sock
         self._waiting = None
         self._woken = False
@@ -138,6 +143,12 @@
         self._woken = True
         hubs.get_hub().schedule_call_global(0, self._resume)
 
+    def send_leftover(self):
+        """Send `leftover`, if any."""
+        data, self.leftover = self.leftover, b''
+        if data:
+            self._socket.sendall(data)
+
     def close(self):
         """Close both directions; the connection's greenlet sees the end."""
         try:
@@ -297,6 +308,7 @@
             reply = self._application(request)
         except ConnectionAborted:
             connection.close()
+            wsgi.WSGI_LOCAL.already_handled = True
             return []
         headers = [
             ('Content-Type', 'application/json'),
@@ -306,7 +318,7 @@
         start_response(_REASONS[reply.status], headers)
         if reply.extra_length:
             environ['hawthornfold.state'][2] = wsgi.STATE_CLOSE
-        return [reply.body + reply.trailer]
+        return [reply.body]
 
 
 def encode_reply(value, status=200):
