--- a/hawthornfold/commands/output.py
+++ b/hawthornfold/commands/output.py
@@ -50,7 +50,7 @@
     >>> format_cell(None), format_cell(True), format_cell(['a', 1])
     ('-', 'yes', 'a, 1')
     """
-    if value is None:
+    if value is None or value == [] or value == {} or value == '':
         return '-'
     if isinstance(value, bool):
         return 'yes' if value else 'no'
--- a/hawthornfold/documents/schema.py
+++ b/hawthornfold/documents/schema.py
@@ -86,12 +86,18 @@
     content : object
         The schema of an object, the shape of the items of an array or
         mapping, or the strings of a choice.
+    keys : _Shape
+        The shape of the keys of a mapping.
+    check : callable
+        Returns what is wrong with a string, or None.
     """
 
     kind: _Kind
     hint: object
     accepts_null: bool = False
     content: object = None
+    keys: object = None
+    check: object = None
 
 
 def _read_shape(hint):
@@ -112,8 +118,10 @@
             return _Shape(_Kind.ARRAY, hint, False, _read_shape(items[0]))
         if container is dict:
             hint = typing.Annotated[dict[str, typing.Any], *limits]
-            return _Shape(_Kind.MAPPING, hint, False, _read_shape(items[1]))
-    return _Shape(_Kind.LEAF, hint)
+            keys, content = map(_read_shape, items)
+            return _Shape(_Kind.MAPPING, hint, False, content, keys)
+    check = wording.read_extra(hint, 'check')
+    return _Shape(_Kind.LEAF, hint, check=check)
 
 
 # Resolving the annotations takes longer than converting an object.
@@ -209,10 +217,12 @@
     def _convert_mapping(self, value, shape, path):
         if self._convert_leaf(value, shape, path) is _INVALID:
             return _INVALID
-        items = {
-            key: self.convert(item, shape.content, (*path, key))
-            for key, item in value.items()
-        }
+        items = {}
+        for key, item in value.items():
+            key_path = (*path, key)
+            items[key] = self.convert(item, shape.content, key_path)
+            if self.convert(key, shape.keys, key_path) is _INVALID:
+                items[key] = _INVALID
         return _INVALID if _INVALID in items.values() else items
 
     def _convert_array(self, value, shape, path):
@@ -226,9 +236,28 @@
 
     def _convert_leaf(self, value, shape, path):
         try:
-            return msgspec.convert(value, shape.hint)
+            converted = msgspec.convert(value, shape.hint)
         except msgspec.ValidationError as error:
-            message = str(error)
+            self._report_leaf(value, shape, path, str(error))
+            return _INVALID
+        if shape.check and not self._check_strings(converted, shape, path):
+            return _INVALID
+        return converted
+
+    def _check_strings(self, value, shape, path):
+        """Return whether a string, or each one of a list, is in order."""
+        strings = {path: value}
+        if not isinstance(value, str):
+            strings = {(*path, i): item for i, item in enumerate(value)}
+        is_valid = True
+        for string_path, string in strings.items():
+            detail = shape.check(string)
+            if detail is not None:
+                is_valid = False
+                self._report(ResultCode.FIELD_RANGE, detail, string_path)
+        return is_valid
+
+    def _report_leaf(self, value, shape, path, message):
         match = _LEAF_PATH.search(message)
         if match:
             message = message[: match.start()]
@@ -247,7 +276,6 @@
         if not wording.read_extra(shape.hint, 'hidden'):
             detail += f', got {wording.show_value(value)}'
         self._report(code, detail, path)
-        return _INVALID
 
 
 class Conversion(typing.NamedTuple):
@@ -278,7 +306,10 @@
         The parsed document.
     schema : type
         A NamedTuple class. Fields without a default are required. A tuple or
-        dictionary whose items are schemas must be ``Annotated``.
+        dictionary whose items are converted one by one is ``Annotated``. In
+        the `extra` of a `msgspec.Meta`, ``expected`` is a wording, ``check``
+        a function that returns what is wrong with a string or None, and
+        ``hidden`` keeps values out of failures.
 
     Returns
     -------
--- a/hawthornfold/documents/wording.py
+++ b/hawthornfold/documents/wording.py
@@ -101,8 +101,7 @@
 def read_extra(hint, name):
     """Return an entry of the `extra` of an annotated type, or None.
 
-    ``hidden`` says that values must not be shown; ``expected`` is the text
-    to show in place of a regular expression.
+    `convert_document` lists the names.
     """
     for meta in getattr(hint, '__metadata__', ()):
         if isinstance(meta, msgspec.Meta) and meta.extra:
--- a/hawthornfold/rules/compiling.py
+++ b/hawthornfold/rules/compiling.py
@@ -36,45 +36,14 @@
     )
 
 
-def _iterate_patterns(when):
-    """Yield (path, field, text) for every pattern of a condition."""
-    fields = [((name,), name, getattr(when, name)) for name in PLAIN_FIELDS]
-    fields += [
-        (('headers', name), 'headers', pattern)
-        for name, pattern in when.headers.items()
-    ]
-    for path, field, pattern in fields:
-        if isinstance(pattern, str):
-            yield path, field, pattern
-        else:
-            for index, text in enumerate(pattern or ()):
-                yield (*path, index), field, text
-
-
-def _check_pattern(field, text):
-    """Return what is wrong with a pattern, or None."""
-    if '*' in text[:-1]:
-        return '"*" is only allowed as the last character'
-    if field == 'method' and text != text.upper():
-        return f'methods are written in capitals, "{text.upper()}"'
-    if field == 'path' and not text.startswith(('/', '*')):
-        return 'a path starts with "/"'
-    return None
-
-
-def _check_when(when, path):
-    """Yield the faults of a condition."""
-    for pattern_path, field, text in _iterate_patterns(when):
-        detail = _check_pattern(field, text)
-        if detail is not None:
-            yield Fault(ResultCode.FIELD_RANGE, detail, (*path, *pattern_path))
-    for name in when.headers:
-        if name != name.lower() or not name:
-            yield Fault(
-                ResultCode.FIELD_RANGE,
-                'header names are written in lowercase',
-                (*path, 'headers', name),
-            )
+def _count_patterns(when):
+    """Return the number of strings in a condition."""
+    patterns = [getattr(when, name) for name in PLAIN_FIELDS]
+    patterns += when.headers.values()
+    return sum(
+        1 if isinstance(pattern, str) else len(pattern or ())
+        for pattern in patterns
+    )
 
 
 def _check_then(then, path):
@@ -139,7 +108,7 @@
     patterns = 0
     header_names = set()
     for rule in rules.values():
-        patterns += sum(1 for pattern in _iterate_patterns(rule.when))
+        patterns += _count_patterns(rule.when)
         header_names.update(rule.when.headers)
     for subject, count, limit in (
         ('patterns', patterns, schema.MAX_PATTERNS),
@@ -162,9 +131,7 @@
         The valid parts of the document by path.
     """
     for path, part in parts.items():
-        if isinstance(part, schema.When):
-            yield from _check_when(part, path)
-        elif isinstance(part, schema.Then):
+        if isinstance(part, schema.Then):
             yield from _check_then(part, path)
     rules = {
         path[1]: part
--- a/hawthornfold/rules/measure.py
+++ b/hawthornfold/rules/measure.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hawthornfold.clock import create_system_clock
+from hawthornfold.rules import schema
 from hawthornfold.rules.compiling import compile_rules
 from hawthornfold.rules.decisions import RequestFacts
 
@@ -36,6 +37,33 @@
     return msgspec.json.encode({'default': {}, 'rules': rules})
 
 
+def create_largest_document():
+    """Return the bytes of a document at the limits of the schema.
+
+    Every pattern is a prefix, and prefixes have many different lengths,
+    which is slowest to index.
+    """
+    rules = []
+    per_rule = schema.MAX_PATTERNS // schema.MAX_RULES
+    for number in range(schema.MAX_RULES):
+        fill = 'x' * (number % 32)
+        paths = [f'/{number}-{index}-{fill}*' for index in range(per_rule)]
+        then = {
+            'urgency': 'urgent',
+            'deadline_ms': 80,
+            'idempotent': True,
+            'coverage_percent': 90,
+            'below_coverage': 'refuse',
+            'hedge': True,
+            'max_retries': 1,
+            'extra_load_percent': 5,
+            'snapshot': 'pin',
+        }
+        when = {'path': paths}
+        rules.append({'name': f'rule-{number}', 'when': when, 'then': then})
+    return msgspec.json.encode({'rules': rules})
+
+
 def create_facts(count, generator):
     """Return requests, about one in ten of which no rule matches.
 
@@ -70,21 +98,28 @@
     return elapsed_ms * 1000.0 / calls
 
 
+def measure_compile(data, clock):
+    """Return (rule set, milliseconds) for the bytes of a document."""
+    started_ms = clock.now_ms()
+    rule_set = compile_rules(data).unwrap()
+    return rule_set, clock.now_ms() - started_ms
+
+
 def main():
     """Print a table of the measurements."""
     clock = create_system_clock()
     print('rules  indexed, us  linear, us  compile, ms')
     for count in RULE_COUNTS:
-        data = create_document(count)
-        started_ms = clock.now_ms()
-        rule_set = compile_rules(data).unwrap()
-        compile_ms = clock.now_ms() - started_ms
+        rule_set, compile_ms = measure_compile(create_document(count), clock)
         facts = create_facts(count, random.Random(_SEED))
         indexed = measure_match(rule_set.match, facts, clock)
         linear = measure_match(rule_set.match_linear, facts, clock)
         print(
             f'{count:5}  {indexed:11.2f}  {linear:10.2f}  {compile_ms:11.1f}'
         )
+    data = create_largest_document()
+    _, compile_ms = measure_compile(data, clock)
+    print(f'largest document, {len(data)} bytes: {compile_ms:.1f} ms')
 
 
 if __name__ == '__main__':
--- a/hawthornfold/rules/schema.py
+++ b/hawthornfold/rules/schema.py
@@ -29,14 +29,45 @@
         },
     ),
 ]
-PatternText = typing.Annotated[str, msgspec.Meta(max_length=256)]
-Pattern = (
-    PatternText
-    | typing.Annotated[
-        list[PatternText],
+
+
+def _check_pattern(text):
+    if '*' in text[:-1]:
+        return '"*" is only allowed as the last character'
+    return None
+
+
+def _check_method(text):
+    if text != text.upper():
+        return 'methods are written in capitals'
+    return _check_pattern(text)
+
+
+def _check_path(text):
+    if not text.startswith(('/', '*')):
+        return 'a path starts with "/"'
+    return _check_pattern(text)
+
+
+def _check_header_name(text):
+    if not text or text != text.lower():
+        return 'header names are written in lowercase'
+    return None
+
+
+def _pattern(check):
+    text = typing.Annotated[str, msgspec.Meta(max_length=256)]
+    texts = typing.Annotated[
+        list[text],
         msgspec.Meta(min_length=1, max_length=MAX_PATTERNS_PER_FIELD),
     ]
-)
+    return typing.Annotated[text | texts, msgspec.Meta(extra={'check': check})]
+
+
+Pattern = _pattern(_check_pattern)
+HeaderName = typing.Annotated[
+    str, msgspec.Meta(extra={'check': _check_header_name})
+]
 
 
 class When(typing.NamedTuple):
@@ -45,10 +76,10 @@
     service: Pattern = None
     kind: Pattern = None
     caller_class: Pattern = None
-    method: Pattern = None
-    path: Pattern = None
+    method: _pattern(_check_method) = None
+    path: _pattern(_check_path) = None
     headers: typing.Annotated[
-        dict[str, Pattern], msgspec.Meta(max_length=MAX_HEADERS)
+        dict[HeaderName, Pattern], msgspec.Meta(max_length=MAX_HEADERS)
     ] = {}
     data_centre: Pattern = None
 
--- a/hawthornfold/settings/loading.py
+++ b/hawthornfold/settings/loading.py
@@ -1,7 +1,5 @@
 """Reading and validating a settings file."""
 
-import ipaddress
-
 from result import Err
 from result import Ok
 import zmq
@@ -19,42 +17,6 @@
     return Fault(ResultCode.FIELD_RANGE, detail, path)
 
 
-def _is_ip_number(text):
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
-
-
-def _is_address(text):
-    """Return whether `text` is ``host:port`` by IP number."""
-    host, _, port = text.rpartition(':')
-    return (
-        _is_ip_number(host.removeprefix('[').removesuffix(']'))
-        and port.isascii()
-        and port.isdigit()
-        and len(port) <= 5
-        and 1 <= int(port) <= 65_535
-    )
-
-
-def _check_node(node):
-    if not _is_ip_number(node.host):
-        yield _range_fault('the host must be an IP number', 'node', 'host')
-
-
-def _check_platform(platform):
-    for index, address in enumerate(platform.addresses):
-        if not _is_address(address):
-            yield _range_fault(
-                'expected host:port by IP number, as in 10.0.0.5:9000',
-                'platform',
-                'addresses',
-                index,
-            )
-
-
 def _check_peers(peers):
     if peers.encryption and not peers.keys:
         yield _range_fault(
@@ -96,8 +58,6 @@
 
 
 _CHECKS = {
-    'node': _check_node,
-    'platform': _check_platform,
     'peers': _check_peers,
     'membership': _check_membership,
 }
--- a/hawthornfold/settings/schema.py
+++ b/hawthornfold/settings/schema.py
@@ -4,6 +4,7 @@
 in the unit of the value. docs/settings.md lists the fields for operators.
 """
 
+import ipaddress
 import typing
 
 import msgspec
@@ -16,6 +17,31 @@
     return typing.Annotated[int, msgspec.Meta(ge=lowest, le=highest)]
 
 
+def _is_ip_number(text):
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _check_host(text):
+    return None if _is_ip_number(text) else 'the host must be an IP number'
+
+
+def _check_address(text):
+    host, _, port = text.rpartition(':')
+    if (
+        _is_ip_number(host.removeprefix('[').removesuffix(']'))
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= 5
+        and 1 <= int(port) <= 65_535
+    ):
+        return None
+    return 'expected host:port by IP number, as in 10.0.0.5:9000'
+
+
 Port = _between(1, 65_535)
 # The same alphabet as the labels of host names, so that a name can stand in
 # message frames, metric labels and paths without quoting.
@@ -29,6 +55,8 @@
         },
     ),
 ]
+Host = typing.Annotated[str, msgspec.Meta(extra={'check': _check_host})]
+Address = typing.Annotated[str, msgspec.Meta(extra={'check': _check_address})]
 # Z85 encodes the 32 bytes of a CURVE key in 40 characters.
 PublicKey = typing.Annotated[str, msgspec.Meta(min_length=40, max_length=40)]
 SecretKey = typing.Annotated[
@@ -41,7 +69,7 @@
 
     name: Name
     data_centre: Name
-    host: str
+    host: Host
 
 
 class CallerSettings(typing.NamedTuple):
@@ -113,7 +141,7 @@
     """
 
     addresses: typing.Annotated[
-        tuple[str, ...],
+        tuple[Address, ...],
         msgspec.Meta(min_length=1, max_length=MAX_PLATFORM_ADDRESSES),
     ]
     timeout_ms: _between(10, 60_000) = 1_000
