--- a/hawthornfold/commands/tests/test_commands.py
+++ b/hawthornfold/commands/tests/test_commands.py
@@ -19,6 +19,7 @@
 from hawthornfold.commands import checking
 from hawthornfold.commands import references
 from hawthornfold.documents.tests import strategies as written
+from hawthornfold.emulator import deployments
 
 ROOT = pathlib.Path(__file__).parents[3]
 EXAMPLES = sorted((ROOT / 'examples').glob('*/*.json'))
@@ -140,6 +141,19 @@
         )
         self.assertIsNone(decide(MONTERREY, 'unheard-of', 'search'))
 
+    def test_examples_name_the_groups_of_the_deployments(self):
+        # Guards against an example whose rules match no request, because a
+        # service group has another name than in the emulated deployment.
+        for rules, create in [
+            (LIPOVEC, deployments.create_lipovec),
+            (MONTERREY, deployments.create_monterrey),
+        ]:
+            for group in create().groups:
+                decision = self.explain(rules, group.name, 'search')[
+                    'decision'
+                ]
+                self.assertNotIn(decision['rule'], ('default', None))
+
     def test_earlier_rules_are_explained(self):
         # Guards against an explanation that leaves out why a rule before the
         # deciding one did not match.
--- a/hawthornfold/documents/document.py
+++ b/hawthornfold/documents/document.py
@@ -249,7 +249,7 @@
     if len(data) > MAX_BYTES:
         return _fail(
             ResultCode.DOCUMENT_TOO_LARGE,
-            f'{len(data)} bytes are more than {MAX_BYTES}',
+            f'the document has more than {MAX_BYTES} bytes',
         )
     try:
         text = data.decode('utf-8-sig')
