End idle emulator processes at once on SIGTERM

An idle platform, backends or proxy process lived on for up to 60 s after SIGTERM: the handler scheduled a timer, but Python resumes the hub's wait for events after a handler, so nothing looked at the timer. The signal wakeup descriptor is now watched by the hub. Raising from the handler was ruled out, since it would end whichever greenlet runs.

The handlers are set before the ready line is printed, malformed input is answered with 400 by one place for all ports, and starting a started server does nothing.

--- a/hawthornfold/emulator/backends.py
+++ b/hawthornfold/emulator/backends.py
@@ -49,8 +49,6 @@
                 for server in self._select(parts[1]):
                     self._change(server, parts[2], request.body or b'{}')
                 return web.encode_reply({})
-        except msgspec.DecodeError as error:
-            return web.encode_reply({'detail': str(error)}, 400)
         except KeyError:
             return web.refuse_path(request)
         return web.refuse_path(request)
@@ -165,5 +163,4 @@
         # again would pause the servers.
         gc.collect()
         gc.freeze()
-        web.announce(control.port)
-        web.wait_for_termination()
+        web.serve_until_terminated(control.port)
--- a/hawthornfold/emulator/platform.py
+++ b/hawthornfold/emulator/platform.py
@@ -86,10 +86,7 @@
     def respond(self, request):
         """Answer one request."""
         if request.path.startswith('/control/'):
-            try:
-                return self._control(request)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
-                return web.encode_reply({'detail': str(error)}, 400)
+            return self._control(request)
         if self._fault.down:
             raise web.ConnectionAborted
         self._meter.count(request.path, self._clock.now_ms())
@@ -207,5 +204,4 @@
         with open(state_path, 'rb') as file:
             initial = msgspec.json.decode(file.read(), type=InitialState)
     with open_platform(port, initial) as server:
-        web.announce(server.port)
-        web.wait_for_termination()
+        web.serve_until_terminated(server.port)
--- a/hawthornfold/emulator/proxy.py
+++ b/hawthornfold/emulator/proxy.py
@@ -328,10 +328,7 @@
         names = tuple(self._listeners) if parts[2] == '*' else (parts[2],)
         if not self._listeners.keys() >= set(names):
             return web.refuse_path(request)
-        try:
-            fault = msgspec.json.decode(request.body or b'{}', type=LinkFault)
-        except msgspec.DecodeError as error:
-            return web.encode_reply({'detail': str(error)}, 400)
+        fault = msgspec.json.decode(request.body or b'{}', type=LinkFault)
         for name in names:
             self._listeners[name].set_fault(fault)
         return web.encode_reply({})
@@ -363,5 +360,4 @@
         with open(self.spec, 'rb') as file:
             specs = msgspec.json.decode(file.read(), type=list[LinkSpec])
         with open_proxy(specs, self.control_port) as (control, _):
-            web.announce(control.port)
-            web.wait_for_termination()
+            web.serve_until_terminated(control.port)
--- a/hawthornfold/emulator/tests/test_platform.py
+++ b/hawthornfold/emulator/tests/test_platform.py
@@ -88,6 +88,17 @@
         with self.assertRaises(clients.CONNECTION_ERRORS):
             clients.receive(watch)
 
+    # Guards against malformed requests that end as server errors.
+    def test_malformed_requests_are_refused(self):
+        bad = ('/control/fault', {'donw': True}), ('/control/vms', 'x')
+        for path, body in bad:
+            self.assertEqual(
+                400, clients.call(self.port, 'PUT', path, body)[0]
+            )
+        self.assertEqual(
+            400, clients.call(self.port, 'GET', '/v1/keys?since=x')[0]
+        )
+
     # Guards against a VM list without its lag.
     def test_vm_list_lags(self):
         vm = {'name': 'entry-1', 'address': '127.0.0.1:1', 'data_centre': 'z'}
--- a/hawthornfold/emulator/web.py
+++ b/hawthornfold/emulator/web.py
@@ -11,9 +11,9 @@
 import urllib.parse
 
 import eventlet
-from eventlet import event
 from eventlet import hubs
 from eventlet import wsgi
+from eventlet.green import socket as green_socket
 import greenlet
 import msgspec
 
@@ -229,7 +229,9 @@
         return self._refused
 
     def start(self):
-        """Listen and accept in a greenlet."""
+        """Listen and accept in a greenlet, unless that happens already."""
+        if self._listener is not None:
+            return
         self._listener = eventlet.listen(
             (LOOPBACK, self._port), backlog=512, reuse_port=False
         )
@@ -310,6 +312,8 @@
             connection.close()
             wsgi.WSGI_LOCAL.already_handled = True
             return []
+        except (msgspec.DecodeError, ValueError) as error:
+            reply = encode_reply({'detail': str(error)}, 400)
         headers = [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(reply.body) + reply.extra_length)),
@@ -336,23 +340,24 @@
     return encode_reply({'detail': f'no such path: {request.path}'}, 404)
 
 
-def announce(port):
-    """Print the control port, so that a parent knows the process is ready."""
-    print(f'ready {port}', flush=True)
-
-
-def wait_for_termination():
-    """Suspend until SIGTERM or SIGINT."""
-    finished = event.Event()
+def serve_until_terminated(port):
+    """Print the control port, then suspend until SIGTERM or SIGINT.
 
-    def finish(_signal, _frame):
-        hubs.get_hub().schedule_call_global(0, _send_once, finished)
-
-    signal.signal(signal.SIGTERM, finish)
-    signal.signal(signal.SIGINT, finish)
-    finished.wait()
+    The line ``ready <port>`` tells a parent that the process serves.
+    A signal handler cannot end the hub's wait for events, which Python
+    resumes after the handler; bytes on a watched socket can.
+    """
+    receiver, sender = green_socket.socketpair()
+    sender.setblocking(False)
+    previous = signal.set_wakeup_fd(sender.fileno())
+    signal.signal(signal.SIGTERM, _ignore_signal)
+    signal.signal(signal.SIGINT, _ignore_signal)
+    print(f'ready {port}', flush=True)
+    try:
+        receiver.recv(1)
+    finally:
+        signal.set_wakeup_fd(previous)
 
 
-def _send_once(finished):
-    if not finished.ready():
-        finished.send(None)
+def _ignore_signal(_number, _frame):
+    """Do nothing; the wakeup descriptor reports the signal."""
