Serve no request that a restart found unread; test that it ends all work

A request that lay unread in a socket's buffer when a server restarted was read and run by the new incarnation, although its connection had been cut. Such a connection is now treated as stalled until its end is seen. The ledger property also checks that a restart leaves no work; it did not notice a model that kept it (trial mutation), and does now.

--- a/hawthornfold/emulator/tests/test_server_model.py
+++ b/hawthornfold/emulator/tests/test_server_model.py
@@ -79,6 +79,8 @@
             bench.apply(action, number)
             self.assertLessEqual(len(bench.model.running), 2)
             self.assertLessEqual(len(bench.model.queued), 2)
+            if action == 'restart':
+                self.assertFalse(bench.model.running or bench.model.queued)
         for record in bench.records.list_records():
             ran = record in bench.seen_running
             self.assertEqual(ran, record.started_ms is not None)
--- a/hawthornfold/emulator/web.py
+++ b/hawthornfold/emulator/web.py
@@ -150,7 +150,11 @@
             self._socket.sendall(data)
 
     def close(self):
-        """Close both directions; the connection's greenlet sees the end."""
+        """Close both directions; the connection's greenlet sees the end.
+
+        A request that has arrived but was not read yet is not served.
+        """
+        self.is_stalled = True
         try:
             self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:
