Verify removals learned by sync; do not gossip suspicions

Cause: on a simulated fleet of 512, losing a quarter reached 99% of the tables after 29 s and the healed partition took 64 s, because each side took over the other side's old removals and suspicions filled the messages. Change: a removal read from another table leads to a probe, not to a removal; the accuser alone tells the suspect, directly and through relays; lost members cost half of a message's update budget and get no gossip; tables that differ in many buckets are compared every second. Ruled out: sending up to 800 records a sync, 55 KB at once.

--- a/hawthornfold/membership/exchange.py
+++ b/hawthornfold/membership/exchange.py
@@ -5,9 +5,13 @@
 
 _JOIN_FANOUT = 3
 # About 55 KB; a node that joins gets as many messages as it takes.
-_MAX_RECORDS = 800
-# Tables that differ by more members than this are compared again soon.
-_MANY_CHANGES = 16
+_JOIN_RECORDS = 800
+# About 8 KB, so that merging the sides of a healed partition, when every
+# node compares its table once a second, stays near the traffic budget.
+_SYNC_RECORDS = 128
+# Tables that differ in more buckets than this are compared again soon.
+# Single changes that are still spreading stay below it in a large fleet.
+_MANY_BUCKETS = 16
 
 
 class TableExchange:
@@ -62,10 +66,16 @@
         self._state.send(name, address, body)
 
     def on_join(self, sender, body, now_ms):
-        """Send all records to a node that joins."""
-        everything = [self._state.own, *self._state.table.records_in(None)]
-        for start in range(0, len(everything), _MAX_RECORDS):
-            part = everything[start : start + _MAX_RECORDS]
+        """Send the records of all live members to a node that joins."""
+        table = self._state.table
+        everything = [self._state.own]
+        everything += [
+            record
+            for record in table.records_in(None)
+            if table.is_live(record.name)
+        ]
+        for start in range(0, len(everything), _JOIN_RECORDS):
+            part = everything[start : start + _JOIN_RECORDS]
             updates = tuple(map(records.strip_known, part))
             reply = messages.SyncRecords((), updates, False, False)
             self._state.send(sender.name, sender.address, reply)
@@ -82,13 +92,15 @@
         sent = []
         found = self._records_by_bucket(buckets)
         for bucket in buckets:
-            if sent and len(updates) + len(found[bucket]) > _MAX_RECORDS:
+            if sent and len(updates) + len(found[bucket]) > _SYNC_RECORDS:
                 break
             sent.append(bucket)
             updates.extend(map(records.strip_known, found[bucket]))
-        is_truncated = len(sent) < len(buckets)
+        is_diverged = len(buckets) > _MANY_BUCKETS
+        if is_diverged:
+            self._sync_soon(now_ms)
         reply = messages.SyncRecords(
-            tuple(sent), tuple(updates), True, is_truncated
+            tuple(sent), tuple(updates), True, is_diverged
         )
         self._state.send(sender.name, sender.address, reply)
 
@@ -112,7 +124,7 @@
             if record.name not in stated
             or records.supersedes(record, stated[record.name])
         ]
-        if body.is_truncated or len(newer) > _MANY_CHANGES:
+        if body.is_diverged:
             self._sync_soon(now_ms)
         if newer:
             reply = messages.SyncRecords((), tuple(newer), False, False)
--- a/hawthornfold/membership/gossip.py
+++ b/hawthornfold/membership/gossip.py
@@ -2,8 +2,11 @@
 
 import collections
 
-# 12 updates of about 65 bytes bound a message to roughly 900 bytes.
-MAX_UPDATES = 12
+# An update about a live member takes about 65 bytes, one about a lost
+# member half of that: the budget bounds a message to about 800 bytes.
+BUDGET = 24
+LIVE_COST = 2
+LOST_COST = 1
 
 
 class GossipQueue:
@@ -24,25 +27,36 @@
             self._order.appendleft(name)
         self._remaining[name] = transmissions
 
-    def take(self, limit=MAX_UPDATES):
-        """Return up to `limit` names and count one transmission of each.
+    def take(self, cost_of, budget=BUDGET):
+        """Return names to send and count one transmission of each.
+
+        Parameters
+        ----------
+        cost_of : callable
+            Returns the cost of sending the record of a name.
+        budget : int
+            Upper bound of the total cost.
 
         Examples
         --------
         >>> queue = GossipQueue()
         >>> queue.add('a', 1)
         >>> queue.add('b', 2)
-        >>> queue.take()
+        >>> queue.take(lambda name: LIVE_COST)
         ['b', 'a']
-        >>> queue.take()
+        >>> queue.take(lambda name: LIVE_COST)
         ['b']
-        >>> queue.take()
+        >>> queue.take(lambda name: LIVE_COST)
         []
         """
         names = []
         kept = []
-        while self._order and len(names) < limit:
-            name = self._order.popleft()
+        while self._order:
+            name = self._order[0]
+            budget -= cost_of(name)
+            if budget < 0:
+                break
+            self._order.popleft()
             names.append(name)
             self._remaining[name] -= 1
             if self._remaining[name] > 0:
--- a/hawthornfold/membership/prober.py
+++ b/hawthornfold/membership/prober.py
@@ -1,5 +1,6 @@
 """Probing: random and indirect probes, suspicion and removal."""
 
+import collections
 import typing
 
 from hawthornfold.membership import records
@@ -16,6 +17,10 @@
 _ABSENT_RATE = 2.0
 
 
+# Removals read from another table wait here for a probe of this node's own.
+_MAX_DOUBTED = 256
+
+
 class _Suspicion(typing.NamedTuple):
     """A member that this node accused itself."""
 
@@ -42,6 +47,7 @@
         self._random = random
         self._book = ProbeBook(random.getrandbits(31))
         self._suspicions = {}
+        self._doubted = collections.deque(maxlen=_MAX_DOUBTED)
         self._doubt = 0
         self._next_probe_ms = 0.0
 
@@ -64,11 +70,31 @@
             table = self._state.table
             for record in table.choose_live(self._random, 1):
                 self._probe(record, Purpose.ROUTINE, now_ms)
+            if self._doubted:
+                record = table.get(self._doubted.popleft())
+                if record is not None and table.is_live(record.name):
+                    self._probe(record, Purpose.ROUTINE, now_ms)
             self._probe_absent(now_ms)
             for suspicion in self._suspicions.values():
                 self._probe(suspicion.record, Purpose.SUSPECT, now_ms)
         self._remove_expired(now_ms)
 
+    def verify(self, removed):
+        """Probe a member that another table holds as removed.
+
+        The other node may come from the far side of a partition that has
+        healed, so its old removals are not taken over unseen: this side's
+        members would all be lost for a moment.
+        """
+        record = self._state.table.get(removed.name)
+        if (
+            record is not None
+            and self._state.table.is_live(removed.name)
+            and records.supersedes(removed, record)
+            and removed.name not in self._doubted
+        ):
+            self._doubted.append(removed.name)
+
     def confirm(self, chosen, now_ms):
         """Probe `chosen` records to confirm this node's view."""
         for record in chosen:
@@ -160,13 +186,17 @@
             self._random, _RELAY_COUNT, without=(probe.name,)
         )
         for other in others:
+            updates = self._state.updates_for(other.name)
+            if target.status != records.ALIVE:
+                # The relay passes the accusation on, to be refuted.
+                updates = (records.strip_known(target), *updates)
             body = messages.PingReq(
                 sequence,
                 target.name,
                 target.address,
                 own.data_centre,
                 own.counter,
-                self._state.updates_for(other.name),
+                updates,
             )
             self._state.send(other.name, other.address, body)
         self._book.replace(
--- a/hawthornfold/membership/state.py
+++ b/hawthornfold/membership/state.py
@@ -1,11 +1,11 @@
 """The membership state machine: merging, messages, joining and syncing."""
 
+from hawthornfold.membership import gossip
 from hawthornfold.membership import records
 from hawthornfold.membership.actions import Change
 from hawthornfold.membership.actions import Send
 from hawthornfold.membership.confirmation import Confirmation
 from hawthornfold.membership.exchange import TableExchange
-from hawthornfold.membership.gossip import GossipQueue
 from hawthornfold.membership.prober import Prober
 from hawthornfold.membership.records import Member
 from hawthornfold.membership.table import MemberTable
@@ -42,7 +42,7 @@
         self._options = options
         self._random = random
         self._table = MemberTable()
-        self._queue = GossipQueue()
+        self._queue = gossip.GossipQueue()
         self._actions = []
         self._confirmation = Confirmation(now_ms, options.probe_interval_ms)
         self._prober = Prober(self, options, random)
@@ -53,6 +53,7 @@
         self._is_own_leaving = False
         self._version = 1
         self._members = None
+        self._revision = 0
         self._now_ms = now_ms
         self._handlers = {
             messages.Ping: self._on_ping,
@@ -92,7 +93,8 @@
     @property
     def members(self):
         """The live members, the node itself first, as `Member` tuples."""
-        if self._members is None:
+        if self._members is None or self._revision != self._table.revision:
+            self._revision = self._table.revision
             is_leaving = self.is_leaving or self._is_own_leaving
             own = Member(
                 self._own.name,
@@ -147,8 +149,12 @@
         if not self._is_admitted(sender):
             self._answer_stranger(sender, body)
             return
+        is_table = isinstance(body, messages.SyncRecords)
         for update in getattr(body, 'updates', ()):
-            self.merge(update, sender.name)
+            if is_table and update.status == records.REMOVED:
+                self._prober.verify(update)
+            else:
+                self.merge(update, sender.name)
         self._handlers[type(body)](sender, body, now_ms)
 
     def tick(self, now_ms):
@@ -233,17 +239,18 @@
         What this node holds against the receiver comes first, so that the
         receiver can refute it.
         """
-        names = self._queue.take()
         record = self._table.get(name)
-        updates = []
         if record is not None and record.status != records.ALIVE:
-            updates.append(records.strip_known(record))
-        for queued in names:
+            # Nothing else, since a lost member would pass nothing on.
+            return (records.strip_known(record),)
+        if record is None:
+            return ()
+        updates = []
+        for queued in self._queue.take(self._cost_of):
             if queued == self._own.name:
                 updates.append(self._own)
             elif queued != name and self._table.get(queued) is not None:
-                record = self._table.get(queued)
-                updates.append(records.strip_known(record))
+                updates.append(records.strip_known(self._table.get(queued)))
         return tuple(updates)
 
     def observe_answer(self, name):
@@ -297,13 +304,21 @@
 
     def _store(self, update, kind, before, cause):
         self._table.put(update)
-        self._enqueue(update.name)
+        if update.status != records.SUSPECT:
+            # The accuser tells the suspect itself, directly and through
+            # relays; others need to know of the outcome only.
+            self._enqueue(update.name)
         self._confirmation.observe_member(self._now_ms)
         if update.status >= records.REMOVED:
             self._tombstones.append((self._now_ms, update.name))
         after = records.STATUS_NAMES[update.status]
         self._bump(kind, update.name, before, after, cause)
 
+    def _cost_of(self, name):
+        record = self._table.get(name)
+        is_lost = record is not None and record.status != records.ALIVE
+        return gossip.LOST_COST if is_lost else gossip.LIVE_COST
+
     def _enqueue(self, name):
         count = records.transmission_limit(self._table.live_count)
         self._queue.add(name, count)
--- a/hawthornfold/membership/table.py
+++ b/hawthornfold/membership/table.py
@@ -17,6 +17,7 @@
 
     def __init__(self):
         self._records = {}
+        self._revision = 0
         self._live = []
         self._positions = {}
         self._digests = [0] * records.BUCKET_COUNT
@@ -25,6 +26,11 @@
         self._absent = []
         self._absent_positions = {}
 
+    @property
+    def revision(self):
+        """Grows with every change of a record."""
+        return self._revision
+
     @property
     def live_count(self):
         """Number of live members, the node itself not included."""
@@ -114,6 +120,7 @@
             if name in self._known:
                 _insert(self._absent, self._absent_positions, name)
         self._records[name] = record
+        self._revision += 1
 
     def forget(self, name):
         """Drop the record of a removed member."""
--- a/hawthornfold/membership/tests/test_fleet.py
+++ b/hawthornfold/membership/tests/test_fleet.py
@@ -5,9 +5,9 @@
 from hypothesis import strategies as st
 
 from hawthornfold.membership import LEASE_MS
+from hawthornfold.membership import gossip
 from hawthornfold.membership import simulation
 from hawthornfold.membership.actions import Options
-from hawthornfold.membership.gossip import MAX_UPDATES
 from hawthornfold.peers import Sender
 from hawthornfold.peers import messages
 
@@ -293,4 +293,4 @@
         fleet.run_for(8000)
         for node in fleet.running():
             updates = node.state.updates_for('entry-59')
-            self.assertLessEqual(len(updates), MAX_UPDATES + 1)
+            self.assertLessEqual(len(updates), gossip.BUDGET + 1)
--- a/hawthornfold/peers/messages.py
+++ b/hawthornfold/peers/messages.py
@@ -87,13 +87,14 @@
 class SyncRecords(typing.NamedTuple):
     """Member records of `buckets`, all of them or the newer ones.
 
-    `is_request` asks the receiver to return what it knows better.
+    `is_request` asks the receiver to return what it knows better,
+    `is_diverged` to compare the tables again soon.
     """
 
     buckets: tuple[int, ...]
     updates: tuple[Update, ...]
     is_request: bool
-    is_truncated: bool
+    is_diverged: bool
 
 
 MEMBERSHIP_BODIES = (Ping, PingReq, Ack, Join, Leave, Sync, SyncRecords)
