Keep waiting for owners that leave as planned

Cause: reading the code: an entry took a planned leave of an owner for its death and gave up on non-idempotent work that the owner still finishes, which would cut requests in a rolling restart. Ruled out: delaying the leave until idle, since work would keep arriving. Change: only owners that died fail their attempts; owners remember finished non-idempotent attempts, so that a repeated message never runs them again.

--- a/hawthornfold/membership/service.py
+++ b/hawthornfold/membership/service.py
@@ -7,6 +7,7 @@
 from hawthornfold.membership.actions import Options
 from hawthornfold.membership.actions import Send
 from hawthornfold.membership.records import ALIVE
+from hawthornfold.membership.records import LEFT
 from hawthornfold.membership.state import MembershipState
 from hawthornfold.peers import messages
 
@@ -44,6 +45,14 @@
         """Whether a newer process has taken this node's name."""
         return self._state.is_superseded
 
+    def has_left(self, name):
+        """Return whether a node announced a planned leave.
+
+        Such a node still finishes the work it has accepted.
+        """
+        record = self._state.table.get(name)
+        return record is not None and record.status == LEFT
+
     def is_confirmed(self, now_ms):
         """Return whether the node may act on `members`.
 
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -6,6 +6,8 @@
 whether the attempt ran, or a failure.
 """
 
+import collections
+
 import eventlet
 import logbook
 from result import Err
@@ -27,6 +29,9 @@
 TICK_MS = 100.0
 # Longest time that working out ownership keeps the loop.
 SLICE_MS = 10.0
+# A message that the network repeats arrives within seconds; this many
+# attempts cover minutes of non-idempotent work.
+MAX_FINISHED = 20_000
 
 _LOG = logbook.Logger('owners')
 
@@ -47,6 +52,8 @@
         self._membership = context.membership
         self._states = {}
         self._jobs = {}
+        # Keys of non-idempotent attempts that ended, oldest first.
+        self._finished = collections.OrderedDict()
         self._local_reply = None
         self._is_ownership_stale = True
         self._health = HealthMonitor(self, context)
@@ -144,7 +151,7 @@
         if state.incarnation and work.snapshot not in state.held:
             self._refuse(job, ResultCode.BACKEND_SNAPSHOT, 'not held')
             return None
-        if job.key in self._jobs:
+        if job.key in self._jobs or job.key in self._finished:
             # A repeated message never runs a second time.
             self._metrics.count('owner_duplicate_work')
             return None
@@ -312,6 +319,8 @@
     ):
         if self._jobs.get(job.key) is job:
             del self._jobs[job.key]
+            if not job.work.idempotent:
+                self._remember_finished(job.key)
         self._metrics.count('owner_attempts', code=code.name)
         reply = messages.WorkReply(
             job.work.request_id,
@@ -333,6 +342,11 @@
         else:
             self._links.send(job.sender.name, job.sender.address, reply)
 
+    def _remember_finished(self, key):
+        self._finished[key] = None
+        if len(self._finished) > MAX_FINISHED:
+            self._finished.popitem(last=False)
+
     # Upkeep
 
     def run(self):
--- a/hawthornfold/queries/runner.py
+++ b/hawthornfold/queries/runner.py
@@ -106,8 +106,7 @@
         lost = [
             name
             for name, member in self._members.items()
-            if name not in members
-            or members[name].incarnation != member.incarnation
+            if self._has_died(name, member, members)
         ]
         self._members = members
         now_ms = self._clock.now_ms()
@@ -116,6 +115,13 @@
                 actions = query.execution.on_owner_lost(name, now_ms)
                 self._perform(query, actions, now_ms)
 
+    def _has_died(self, name, member, members):
+        if name in members:
+            return members[name].incarnation != member.incarnation
+        # An owner that leaves as planned still answers what it accepted;
+        # giving up on it would cut non-idempotent requests.
+        return not self._membership.has_left(name)
+
     def run(self, request, decision):
         """Run a query to its end; return its `QueryOutcome`."""
         now_ms = self._clock.now_ms()
