--- a/hawthornfold/queries/execution.py
+++ b/hawthornfold/queries/execution.py
@@ -18,9 +18,9 @@
 from hawthornfold.codes import ResultCode
 from hawthornfold.queries import attempts as attempt_module
 from hawthornfold.queries.attempts import AttemptKind
-from hawthornfold.queries.outcomes import QueryOutcome
+from hawthornfold.queries.progress import SnapshotRun
+from hawthornfold.queries.progress import conclude
 from hawthornfold.routing import plan_fanout
-from hawthornfold.snapshots import compute_coverage
 
 # A query is restarted on another snapshot at most this often; each restart
 # repeats all of its sub-requests.
@@ -60,21 +60,6 @@
     owner: str
 
 
-class _SnapshotRun:
-    """Progress on one pinned snapshot."""
-
-    def __init__(self, layout):
-        self.layout = layout
-        self.shards = {shard.name: shard for shard in layout.shards}
-        self.answers = {}
-        self.tries = dict.fromkeys(self.shards, 0)
-        self.tried = {name: set() for name in self.shards}
-        self.last_code = ResultCode.SNAPSHOT_UNAVAILABLE
-
-    def coverage(self):
-        return compute_coverage(self.layout, self.answers)
-
-
 class QueryExecution:
     """One query from its fan-out to its outcome."""
 
@@ -210,7 +195,7 @@
     # Sending
 
     def _pin(self, layout, now_ms):
-        self._run = _SnapshotRun(layout)
+        self._run = SnapshotRun(layout)
         actions = self._send(layout.shards, AttemptKind.PRIMARY, now_ms)
         if not self._open_attempts:
             return actions + self._settle((), False, now_ms)
@@ -380,7 +365,7 @@
             return None
         layout = self._group.find_layout(alternatives[0])
         share = self._selector.share(layout, now_ms)
-        if share <= _covered_share(self._run):
+        if share <= self._run.covered_share:
             return None
         self._ended_runs.append(self._run)
         return self._pin(layout, now_ms)
@@ -402,64 +387,13 @@
         runs = list(self._ended_runs)
         if self._run is not None:
             runs.append(self._run)
-        answered = [run for run in runs if run.answers]
-        if not answered:
-            self._outcome = self._fail(code)
-            return
-        best = max(answered, key=_covered_share)
-        self._outcome = self._answer(best, code)
-
-    def _fail(self, code):
-        ran = self._ran()
-        outcome = 'refused' if ran is Ran.NO else 'failed'
-        return QueryOutcome(outcome, code, 'no shard answered', ran)
-
-    def _answer(self, run, code):
-        coverage = run.coverage()
-        answers = tuple(
-            run.answers[name] for name in run.shards if name in run.answers
-        )
-        snapshot = run.layout.snapshot
-        if coverage.is_complete:
-            return QueryOutcome(
-                'complete',
-                ResultCode.OK,
-                '',
-                Ran.YES,
-                snapshot,
-                coverage,
-                answers,
-            )
-        reached = coverage.reaches(self._decision.coverage_percent)
-        if not reached and self._decision.below_coverage == 'refuse':
-            return QueryOutcome(
-                'refused',
-                ResultCode.COVERAGE_TOO_LOW,
-                f'last cause: {code.name}',
-                Ran.YES,
-                snapshot,
-                coverage,
-            )
-        return QueryOutcome(
-            'partial',
-            ResultCode.PARTIAL,
-            f'last cause: {code.name}',
-            Ran.YES,
-            snapshot,
-            coverage,
-            answers,
-        )
+        self._outcome = conclude(runs, self._decision, code, self._ran())
 
 
 def _is_hedgeable(attempt):
     return attempt.kind is not AttemptKind.HEDGE and not attempt.is_hedged
 
 
-def _covered_share(run):
-    coverage = run.coverage()
-    return coverage.answered_weight / coverage.total_weight
-
-
 def create_query_execution(
     request, decision, group, selector, chooser, budget, hedge, now_ms
 ):
--- /dev/null
+++ b/hawthornfold/queries/progress.py
@@ -0,0 +1,101 @@
+"""Progress of a query on one pinned snapshot, and its outcome."""
+
+from hawthornfold.backends import Ran
+from hawthornfold.codes import ResultCode
+from hawthornfold.queries.outcomes import QueryOutcome
+from hawthornfold.snapshots import compute_coverage
+
+
+class SnapshotRun:
+    """Answers and tries of one query on one snapshot.
+
+    Attributes
+    ----------
+    layout : Layout
+        The pinned snapshot's layout.
+    shards : dict of str to Shard
+        Its shards by name.
+    answers : dict of str to ShardAnswer
+        At most one answer for each shard.
+    tries : dict of str to int
+        How often each shard was sent.
+    tried : dict of str to set of Target
+        Where each shard was sent.
+    last_code : ResultCode
+        Why the last attempt failed.
+    """
+
+    def __init__(self, layout):
+        self.layout = layout
+        self.shards = {shard.name: shard for shard in layout.shards}
+        self.answers = {}
+        self.tries = dict.fromkeys(self.shards, 0)
+        self.tried = {name: set() for name in self.shards}
+        self.last_code = ResultCode.SNAPSHOT_UNAVAILABLE
+
+    @property
+    def covered_share(self):
+        """The answered part of the weight, between 0 and 1."""
+        coverage = self.coverage()
+        return coverage.answered_weight / coverage.total_weight
+
+    def coverage(self):
+        """Return the `Coverage` of the answers so far."""
+        return compute_coverage(self.layout, self.answers)
+
+
+def conclude(runs, decision, code, ran):
+    """Return the outcome of a query.
+
+    Parameters
+    ----------
+    runs : list of SnapshotRun
+        One for each snapshot the query was pinned to; the one that covers
+        most gives the answer, never two of them together.
+    decision : Decision
+        The matched rule.
+    code : ResultCode
+        Why the query ended.
+    ran : Ran
+        Whether any attempt ran.
+    """
+    answered = [run for run in runs if run.answers]
+    if not answered:
+        outcome = 'refused' if ran is Ran.NO else 'failed'
+        return QueryOutcome(outcome, code, 'no shard answered', ran)
+    best = max(answered, key=lambda run: run.covered_share)
+    coverage = best.coverage()
+    snapshot = best.layout.snapshot
+    cause = f'last cause: {code.name}'
+    answers = tuple(
+        best.answers[name] for name in best.shards if name in best.answers
+    )
+    if coverage.is_complete:
+        return QueryOutcome(
+            'complete',
+            ResultCode.OK,
+            '',
+            Ran.YES,
+            snapshot,
+            coverage,
+            answers,
+        )
+    reached = coverage.reaches(decision.coverage_percent)
+    if not reached and decision.below_coverage == 'refuse':
+        return QueryOutcome(
+            'refused',
+            ResultCode.COVERAGE_TOO_LOW,
+            cause,
+            Ran.YES,
+            snapshot,
+            coverage,
+        )
+    return QueryOutcome(
+        'partial',
+        ResultCode.PARTIAL,
+        cause,
+        Ran.YES,
+        snapshot,
+        coverage,
+        answers,
+    )
