--- a/hawthornfold/audit/journal.py
+++ b/hawthornfold/audit/journal.py
@@ -7,6 +7,9 @@
 # A query to 60 shards with hedges writes about 150 events; more than this
 # many would only repeat them.
 MAX_EVENTS = 1024
+# Events of all requests together, about 175 bytes each. 4,096 queries of 650
+# shards without this limit would take 700 MB.
+MAX_TOTAL_EVENTS = 100_000
 
 
 class JournalEvent(typing.NamedTuple):
@@ -42,6 +45,7 @@
         self._clock = clock
         self._capacity = capacity
         self._records = collections.OrderedDict()
+        self._total_events = 0
 
     def events(self, request_id):
         """Return the events of a request, or None when none are held."""
@@ -50,9 +54,16 @@
 
     def open(self, request_id):
         """Start the record of a request; events before it are refused."""
+        previous = self._records.pop(request_id, None)
+        if previous is not None:
+            self._total_events -= len(previous.events)
         self._records[request_id] = _Record(self._clock.now_ms(), [])
-        while len(self._records) > self._capacity:
-            self._records.popitem(last=False)
+        while (
+            len(self._records) > self._capacity
+            or self._total_events > MAX_TOTAL_EVENTS
+        ):
+            _, oldest = self._records.popitem(last=False)
+            self._total_events -= len(oldest.events)
 
     def add(self, request_id, action, subject, detail=''):
         """Append an event to a request's record."""
@@ -60,6 +71,7 @@
         if record is None or len(record.events) >= MAX_EVENTS:
             return
         offset_ms = self._clock.now_ms() - record.started_ms
+        self._total_events += 1
         record.events.append(JournalEvent(offset_ms, action, subject, detail))
 
 
