Hedge through another owner when the first one is silent

Cause: both replicas of a shard often have the same first owner, so a hedge waited for the same dead node until the membership removed it after 3 to 5 s. Ruled out: a shorter suspicion time, which pauses of the loop would trip. Change: a hedge prefers targets of other owners when nothing was heard from the owner since the attempt was sent. Result: the new test fails without the preference and passes with it.

--- a/hawthornfold/nodes/wiring.py
+++ b/hawthornfold/nodes/wiring.py
@@ -1,5 +1,7 @@
 """Connects the services of a node: messages, subscriptions, callbacks."""
 
+import functools
+
 from hawthornfold.configuration import VMS_KEY
 from hawthornfold.owners import CancelWork
 from hawthornfold.owners import DrainNotice
@@ -12,7 +14,11 @@
 def connect_services(context, handler):
     """Connect the services of `context`; `handler` answers requests."""
     _register_messages(context)
-    context.owner_service.set_local_reply(context.query_runner.handle_reply)
+    context.owner_service.set_local_reply(
+        functools.partial(
+            context.query_runner.handle_reply, context.settings.node.name
+        )
+    )
     context.ticket_service.set_handler(handler.handle)
     context.pause_guard.set_confirmation(context.membership.is_confirmed)
     context.membership.subscribe(lambda: _on_members(context))
@@ -29,7 +35,9 @@
         (DrainNotice, owner.handle_drain_notice),
         (
             WorkReply,
-            lambda sender, body: context.query_runner.handle_reply(body),
+            lambda sender, body: context.query_runner.handle_reply(
+                sender.name, body
+            ),
         ),
         (ticket_messages.Forward, tickets.handle_forward),
         (ticket_messages.ForwardReply, tickets.handle_forward_reply),
--- a/hawthornfold/queries/execution.py
+++ b/hawthornfold/queries/execution.py
@@ -201,11 +201,14 @@
             return actions + self._settle((), False, now_ms)
         return actions
 
-    def _send(self, shards, kind, now_ms):
-        """Send each shard to its best target that was not tried yet."""
+    def _send(self, shards, kind, now_ms, silent_owner=None):
+        """Send each shard to its best target that was not tried yet.
+
+        Targets of `silent_owner` come last.
+        """
 
         def choose(shard):
-            return self._next_target(shard, now_ms)
+            return self._next_target(shard, now_ms, silent_owner)
 
         actions = []
         for part in plan_fanout(shards, choose):
@@ -239,16 +242,20 @@
             kind,
         )
 
-    def _next_target(self, shard, now_ms):
+    def _next_target(self, shard, now_ms, silent_owner):
         if self._run.tries[shard.name] >= MAX_TRIES_PER_SHARD:
             return None
         tried = self._run.tried[shard.name]
+        last_resort = None
         for target in self._chooser.candidates(
             shard, self._run.layout.snapshot, now_ms
         ):
-            if target not in tried:
+            if target in tried:
+                continue
+            if target.owner != silent_owner:
                 return target
-        return None
+            last_resort = last_resort or target
+        return last_resort
 
     def _hedge(self, attempt, now_ms):
         shards = [
@@ -256,7 +263,11 @@
             for name in attempt.shards
             if name not in self._run.answers
         ]
-        return self._send(shards, AttemptKind.HEDGE, now_ms)
+        owner = attempt.target.owner
+        silent_owner = None
+        if self._chooser.is_silent(owner, attempt.sent_ms):
+            silent_owner = owner
+        return self._send(shards, AttemptKind.HEDGE, now_ms, silent_owner)
 
     # Settling
 
--- a/hawthornfold/queries/runner.py
+++ b/hawthornfold/queries/runner.py
@@ -87,6 +87,7 @@
         self._ranker = create_replica_ranker()
         self._budget = create_extra_load_budget()
         self._running = {}
+        self._heard_ms = {}
         self._members = {}
         self.refresh_members()
 
@@ -111,6 +112,7 @@
         self._members = members
         now_ms = self._clock.now_ms()
         for name in lost:
+            self._heard_ms.pop(name, None)
             for query in list(self._running.values()):
                 actions = query.execution.on_owner_lost(name, now_ms)
                 self._perform(query, actions, now_ms)
@@ -139,7 +141,7 @@
             group_state.selector,
             self._ranker,
             self._policy,
-            now_ms,
+            self._heard_ms,
         )
         execution = create_query_execution(
             request,
@@ -165,9 +167,10 @@
 
     # Events
 
-    def handle_reply(self, reply):
-        """Take a `WorkReply` from an owner."""
+    def handle_reply(self, owner, reply):
+        """Take a `WorkReply` from the node `owner`."""
         now_ms = self._clock.now_ms()
+        self._heard_ms[owner] = now_ms
         self._learn(reply, now_ms)
         query = self._running.get(reply.request_id)
         if query is None:
--- a/hawthornfold/queries/targets.py
+++ b/hawthornfold/queries/targets.py
@@ -18,12 +18,12 @@
 class TargetChooser:
     """Targets of one query; replica scores are computed once."""
 
-    def __init__(self, group, selector, ranker, policy, now_ms):
+    def __init__(self, group, selector, ranker, policy, heard_ms):
         self._group = group
         self._selector = selector
         self._ranker = ranker
         self._policy = policy
-        self._now_ms = now_ms
+        self._heard_ms = heard_ms
         self._ranks = {}
 
     def candidates(self, shard, snapshot, now_ms):
@@ -41,6 +41,15 @@
         servers.sort(key=lambda name: self._ranker.is_excluded(name, now_ms))
         return self._expand(servers)
 
+    def is_silent(self, owner, since_ms):
+        """Return whether nothing came from `owner` since `since_ms`.
+
+        An owner that dispatches is heard of many times within a hedge
+        delay; one that is silent for so long may be dead or paused, which
+        the membership takes seconds to find out.
+        """
+        return self._heard_ms.get(owner, 0.0) < since_ms
+
     def _rank(self, name):
         rank = self._ranks.get(name)
         if rank is None:
@@ -62,6 +71,12 @@
         ]
 
 
-def create_target_chooser(group, selector, ranker, policy, now_ms):
-    """Create the chooser of one query."""
-    return TargetChooser(group, selector, ranker, policy, now_ms)
+def create_target_chooser(group, selector, ranker, policy, heard_ms):
+    """Create the chooser of one query.
+
+    Parameters
+    ----------
+    heard_ms : dict of str to float
+        When this node last heard of each owner; read at each hedge.
+    """
+    return TargetChooser(group, selector, ranker, policy, heard_ms)
--- a/hawthornfold/queries/tests/test_execution.py
+++ b/hawthornfold/queries/tests/test_execution.py
@@ -1,3 +1,4 @@
+import collections
 import unittest
 
 from hypothesis import given
@@ -16,6 +17,7 @@
 from hawthornfold.queries import create_query_execution
 from hawthornfold.queries.targets import create_target_chooser
 from hawthornfold.routing import create_direct_policy
+from hawthornfold.routing import create_rendezvous_policy
 from hawthornfold.routing import create_replica_ranker
 from hawthornfold.rules import Decision
 from hawthornfold.snapshots import BackendServer
@@ -25,6 +27,7 @@
 from hawthornfold.snapshots import create_snapshot_selector
 
 SHARDS = 4
+Member = collections.namedtuple('Member', 'name data_centre')
 
 
 def create_group():
@@ -65,13 +68,13 @@
 class Harness:
     """One execution with everything held; `old` is the pinned snapshot."""
 
-    def __init__(self, **fields):
+    def __init__(self, policy=None, heard_ms=(), **fields):
         self.group = create_group()
         self.selector = create_snapshot_selector(self.group)
         for name in self.group.servers:
             self.selector.observe(name, 'i1', ('old',), 0.0)
         self.selector.advance(0.0)
-        policy = create_direct_policy('n1')
+        policy = policy or create_direct_policy('n1')
         self.execution = create_query_execution(
             QueryRequest('q1', 'group', 'search', 'x', 10, 7),
             create_decision(**fields),
@@ -82,7 +85,7 @@
                 self.selector,
                 create_replica_ranker(1),
                 policy,
-                0.0,
+                dict(heard_ms),
             ),
             create_extra_load_budget(initial=10.0),
             create_hedge_delay(),
@@ -160,6 +163,22 @@
         self.assertEqual('complete', harness.execution.outcome.outcome)
         self.assertEqual([1], [c.attempt for c in harness.cancels])
 
+    def test_hedges_through_another_owner_when_one_is_silent(self):
+        # Guards against hedges that wait for the same dead owner until the
+        # membership removes it, seconds after the deadline.
+        policy = create_rendezvous_policy()
+        policy.update_members([Member('n1', 'dc1'), Member('n2', 'dc1')])
+        harness = Harness(policy, {'n1': -1.0, 'n2': 5.0})
+        primary = list(harness.sends)
+        self.assertIn('n1', {send.owner for send in primary})
+        for send in primary:
+            if send.owner == 'n2':
+                harness.answer(send, 5.0)
+        harness.note(harness.execution.on_timer(40.0))
+        hedges = harness.sends[len(primary) :]
+        self.assertTrue(hedges)
+        self.assertEqual({'n2'}, {send.owner for send in hedges})
+
     def test_non_idempotent_is_not_sent_again_after_silence(self):
         # Guards against a payout that runs twice.
         harness = Harness(idempotent=False, hedge=False, max_retries=0)
