--- a/hawthornfold/integration/callers.py
+++ b/hawthornfold/integration/callers.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from hawthornfold import clock as clocks
 from hawthornfold.emulator import processes
 
 # Far above every rule's deadline: a caller that gives up by itself would
@@ -38,6 +39,9 @@
         HTTP status, 0 when the connection was cut.
     document : dict
         The answer, empty when the connection was cut.
+    began_ms, ended_ms : float
+        When the sending began and ended, on the machine's monotonic clock,
+        which the backends' ledger uses too.
     """
 
     query: TrialQuery
@@ -45,6 +49,8 @@
     ticket: str | None
     status: int
     document: dict
+    began_ms: float
+    ended_ms: float
 
     @property
     def request_id(self):
@@ -62,6 +68,7 @@
 
     def __init__(self, fleet, workers):
         self._fleet = fleet
+        self._clock = clocks.create_system_clock()
         self._pool = urllib3.PoolManager(
             num_pools=32, maxsize=workers, retries=False
         )
@@ -75,9 +82,9 @@
         return list(self._claims)
 
     def obtain_ticket(self, node):
-        """Ask a node for a ticket."""
+        """Ask a node for a ticket; None when it issues none."""
         _, document = self._exchange(node, '/v1/tickets', None, {})
-        return document['ticket']
+        return document.get('ticket')
 
     def ask(self, node, query, ticket=None):
         """Send a query to a node and wait; return its `Claim`."""
@@ -90,8 +97,17 @@
             'text': query.text,
             'limit': query.limit,
         }
+        began_ms = self._clock.now_ms()
         status, document = self._exchange(node, '/v1/query', body, headers)
-        claim = Claim(query, node, ticket, status, document)
+        claim = Claim(
+            query,
+            node,
+            ticket,
+            status,
+            document,
+            began_ms,
+            self._clock.now_ms(),
+        )
         self._claims.append(claim)
         return claim
 
@@ -99,6 +115,10 @@
         """Send a query without waiting; return a future of its `Claim`."""
         return self._executor.submit(self.ask, node, query, ticket)
 
+    def start(self, function, *arguments):
+        """Run a function among the callers; return its future."""
+        return self._executor.submit(function, *arguments)
+
     def spread(self, nodes, queries):
         """Send queries to nodes in turn; return futures of their claims."""
         return [
--- a/hawthornfold/integration/checks.py
+++ b/hawthornfold/integration/checks.py
@@ -3,7 +3,9 @@
 import collections
 
 
-def check_claims(claims, records, reference=None, at_most_once=()):
+def check_claims(
+    claims, records, reference=None, at_most_once=(), lost_servers=()
+):
     """Return the violations of the promises, one line each.
 
     Parameters
@@ -16,71 +18,133 @@
         Where given, answers are compared with it.
     at_most_once : collection of str
         Services whose queries must not run twice.
+    lost_servers : collection of str
+        Servers whose ledger ended with their process; that their shards ran
+        cannot be checked.
     """
     started = collections.defaultdict(list)
     for record in records:
         if record['started_ms'] is not None:
             started[record['request_id']].append(record)
+    sendings = collections.defaultdict(list)
+    for claim in claims:
+        sendings[claim.request_id].append(claim)
     violations = []
     for claim in claims:
-        violations += _check_not_run(claim, started)
+        violations += _check_not_run(claim, started, sendings)
         if claim.status == 200:
-            violations += _check_answer(claim, started, reference)
+            violations += _check_answer(
+                claim, started, reference, frozenset(lost_servers)
+            )
     violations += _check_at_most_once(claims, started, at_most_once)
     violations += _check_own_request(claims)
     return violations
 
 
-def _check_not_run(claim, started):
-    # A ticket may be refused for one sending and run for another; then the
-    # claim of "no" must still hold for everything under that ticket unless
-    # another sending was told that it ran.
+def _check_not_run(claim, started, sendings):
     if claim.ran != 'no' or claim.request_id is None:
         return []
     code = claim.document.get('code_name')
     if code in ('TICKET_CONFLICT', 'TICKET_REQUIRED'):
         # Says that this sending did not run, not the ticket's first one.
         return []
-    if claim.request_id in started:
-        return [f'{claim.request_id}: told "no" ({code}) but it ran']
-    return []
+    others = [
+        other
+        for other in sendings[claim.request_id]
+        if other is not claim and other.ran != 'no'
+    ]
+    return [
+        f'{claim.request_id}: told "no" ({code}) but it ran'
+        for record in started.get(claim.request_id, ())
+        if not _is_run_of_another(record, claim, others)
+    ][:1]
+
 
+def _is_run_of_another(record, claim, others):
+    """Return whether another sending of a ticket may have made the run.
 
-def _check_answer(claim, started, reference):
+    A "no" holds for all that was sent under the ticket before. A run that
+    belongs to a sending which began later, or was under way at the same
+    time, does not contradict it.
+    """
+    return any(
+        other.ended_ms > claim.began_ms
+        and record['started_ms'] >= other.began_ms
+        for other in others
+    )
+
+
+def _check_answer(claim, started, reference, lost_servers):
     document = claim.document
     snapshot = document['snapshot']
-    coverage = document['coverage']
+    missing = document['coverage']['missing_shards']
     violations = [
         f'{claim.request_id}: hit {hit["id"]} is not of {snapshot}'
         for hit in document['hits']
         if snapshot not in hit['text'].split()
     ]
-    missing = set(coverage['missing_shards'])
+    if (document['outcome'] == 'complete') is not (not missing):
+        violations.append(
+            f'{claim.request_id}: {document["outcome"]} without {missing}'
+        )
+    if reference is None:
+        return violations
+    names = reference.shards(claim.query.service, snapshot)
+    covered = [name for name in names if name not in missing]
+    return (
+        violations
+        + _check_coverage(claim, covered, reference)
+        + _check_ran(claim, covered, started, reference, lost_servers)
+        + _check_content(claim, covered, reference)
+    )
+
+
+def _check_coverage(claim, covered, reference):
+    snapshot = claim.document['snapshot']
+    service = claim.query.service
+    names = reference.shards(service, snapshot)
+    missing = claim.document['coverage']['missing_shards']
+    true_coverage = {
+        'answered_weight': reference.weight(service, snapshot, covered),
+        'total_weight': reference.weight(service, snapshot, names),
+        'missing_shards': sorted(set(names) - set(covered)),
+    }
+    told = claim.document['coverage'] | {'missing_shards': sorted(missing)}
+    if told == true_coverage:
+        return []
+    return [f'{claim.request_id}: told {told}, true is {true_coverage}']
+
+
+def _check_ran(claim, covered, started, reference, lost_servers):
+    snapshot = claim.document['snapshot']
     ran = {
         shard
         for record in started.get(claim.request_id, ())
         if record['snapshot'] == snapshot
         for shard in record['shards']
     }
-    if reference is None:
-        return violations
-    covered = [
-        name
-        for name in reference.shards(claim.query.service, snapshot)
-        if name not in missing
-    ]
-    if not set(covered) <= ran:
-        violations.append(
-            f'{claim.request_id}: covers {sorted(set(covered) - ran)}, '
-            f'which did not run'
-        )
-    total, hits = reference.answer(claim.query, snapshot, covered)
-    if (document['total'], document['hits']) != (total, hits):
-        violations.append(
-            f'{claim.request_id}: differs from the naive merge over '
-            f'{len(covered)} shards: {document["total"]} of {total}'
+    idle = [
+        shard
+        for shard in covered
+        if shard not in ran
+        and lost_servers.isdisjoint(
+            reference.replicas(claim.query.service, snapshot, shard)
         )
-    return violations
+    ]
+    if not idle:
+        return []
+    return [f'{claim.request_id}: covers {idle}, which did not run']
+
+
+def _check_content(claim, covered, reference):
+    document = claim.document
+    total, hits = reference.answer(claim.query, document['snapshot'], covered)
+    if (document['total'], document['hits']) == (total, hits):
+        return []
+    return [
+        f'{claim.request_id}: differs from the naive merge over '
+        f'{len(covered)} shards: {document["total"]} of {total}'
+    ]
 
 
 def _check_at_most_once(claims, started, services):
--- a/hawthornfold/integration/references.py
+++ b/hawthornfold/integration/references.py
@@ -35,6 +35,15 @@
         """Return the shard names of a snapshot."""
         return tuple(self._layouts[service, snapshot])
 
+    def replicas(self, service, snapshot, shard):
+        """Return the servers of a shard."""
+        return self._layouts[service, snapshot][shard]['replicas']
+
+    def weight(self, service, snapshot, shards):
+        """Return the weight of `shards` together."""
+        layout = self._layouts[service, snapshot]
+        return sum(layout[name]['weight'] for name in shards)
+
     def _read(self, query, snapshot, shard):
         key = (query, snapshot, shard)
         if key not in self._answers:
@@ -52,7 +61,7 @@
             'text': query.text,
             'limit': query.limit,
         }
-        for server in self._layouts[query.service, snapshot][shard]:
+        for server in self.replicas(query.service, snapshot, shard):
             place = self._fleet.plan.servers[server]
             status, document = self._fleet.call(
                 place.port, 'POST', '/v1/search', body
@@ -72,7 +81,7 @@
     """
     layouts = {
         (group, snapshot['name']): {
-            shard['name']: shard['replicas'] for shard in snapshot['shards']
+            shard['name']: shard for shard in snapshot['shards']
         }
         for group, document in documents.items()
         for snapshot in document['snapshots']
--- /dev/null
+++ b/hawthornfold/integration/tests/test_answers.py
@@ -0,0 +1,277 @@
+import contextlib
+import threading
+import unittest
+
+from hawthornfold.integration import repartition
+from hawthornfold.integration import trials
+from hawthornfold.integration.callers import TrialQuery
+
+PORTAL = 'voter-portal'
+PAYOUT_GROUP = 'payout-ledger'
+RECORDS = tuple(
+    TrialQuery('clerk-desk', kind='search', text=text)
+    for text in ('oakford', 's1')
+)
+
+
+class TrialCase(unittest.TestCase):
+    """One fleet for all tests of a class; each test heals what it broke."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.trial = cls.enterClassContext(trials.open_trial())
+
+    def setUp(self):
+        self.trial.begin()
+
+    def assert_promises_kept(self):
+        self.assertEqual([], self.trial.find_violations())
+
+    @contextlib.contextmanager
+    def faulty(self, servers, **fault):
+        """Set a fault under load; it must have met sub-requests that ran."""
+        before = self.trial.count_started(servers)
+        with self.trial.load(payouts=2):
+            self.trial.wait_for_answers(10)
+            self.trial.set_fault(servers, **fault)
+            self.trial.wait_for_answers(60)
+            yield
+            self.trial.set_fault(servers)
+            self.trial.wait_for_answers(20)
+        self.assertGreater(self.trial.count_started(servers), before)
+
+
+class SnapshotTest(TrialCase):
+    """P1: every answer comes from one snapshot."""
+
+    def test_rolling_upgrade(self):
+        # Guards against answers merged from yesterday's and tonight's index
+        # while servers move on one by one, every other replica first.
+        trial = self.trial
+        trials.publish_group(trial.fleet, PORTAL, 's1', 's2')
+        servers = trial.servers(PORTAL)
+        with trial.load(workers=6):
+            trial.wait_for_answers(10)
+            for server in servers[::2] + servers[1::2]:
+                trial.set_held(server, 's2')
+                trial.wait_for_answers(8)
+            trial.wait_for(lambda c: c.document.get('snapshot') == 's2', 20)
+        for snapshot in trials.SNAPSHOTS:
+            self.assertIn(
+                snapshot, {c.document.get('snapshot') for c in trial.claims}
+            )
+        self.assert_promises_kept()
+
+    def test_repartition(self):
+        # Guards against answers or coverage that mix the shards of two
+        # partitions of the index while queries run.
+        trial = self.trial
+        repartition.start_group(trial)
+        with trial.load(repartition.QUERIES):
+            trial.wait_for(_is_answer_of('s1'), 20)
+            for server in repartition.SERVERS:
+                trial.set_held(server, 's1', 's2')
+            repartition.publish(trial.fleet, 's1', 's2')
+            trial.wait_for(_is_answer_of('s2'), 20)
+            for server in repartition.SERVERS:
+                trial.set_held(server, 's2')
+                trial.wait_for_answers(5)
+            repartition.publish(trial.fleet, 's2')
+            trial.wait_for(_is_answer_of('s2'), 40)
+        self.assert_promises_kept()
+
+    def test_replicas_that_answer_with_another_snapshot(self):
+        # Guards against an answer that counts although it names, and holds,
+        # the data of another snapshot.
+        with self.faulty(
+            ['voter-portal-1a', 'voter-portal-2b', 'payout-ledger-1'],
+            wrong_snapshot=True,
+        ):
+            pass
+        self.assert_promises_kept()
+
+
+def _is_answer_of(snapshot):
+    return lambda claim: claim.document.get('snapshot') == snapshot
+
+
+class CoverageTest(TrialCase):
+    """P2 and P3: true coverage, the whole answer to the own request."""
+
+    def test_stragglers_and_late_answers(self):
+        # Guards against an answer to an abandoned attempt that is taken for
+        # the answer to the next request on the connection, and against
+        # coverage that counts it.
+        servers = ['voter-portal-1a', 'voter-portal-3b', 'payout-ledger-2']
+        with self.faulty(servers, late_ms=1500.0):
+            self.trial.set_fault(servers, slow_factor=60.0, slow_share=0.5)
+            self.trial.wait_for_answers(40)
+        self.assert_promises_kept()
+
+    def test_duplicate_answers(self):
+        # Guards against a second copy of an answer that is read as the
+        # answer to the next request on the connection.
+        with self.faulty(self.trial.servers(PORTAL)[::2], duplicate=True):
+            pass
+        self.assert_promises_kept()
+
+    def test_crossed_replies(self):
+        # Guards against the answer to another request that is merged.
+        with self.faulty(
+            self.trial.servers(PORTAL)[1::2] + ['payout-ledger-3'],
+            crossed=True,
+        ):
+            pass
+        self.assert_promises_kept()
+
+    def test_truncated_answers(self):
+        # Guards against a part of a reply that is taken for the whole.
+        with self.faulty(
+            ['voter-portal-4a', 'voter-portal-4b', 'payout-ledger-1'],
+            truncate=True,
+        ):
+            # Both replicas of a shard: the shard must be named as missing.
+            self.trial.wait_for(
+                lambda claim: claim.document.get('outcome') == 'partial'
+            )
+        self.assert_promises_kept()
+
+    def test_lost_replicas_and_restarts(self):
+        # Guards against coverage that counts shards of lost servers, and
+        # against answers of an earlier life of a server or node that reach
+        # a request of the next one.
+        trial = self.trial
+        with trial.load(workers=6, payouts=2):
+            for suffix in 'ab':
+                trial.fleet.control_server(
+                    f'voter-portal-2{suffix}', 'POST', 'stop'
+                )
+            trial.wait_for(
+                lambda c: (
+                    'shard-2'
+                    in (c.document.get('coverage') or {}).get(
+                        'missing_shards', ()
+                    )
+                )
+            )
+            trial.fleet.kill('entry-2')
+            for server in trial.servers(PORTAL)[:4]:
+                trial.fleet.control_server(server, 'POST', 'restart', {})
+                trial.wait_for_answers(5)
+            trial.fleet.start_again('entry-2')
+            for suffix in 'ab':
+                trial.fleet.control_server(
+                    f'voter-portal-2{suffix}', 'POST', 'start'
+                )
+            trial.wait_for(
+                lambda c: (
+                    c.node == 'entry-2'
+                    and c.document.get('outcome') == 'complete'
+                )
+            )
+            trial.kill_backends('backends-1')
+            trial.wait_for_answers(30)
+            trial.fleet.start_again('backends-1')
+            trial.wait_for_answers(30)
+        trial.heal()
+        self.assert_promises_kept()
+
+
+class NotRunTest(TrialCase):
+    """P4: what callers are told did not run did not run."""
+
+    def test_overload(self):
+        # Guards against "no" for shed queries of which some sub-requests
+        # ran, those of evicted and expired work included.
+        trial = self.trial
+        trial.set_fault(trial.servers(PORTAL), slow_factor=12.0)
+        trial.set_fault(trial.servers('clerk-desk'), shed_share=0.6)
+        trial.set_fault(trial.servers(PAYOUT_GROUP), shed_share=0.7)
+        with trial.load(trials.SEARCHES + RECORDS, workers=12, payouts=4):
+            trial.wait_for(lambda c: c.status != 200 and c.ran == 'no', 5)
+        self.assert_promises_kept()
+
+    def test_hedge_losers_in_a_queue(self):
+        # Guards against "no" from a loser cancelled in a queue while the
+        # winner ran.
+        trial = self.trial
+        servers = trial.servers(PORTAL)[::2]
+        status = tuple(
+            TrialQuery(PORTAL, kind='status', text=f'{PORTAL}-shard-1-0000{i}')
+            for i in range(4)
+        )
+        trial.set_fault(servers, slow_factor=15.0, slow_share=0.3)
+        with trial.load(status, workers=8):
+            trial.wait_for_answers(100)
+        trial.set_fault(servers)
+        self.assertTrue(
+            any(
+                counts['cancelled_queued'] + counts['cancelled_running']
+                for counts in trial.fleet.collect_counters().values()
+            )
+        )
+        self.assert_promises_kept()
+
+    def test_draining_servers(self):
+        # Guards against "no" for a payout of which one server refused its
+        # part while another ran its own.
+        trial = self.trial
+        servers = ['payout-ledger-1', 'payout-ledger-2']
+        with trial.load(payouts=6):
+            trial.wait_for_answers(10)
+            trial.set_fault(servers[:1], draining=True)
+            trial.set_fault(servers[1:], drain_flag_hidden=True)
+            trial.wait_for(lambda c: c.document.get('outcome') == 'partial')
+            trial.wait_for_answers(20)
+        trial.heal()
+        self.assert_promises_kept()
+
+    def test_entry_that_drains(self):
+        # Guards against "no" from a stopping node for a ticket of which an
+        # earlier sending ran.
+        trial = self.trial
+        with trial.load(payouts=6):
+            trial.wait_for_answers(20)
+            stopping = threading.Thread(
+                target=trial.fleet.terminate, args=('entry-3',)
+            )
+            stopping.start()
+            trial.wait_for_answers(30)
+            stopping.join()
+        trial.heal()
+        self.assert_promises_kept()
+
+    def test_kills_in_the_middle_of_requests(self):
+        # Guards against "no" for work that the dead node or process had
+        # sent, or was about to send, at any moment of a request.
+        trial = self.trial
+        trial.set_fault(trial.servers(PAYOUT_GROUP), slow_factor=4.0)
+        with trial.load(workers=3, payouts=5):
+            for step in range(3):
+                trial.wait_for_answers(7 + 4 * step)
+                # Entry of a third of the queries, and owner of a third of
+                # the servers of all others.
+                trial.fleet.kill('entry-1')
+                trial.wait_for_answers(10)
+                trial.fleet.start_again('entry-1')
+                trial.fleet.wait_until_ready(['entry-1'])
+            trial.kill_backends('backends-2')
+            trial.wait_for_answers(20)
+        trial.heal()
+        self.assert_promises_kept()
+
+    def test_node_without_configuration(self):
+        # Guards against work that a node starts, or takes for refused,
+        # before it knows rules and servers.
+        trial = self.trial
+        for name in trial.fleet.nodes:
+            trial.fleet.kill(name)
+        trial.fleet.control_platform('PUT', '/control/fault', {'down': True})
+        trial.fleet.start_again('entry-1')
+        with trial.load(payouts=2):
+            trial.wait_for(
+                lambda c: c.document.get('code_name') == 'NOT_READY', 10
+            )
+            trial.heal()
+            trial.wait_for_answers(20)
+        self.assert_promises_kept()
--- /dev/null
+++ b/hawthornfold/integration/trials.py
@@ -0,0 +1,261 @@
+"""A fleet under load with faults, and what must hold afterwards."""
+
+import contextlib
+import itertools
+import json
+import threading
+
+from hawthornfold.emulator import deployment_files
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import fleet as fleets
+from hawthornfold.integration.callers import TrialQuery
+from hawthornfold.integration.callers import create_trial_caller
+from hawthornfold.integration.checks import check_claims
+from hawthornfold.integration.references import create_reference_reader
+
+SNAPSHOTS = (deployments.FIRST_SNAPSHOT, deployments.NEXT_SNAPSHOT)
+# Words of a few documents, and the names of the snapshots, which match all
+# documents of one snapshot and none of the other.
+SEARCHES = tuple(
+    TrialQuery('voter-portal', text=text, limit=limit)
+    for text, limit in (
+        ('oakford', 10),
+        ('s1', 3),
+        ('claymill', 2),
+        ('s2', 20),
+        ('saltport', 10),
+    )
+)
+PAYOUTS = tuple(
+    TrialQuery('payout-ledger', text=text) for text in ('oakford', 's1')
+)
+AT_MOST_ONCE = ('payout-ledger',)
+# Between two queries of one worker, so that a refused connection does not
+# turn the callers into a flood.
+PAUSE_S = 0.01
+WAIT_S = 30.0
+
+
+class TrialTimeout(Exception):
+    """What a trial waited for did not happen."""
+
+
+class Trial:
+    """A running fleet with its callers."""
+
+    def __init__(self, fleet, caller):
+        self._fleet = fleet
+        self._caller = caller
+        self._documents = _build_documents(fleet)
+        self._records = {}
+        self._lost_servers = set()
+        self._first_claim = 0
+
+    @property
+    def fleet(self):
+        """The running fleet."""
+        return self._fleet
+
+    @property
+    def caller(self):
+        """The callers."""
+        return self._caller
+
+    @property
+    def claims(self):
+        """All claims since `begin`."""
+        return self._caller.claims[self._first_claim :]
+
+    def begin(self):
+        """Leave the claims so far out of what follows."""
+        self._first_claim = len(self._caller.claims)
+
+    def add_document(self, name, document):
+        """Let answers of another service group be checked as well."""
+        self._documents[name] = document
+
+    def servers(self, group):
+        """Return the names of the servers of a group."""
+        return [
+            name for name in self._fleet.plan.servers if name.startswith(group)
+        ]
+
+    # Load
+
+    @contextlib.contextmanager
+    def load(self, queries=SEARCHES, workers=4, payouts=0):
+        """Send queries through all nodes in turn while the block runs.
+
+        Parameters
+        ----------
+        queries : sequence of TrialQuery
+            Asked in turn.
+        workers : int
+            Callers that send `queries`.
+        payouts : int
+            Callers that send payouts, each twice through two nodes.
+        """
+        stop = threading.Event()
+        pending = [
+            self._caller.start(self._search, stop, queries, index)
+            for index in range(workers)
+        ]
+        pending += [
+            self._caller.start(self._pay, stop, index)
+            for index in range(payouts)
+        ]
+        try:
+            yield
+        finally:
+            stop.set()
+            for future in pending:
+                future.result()
+
+    def wait_for(self, condition, count=1):
+        """Wait for `count` new claims that meet `condition`."""
+        first = len(self.claims)
+        ticks = threading.Event()
+        for _ in range(int(WAIT_S / PAUSE_S)):
+            found = sum(1 for c in self.claims[first:] if condition(c))
+            if found >= count:
+                return
+            ticks.wait(PAUSE_S)
+        raise TrialTimeout(f'{found} of {count} claims after {WAIT_S} s')
+
+    def wait_for_answers(self, count):
+        """Wait for new claims that are answers."""
+        self.wait_for(lambda claim: claim.status == 200, count)
+
+    def _search(self, stop, queries, first):
+        nodes = self._fleet.nodes
+        for index in itertools.count(first):
+            if stop.wait(PAUSE_S):
+                return
+            self._caller.ask(
+                nodes[index % len(nodes)], queries[index % len(queries)]
+            )
+
+    def _pay(self, stop, first):
+        nodes = self._fleet.nodes
+        for index in itertools.count(first):
+            if stop.wait(PAUSE_S):
+                return
+            ticket = self._caller.obtain_ticket(nodes[index % len(nodes)])
+            if ticket is None:
+                continue
+            for step in range(2):
+                self._caller.ask(
+                    nodes[(index + step) % len(nodes)],
+                    PAYOUTS[index % len(PAYOUTS)],
+                    ticket,
+                )
+
+    # Faults
+
+    def set_fault(self, servers, **fault):
+        """Replace the faults of several backend servers."""
+        for server in servers:
+            self._fleet.set_server_fault(server, **fault)
+
+    def set_held(self, server, *snapshots):
+        """Replace the snapshots that a server holds."""
+        self._fleet.control_server(server, 'PUT', 'held', list(snapshots))
+
+    def kill_backends(self, process):
+        """End a backends process; its last ledger records are lost."""
+        self._keep_records()
+        self._fleet.kill(process)
+        self._lost_servers.update(
+            name
+            for name, place in self._fleet.plan.servers.items()
+            if place.process == process
+        )
+
+    def heal(self):
+        """End all faults; wait until every process and node is up."""
+        self._fleet.control_platform('PUT', '/control/fault', {})
+        for name in self._process_names():
+            process = self._fleet.process(name)
+            process.resume()
+            if not process.is_running():
+                process.start()
+        self._fleet.wait_for_ports()
+        for server in self._fleet.plan.servers:
+            self._fleet.set_server_fault(server)
+            self._fleet.control_server(server, 'POST', 'stop')
+            self._fleet.control_server(server, 'POST', 'start')
+        self._fleet.wait_until_ready()
+
+    # Verdict
+
+    def find_violations(self):
+        """Return what claims since `begin` violate, one line each."""
+        self._keep_records()
+        for server in self._fleet.plan.servers:
+            self._fleet.set_server_fault(server)
+            self.set_held(server, *SNAPSHOTS)
+        return check_claims(
+            self.claims,
+            list(self._records.values()),
+            create_reference_reader(self._fleet, self._documents),
+            AT_MOST_ONCE,
+            self._lost_servers,
+        )
+
+    def count_started(self, servers):
+        """Return how many sub-requests ran on `servers`."""
+        self._keep_records()
+        return sum(
+            1
+            for record in self._records.values()
+            if record['server'] in servers and record['started_ms'] is not None
+        )
+
+    def _keep_records(self):
+        for record in self._fleet.collect_ledger():
+            # The incarnation tells apart the processes of one server.
+            key = record['server'], record['incarnation'], record['sequence']
+            self._records[key] = record
+
+    def _process_names(self):
+        places = self._fleet.plan.servers.values()
+        return [
+            fleets.PLATFORM,
+            *sorted({place.process for place in places}),
+            *self._fleet.nodes,
+        ]
+
+
+def _build_documents(fleet):
+    keys = deployment_files.build_keys(
+        fleet.plan.deployment, fleet.plan.addresses(), SNAPSHOTS
+    )
+    return {
+        key.removeprefix('services/'): json.loads(value)
+        for key, value in keys.items()
+        if key.startswith('services/')
+    }
+
+
+def publish_group(fleet, name, *snapshots):
+    """Publish a group of the deployment with these snapshots."""
+    deployment = fleet.plan.deployment
+    document = deployment_files.build_group_document(
+        deployment,
+        deployment.find_group(name),
+        fleet.plan.addresses(),
+        snapshots,
+    )
+    fleet.publish_document(f'services/{name}', document)
+
+
+@contextlib.contextmanager
+def open_trial(node_count=3, workers=16, **options):
+    """Run the small deployment with callers; yield a `Trial`."""
+    deployment = deployments.create_small()
+    with fleets.open_fleet(deployment, node_count, **options) as fleet:
+        caller = create_trial_caller(fleet, workers)
+        try:
+            yield Trial(fleet, caller)
+        finally:
+            caller.close()
