--- a/hawthornfold/integration/trials.py
+++ b/hawthornfold/integration/trials.py
@@ -5,6 +5,7 @@
 import json
 import threading
 
+from hawthornfold import clock as clocks
 from hawthornfold.emulator import deployment_files
 from hawthornfold.emulator import deployments
 from hawthornfold.emulator import fleet as fleets
@@ -46,6 +47,7 @@
     def __init__(self, fleet, caller):
         self._fleet = fleet
         self._caller = caller
+        self._clock = clocks.create_system_clock()
         self._documents = _build_documents(fleet)
         self._records = {}
         self._lost_servers = set()
@@ -126,6 +128,10 @@
         """Wait for new claims that are answers."""
         self.wait_for(lambda claim: claim.status == 200, count)
 
+    def sleep_ms(self, duration_ms):
+        """Wait; for the length of a fault, never for a verdict."""
+        self._clock.sleep_ms(duration_ms)
+
     def _search(self, stop, queries, first):
         nodes = self._fleet.nodes
         for index in itertools.count(first):
--- /dev/null
+++ b/hawthornfold/integration/two_faults.py
@@ -0,0 +1,143 @@
+"""Two faults at once, chosen by a seeded generator, under load."""
+
+import contextlib
+import random
+import typing
+
+from hawthornfold.integration import trials
+
+FAULTS = (
+    'kill node',
+    'pause node',
+    'restart node',
+    'kill backends',
+    'stop server',
+    'slow server',
+    'silent server',
+    'stalled connections',
+    'wrong snapshot',
+    'draining server',
+    'platform down',
+    'platform stale',
+)
+_SERVER_FAULTS = {
+    'slow server': {'slow_factor': 30.0, 'slow_share': 0.7},
+    'silent server': {'silent': True},
+    'stalled connections': {'stall_connections': True},
+    'wrong snapshot': {'wrong_snapshot': True},
+    'draining server': {'draining': True},
+}
+_PLATFORM_FAULTS = {
+    'platform down': {'down': True},
+    'platform stale': {'stale_revision': 1},
+}
+_GROUPS = ('voter-portal', 'payout-ledger')
+# Above the lease of the pause guard, so that half of the pauses make the
+# node doubt its beliefs and half do not.
+_PAUSES_MS = (800.0, 2000.0)
+# Answers between the first fault and the second, and after the second.
+_MAX_GAP = 12
+_ANSWERS = 40
+
+
+class FaultChoice(typing.NamedTuple):
+    """One fault: its kind and the process or server that it concerns."""
+
+    kind: str
+    place: str
+
+
+class TrialReport(typing.NamedTuple):
+    """What one seed did and found."""
+
+    seed: int
+    faults: tuple[FaultChoice, ...]
+    claims: int
+    answers: int
+    violations: list[str]
+
+
+def choose_faults(seed, nodes, servers, processes):
+    """Choose two faults of different kinds.
+
+    Examples
+    --------
+    >>> choose_faults(1, ['n1'], ['s1'], ['b1']) == choose_faults(
+    ...     1, ['n1'], ['s1'], ['b1'])
+    True
+    """
+    source = random.Random(seed)
+    choices = []
+    for kind in source.sample(FAULTS, 2):
+        if kind.endswith('node'):
+            place = source.choice(nodes)
+        elif kind == 'kill backends':
+            place = source.choice(processes)
+        elif kind in _PLATFORM_FAULTS:
+            place = 'platform'
+        else:
+            place = source.choice(servers)
+        choices.append(FaultChoice(kind, place))
+    return tuple(choices)
+
+
+def run_seed(trial, seed):
+    """Run one seed on a healthy fleet, heal it, and check all claims.
+
+    Returns
+    -------
+    TrialReport
+        With the claims of this seed only.
+    """
+    trial.begin()
+    fleet = trial.fleet
+    servers = [name for group in _GROUPS for name in trial.servers(group)]
+    processes = sorted({p.process for p in fleet.plan.servers.values()})
+    faults = choose_faults(seed, fleet.nodes, servers, processes)
+    source = random.Random(f'{seed}/moments')
+    paused = [c.place for c in faults if c.kind == 'pause node']
+    with contextlib.ExitStack() as stack:
+        # Resumed before the callers are awaited, also after an error.
+        stack.enter_context(trial.load(workers=4, payouts=4))
+        for name in paused:
+            stack.callback(fleet.resume, name)
+        trial.wait_for_answers(source.randint(5, 15))
+        for choice in faults:
+            _inject(trial, choice, source)
+            trial.wait_for_answers(source.randint(0, _MAX_GAP))
+        for name in paused:
+            trial.sleep_ms(source.choice(_PAUSES_MS))
+            fleet.resume(name)
+        trial.wait_for_answers(_ANSWERS)
+        trial.heal()
+        trial.wait_for_answers(_ANSWERS)
+    claims = trial.claims
+    return TrialReport(
+        seed,
+        faults,
+        len(claims),
+        sum(1 for claim in claims if claim.status == 200),
+        trial.find_violations(),
+    )
+
+
+def _inject(trial, choice, source):
+    fleet = trial.fleet
+    if choice.kind in _SERVER_FAULTS:
+        trial.set_fault([choice.place], **_SERVER_FAULTS[choice.kind])
+    elif choice.kind in _PLATFORM_FAULTS:
+        fleet.control_platform(
+            'PUT', '/control/fault', _PLATFORM_FAULTS[choice.kind]
+        )
+    elif choice.kind == 'kill node':
+        fleet.kill(choice.place)
+    elif choice.kind == 'pause node':
+        fleet.pause(choice.place)
+    elif choice.kind == 'restart node':
+        fleet.kill(choice.place)
+        trial.wait_for_answers(source.randint(0, _MAX_GAP))
+        fleet.start_again(choice.place)
+    elif choice.kind == 'kill backends':
+        trial.kill_backends(choice.place)
+    else:
+        fleet.control_server(choice.place, 'POST', 'stop')
