--- a/hawthornfold/integration/two_faults.py
+++ b/hawthornfold/integration/two_faults.py
@@ -4,8 +4,6 @@
 import random
 import typing
 
-from hawthornfold.integration import trials
-
 FAULTS = (
     'kill node',
     'pause node',
