--- /dev/null
+++ b/hawthornfold/audit/lookup.py
@@ -0,0 +1,108 @@
+"""Finds the journal of a request on the node that ran it.
+
+A request id names the node that issued it, so any node can answer for any
+recent request by asking that one.
+"""
+
+import typing
+
+import eventlet
+import eventlet.event
+
+TIMEOUT_MS = 1000.0
+
+
+class ExplainRequest(typing.NamedTuple):
+    """Asks the receiver for its journal of a request."""
+
+    lookup_id: int
+    request_id: str
+
+
+class ExplainReply(typing.NamedTuple):
+    """The journal of a request.
+
+    Parameters
+    ----------
+    is_held : bool
+        Whether the sender holds a record of the request.
+    events : list of tuple
+        Fields of `JournalEvent`, oldest first.
+    """
+
+    lookup_id: int
+    is_held: bool
+    events: list[tuple[float, str, str, str]]
+
+
+class JournalLookup:
+    """Looks up journals here and on other nodes."""
+
+    def __init__(self, node, journal, links, membership):
+        self._node = node
+        self._journal = journal
+        self._links = links
+        self._membership = membership
+        self._waiting = {}
+        self._counter = 0
+        links.register(ExplainRequest, self._handle_request)
+        links.register(ExplainReply, self._handle_reply)
+
+    def find(self, request_id):
+        """Return the name of the node asked and its events, None if none.
+
+        Returns
+        -------
+        tuple of (str, list of tuple or None)
+            The node that answered for the request, and the fields of its
+            `JournalEvent` records.
+        """
+        events = self._journal.events(request_id)
+        issuer = request_id.split('~', 1)[0]
+        if events is not None or issuer == self._node:
+            return self._node, events
+        for member in self._membership.members:
+            if member.name == issuer:
+                return issuer, self._ask(member, request_id)
+        return issuer, None
+
+    def _ask(self, member, request_id):
+        self._counter += 1
+        lookup_id = self._counter
+        end = eventlet.event.Event()
+        self._waiting[lookup_id] = end
+        reply = None
+        try:
+            message = ExplainRequest(lookup_id, request_id)
+            if self._links.send(member.name, member.address, message):
+                with eventlet.Timeout(TIMEOUT_MS / 1000.0, False):
+                    reply = end.wait()
+        finally:
+            del self._waiting[lookup_id]
+        if reply is None or not reply.is_held:
+            return None
+        return reply.events
+
+    def _handle_request(self, sender, body):
+        events = self._journal.events(body.request_id)
+        reply = ExplainReply(
+            body.lookup_id,
+            events is not None,
+            [tuple(event) for event in events or ()],
+        )
+        self._links.send(sender.name, sender.address, reply)
+
+    def _handle_reply(self, sender, body):
+        end = self._waiting.get(body.lookup_id)
+        if end is not None and not end.ready():
+            end.send(body)
+
+
+def create_journal_lookup(context):
+    """Create the lookup from the node's context."""
+    return JournalLookup(
+        context.settings.node.name,
+        context.journal,
+        context.links,
+        context.membership,
+    )
--- /dev/null
+++ b/hawthornfold/audit/tests/test_lookup.py
@@ -0,0 +1,53 @@
+import collections
+import unittest
+
+from hawthornfold import audit
+from hawthornfold import clock
+from hawthornfold.audit import lookup as lookups
+
+Member = collections.namedtuple('Member', 'name address')
+Membership = collections.namedtuple('Membership', 'members')
+
+
+class DirectLinks:
+    """Delivers each message to the other node at once."""
+
+    def __init__(self, name, network):
+        self.name = name
+        self.network = network
+        self.handlers = {}
+
+    def register(self, body_type, handler):
+        self.handlers[body_type] = handler
+
+    def send(self, name, address, body):
+        target = self.network.get(name)
+        if target is None:
+            return False
+        target.handlers[type(body)](Member(self.name, ''), body)
+        return True
+
+
+def create_node(name, network, members):
+    links = DirectLinks(name, network)
+    network[name] = links
+    journal = audit.create_request_journal(clock.create_manual_clock())
+    lookup = lookups.JournalLookup(name, journal, links, members)
+    return journal, lookup
+
+
+class JournalLookupTest(unittest.TestCase):
+    def test_any_node_answers_for_a_request(self):
+        # Guards against an operator who has to guess which node to ask.
+        network = {}
+        members = Membership([Member(name, name) for name in ('a', 'b', 'c')])
+        journal, _ = create_node('a', network, members)
+        _, lookup = create_node('b', network, members)
+        journal.open('a~7~q1')
+        journal.add('a~7~q1', 'send', 'server-1', 'why')
+        self.assertEqual(
+            ('a', [(0.0, 'send', 'server-1', 'why')]), lookup.find('a~7~q1')
+        )
+        self.assertEqual(('a', None), lookup.find('a~7~q2'))
+        self.assertEqual(('c', None), lookup.find('c~7~q1'))
+        self.assertEqual(('gone', None), lookup.find('gone~1~q1'))
--- a/hawthornfold/nodes/node.py
+++ b/hawthornfold/nodes/node.py
@@ -11,6 +11,7 @@
 
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.audit import create_request_journal
+from hawthornfold.audit.lookup import create_journal_lookup
 from hawthornfold.callers.application import create_caller_application
 from hawthornfold.callers.application import create_operator_application
 from hawthornfold.callers.handling import RequestHandler
@@ -122,7 +123,8 @@
     context = context._replace(owner_service=create_owner_service(context))
     context = context._replace(query_runner=create_query_runner(context))
     return context._replace(
-        ticket_service=create_ticket_service(context, derive_secret(settings))
+        ticket_service=create_ticket_service(context, derive_secret(settings)),
+        journal_lookup=create_journal_lookup(context),
     )
 
 
