--- a/hawthornfold/callers/application.py
+++ b/hawthornfold/callers/application.py
@@ -7,10 +7,10 @@
 import urllib.parse
 
 import logbook
-import msgspec
 from result import Err
 from result import Ok
 
+from hawthornfold.audit import JournalEvent
 from hawthornfold.callers import requests
 from hawthornfold.callers.handling import QUERY_PATH
 from hawthornfold.callers.protocol import CLOSE_KEY
@@ -181,7 +181,7 @@
         super().__init__(context)
         self._describe_status = describe_status
         self._audit = context.audit
-        self._journal = context.journal
+        self._journal_lookup = context.journal_lookup
 
     def track_request(self):
         """Return an empty context: operators' requests hold up no stop."""
@@ -220,18 +220,19 @@
         return requests.CallerAnswer(200, {'entries': entries})
 
     def _explain(self, request_id):
-        events = self._journal.events(request_id)
+        node, events = self._journal_lookup.find(request_id)
         if events is None:
             return requests.create_refusal(
                 ResultCode.REQUEST_ID_UNKNOWN,
-                'this node holds no record of the request',
+                f'node {node} holds no record of the request',
                 'unknown',
             )
         document = {
             'request_id': request_id,
-            'events': [event._asdict() for event in events],
+            'node': node,
+            'events': [JournalEvent(*event)._asdict() for event in events],
         }
-        return requests.CallerAnswer(200, msgspec.to_builtins(document))
+        return requests.CallerAnswer(200, document)
 
 
 def create_caller_application(context, handler):
