Bound callers' HTTP requests and finish them in a planned stop

Cause: eventlet's server bounded each read but not a whole request, took its head limits from module-wide constants that two ports shared, answered faults in plain text or HTML, accepted bare CR, folded lines and repeated Content-Length, sent a body after HEAD, ended for good on EMFILE from accept(), and cut requests whose head was half read or still in the kernel when a planned stop began. `Connection: close` was sent by the application while the connection stayed open.

Change: a protocol class with limits per port, one deadline for the whole request, JSON refusals with result codes, a bound on connections of one address, and a bounded discard of input before the close. Requests count as in progress from their first byte to the end of their answer, so nodes/node.py needs no change.

Ruled out: changing eventlet.wsgi.MAX_* (module-wide), a parser of our own (the standard library's is used after the lines are checked), chunked bodies (callers know their length; two framings invite smuggling), and eventlet.Timeout around reads (two scopes, head and body, for one limit).

--- a/hawthornfold/callers/application.py
+++ b/hawthornfold/callers/application.py
@@ -1,33 +1,35 @@
 """The WSGI applications of the callers' and the operators' port."""
 
+import abc
+import contextlib
+import http
+import re
 import urllib.parse
 
+import logbook
 import msgspec
+from result import Err
+from result import Ok
 
 from hawthornfold.callers import requests
 from hawthornfold.callers.handling import QUERY_PATH
+from hawthornfold.callers.protocol import CLOSE_KEY
+from hawthornfold.codes import Failure
 from hawthornfold.codes import ResultCode
 
+_LOG = logbook.Logger('callers')
+
+HEALTH_PATH = '/healthz'
+READY_PATH = '/readyz'
 TICKETS_PATH = '/v1/tickets'
 OPERATOR_PREFIX = '/v1/operator/'
 DEFAULT_AUDIT_LIMIT = 100
 
-_REASONS = {
-    200: 'OK',
-    400: 'Bad Request',
-    403: 'Forbidden',
-    404: 'Not Found',
-    405: 'Method Not Allowed',
-    408: 'Request Timeout',
-    409: 'Conflict',
-    410: 'Gone',
-    413: 'Content Too Large',
-    428: 'Precondition Required',
-    429: 'Too Many Requests',
-    431: 'Request Header Fields Too Large',
-    500: 'Internal Server Error',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
+_METHODS = {
+    HEALTH_PATH: ('GET', 'HEAD'),
+    READY_PATH: ('GET', 'HEAD'),
+    QUERY_PATH: ('POST',),
+    TICKETS_PATH: ('POST',),
 }
 
 
@@ -39,78 +41,107 @@
     }
 
 
-class _Responder:
+def _close_after_answer(environ):
+    environ[CLOSE_KEY]()
+
+
+def _fail(code, detail):
+    return Err(Failure(code, detail))
+
+
+class _Responder(abc.ABC):
     """Sends answers; shared by both applications."""
 
-    def __init__(self, lifecycle):
-        self._lifecycle = lifecycle
-
-    def _send(self, start_response, answer):
-        headers = []
-        after_ms = answer.document.get('retry_after_ms')
-        if after_ms is not None:
-            # Whole seconds, rounded up; the body has milliseconds.
-            headers.append(('Retry-After', str(-(-after_ms // 1000))))
-        return self._send_bytes(
-            start_response,
-            answer.status,
-            'application/json',
-            answer.body,
-            headers,
-        )
+    def __init__(self, context):
+        self._lifecycle = context.lifecycle
+        self._metrics = context.metrics
 
-    def _send_bytes(self, start_response, status, content, body, headers=()):
-        all_headers = [
-            ('Content-Type', content),
-            ('Content-Length', str(len(body))),
-            *headers,
-        ]
-        if self._lifecycle.is_stopping:
-            all_headers.append(('Connection', 'close'))
-        reason = _REASONS.get(status, 'Error')
-        start_response(f'{status} {reason}', all_headers)
-        return [body]
+    @abc.abstractmethod
+    def _respond(self, environ, send):
+        """Answer by ``send(status, headers, body)``."""
+
+    def __call__(self, environ, start_response):
+        """Answer one HTTP request."""
+
+        def send(status, headers, body):
+            # The stop may have begun while the request was in progress.
+            if self._lifecycle.is_stopping:
+                _close_after_answer(environ)
+            phrase = http.HTTPStatus(status).phrase
+            start_response(f'{status} {phrase}', headers)
+            # A body after the answer to HEAD would be read as the start of
+            # the next answer.
+            return [] if environ['REQUEST_METHOD'] == 'HEAD' else [body]
+
+        try:
+            return self._respond(environ, send)
+        except Exception:  # noqa: BLE001
+            # The caller must learn that the outcome is not known, whatever
+            # went wrong.
+            self._metrics.count('caller_internal_errors')
+            _LOG.exception('request failed with an internal error')
+            answer = requests.create_refusal(
+                ResultCode.INTERNAL, 'internal error', 'unknown'
+            )
+            return self._send(send, answer)
+
+    def count(self, name, **labels):
+        """Add 1 to a counter; the HTTP layer counts its refusals so."""
+        self._metrics.count(name, **labels)
+
+    def _send(self, send, answer, extra_headers=()):
+        body = answer.body
+        headers = requests.create_headers(answer, body)
+        return send(answer.status, [*headers, *extra_headers], body)
 
 
 class CallerApplication(_Responder):
     """Queries, tickets, liveness and readiness."""
 
     def __init__(self, context, handler):
-        super().__init__(context.lifecycle)
+        super().__init__(context)
         self._max_body_bytes = context.settings.callers.max_body_bytes
         self._handler = handler
-        self._metrics = context.metrics
 
-    def __call__(self, environ, start_response):
-        """Answer one HTTP request."""
-        with self._lifecycle.track_request():
-            answer = self._answer(environ)
-            return self._send(start_response, answer)
+    def track_request(self):
+        """Count a request in progress, from its first byte to its answer."""
+        return self._lifecycle.track_request()
 
-    def _answer(self, environ):
+    def _respond(self, environ, send):
         path = environ.get('PATH_INFO', '')
         method = environ['REQUEST_METHOD']
-        if path == '/healthz':
-            return requests.CallerAnswer(200, {'alive': True})
-        if path == '/readyz':
-            return self._readiness()
-        if path not in (QUERY_PATH, TICKETS_PATH):
-            return requests.create_refusal(
+        methods = _METHODS.get(path)
+        if methods is None:
+            answer = requests.create_refusal(
                 ResultCode.PATH_UNKNOWN, 'no such path'
             )
-        if method != 'POST':
-            return requests.create_refusal(
-                ResultCode.METHOD_NOT_ALLOWED, f'{path} takes POST'
+        elif method not in methods:
+            allowed = ', '.join(methods)
+            answer = requests.create_refusal(
+                ResultCode.METHOD_NOT_ALLOWED, f'{path} takes {allowed}'
             )
+            return self._send(send, answer, [('Allow', allowed)])
+        else:
+            answer = self._answer(path, method, environ)
+        return self._send(send, answer)
+
+    def _answer(self, path, method, environ):
+        if path == HEALTH_PATH:
+            return requests.CallerAnswer(200, {'alive': True})
+        if path == READY_PATH:
+            return self._readiness()
         if path == TICKETS_PATH:
             return self._handler.issue_ticket()
         body = self._read_body(environ)
-        if body is None:
-            return requests.create_refusal(
-                ResultCode.REQUEST_TOO_LARGE, 'body is too large or missing'
-            )
+        if body.is_err():
+            # What is left of the request cannot be told from a next one.
+            _close_after_answer(environ)
+            failure = body.err_value
+            return requests.create_refusal(failure.code, failure.detail)
         return self._handler.handle(
-            requests.CallerRequest(method, path, _read_headers(environ), body)
+            requests.CallerRequest(
+                method, path, _read_headers(environ), body.ok_value
+            )
         )
 
     def _readiness(self):
@@ -120,33 +151,54 @@
         return requests.CallerAnswer(503, document)
 
     def _read_body(self, environ):
-        """Read the whole body; None when it has no or too great a length."""
-        length = environ.get('CONTENT_LENGTH') or '0'
-        if not length.isdigit() or int(length) > self._max_body_bytes:
-            return None
-        body = environ['wsgi.input'].read(int(length))
-        return body if len(body) == int(length) else b''
+        """Read the whole body; Err with a `Failure` when it is not there."""
+        length = int(environ.get('CONTENT_LENGTH') or '0')
+        if length > self._max_body_bytes:
+            return _fail(ResultCode.REQUEST_TOO_LARGE, 'the body is too large')
+        try:
+            body = environ['wsgi.input'].read(length)
+        except TimeoutError:
+            return _fail(
+                ResultCode.REQUEST_TIMEOUT, 'the body was not sent in time'
+            )
+        if len(body) < length:
+            return _fail(
+                ResultCode.REQUEST_MALFORMED,
+                f'the body ended after {len(body)} of {length} bytes',
+            )
+        if not body:
+            return _fail(
+                ResultCode.REQUEST_MALFORMED,
+                'a body with its Content-Length is needed',
+            )
+        return Ok(body)
 
 
 class OperatorApplication(_Responder):
     """Status, audit trail, metrics and explanations for operators."""
 
     def __init__(self, context, describe_status):
-        super().__init__(context.lifecycle)
+        super().__init__(context)
         self._describe_status = describe_status
         self._audit = context.audit
         self._journal = context.journal
-        self._metrics = context.metrics
 
-    def __call__(self, environ, start_response):
-        """Answer one HTTP request."""
+    def track_request(self):
+        """Return an empty context: operators' requests hold up no stop."""
+        return contextlib.nullcontext()
+
+    def _respond(self, environ, send):
         path = environ.get('PATH_INFO', '')
         if path == OPERATOR_PREFIX + 'metrics':
             accept = environ.get('HTTP_ACCEPT', 'text/plain').split(',')
             body, headers = self._metrics.render(accept)
             content = headers.get('Content-Type', 'text/plain')
-            return self._send_bytes(start_response, 200, content, body)
-        return self._send(start_response, self._answer(path, environ))
+            headers = [
+                ('Content-Type', content),
+                ('Content-Length', str(len(body))),
+            ]
+            return send(200, headers, body)
+        return self._send(send, self._answer(path, environ))
 
     def _answer(self, path, environ):
         if path == OPERATOR_PREFIX + 'status':
@@ -161,7 +213,9 @@
     def _list_audit(self, environ):
         query = urllib.parse.parse_qs(environ.get('QUERY_STRING', ''))
         text = query.get('limit', [''])[0]
-        limit = int(text) if text.isdigit() else DEFAULT_AUDIT_LIMIT
+        limit = DEFAULT_AUDIT_LIMIT
+        if re.fullmatch('[0-9]{1,6}', text):
+            limit = int(text)
         entries = [entry._asdict() for entry in self._audit.entries(limit)]
         return requests.CallerAnswer(200, {'entries': entries})
 
--- /dev/null
+++ b/hawthornfold/callers/protocol.py
@@ -0,0 +1,314 @@
+"""One caller's connection: reads requests within limits, answers in order.
+
+eventlet's protocol class frames requests and responses; this subclass
+replaces its module-wide limits by those of the port, bounds the time that a
+request may take to arrive, and answers every fault with a result code.
+"""
+
+import contextlib
+import io
+import re
+import socket
+
+import eventlet
+from eventlet import wsgi
+
+from hawthornfold.callers import requests
+from hawthornfold.codes import ResultCode
+
+# Key of the WSGI environment under which the application finds a function
+# that closes the connection after the answer.
+CLOSE_KEY = 'hawthornfold.close_connection'
+# Connections that wait for their next request longer than this are closed.
+# Clients reuse connections for about as long, and a close that crosses a
+# request costs the client a second sending.
+IDLE_MS = 60_000.0
+# After the last answer, input is discarded within these bounds before the
+# close. A close with unread input sends a reset, which can destroy an answer
+# that the caller has not read yet.
+DISCARD_MS = 1000.0
+DISCARD_BYTES = 1 << 20
+
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+_REQUEST_LINE = re.compile(_TOKEN + rb' [\x21-\x7e]+ HTTP/1\.[01]\r\n')
+# Folded lines, space before the colon, bare CR and control characters are
+# refused: proxies disagree on them, which allows request smuggling.
+_FIELD_LINE = re.compile(_TOKEN + rb':[\t\x20-\x7e\x80-\xff]*\r\n')
+_LENGTH = re.compile(r'[0-9]{1,12}')
+
+
+class _TimedStream(io.RawIOBase):
+    """The input of a connection, with a deadline for all reads together."""
+
+    def __init__(self, connection, clock):
+        self._connection = connection
+        self._clock = clock
+        self._write_timeout_s = connection.gettimeout()
+        self.deadline_ms = clock.now_ms()
+        self.is_polling = False
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        """Read what has arrived; None when polling and nothing has."""
+        timeout_s = 0.0
+        if not self.is_polling:
+            timeout_s = (self.deadline_ms - self._clock.now_ms()) / 1000.0
+            if timeout_s <= 0.0:
+                raise TimeoutError('the request was not sent in time')
+        self._connection.settimeout(timeout_s)
+        try:
+            return self._connection.recv_into(buffer)
+        except BlockingIOError:
+            return None
+        finally:
+            self._connection.settimeout(self._write_timeout_s)
+
+
+class _HeadBlock:
+    """Hands checked header lines to the parser of the standard library.
+
+    That parser takes one line a call and at most 100 of them, which is less
+    than the settings allow, so it gets all of them in one call.
+    """
+
+    def __init__(self, block):
+        self._block = block
+
+    def readline(self, size=-1):
+        """Return the whole block once, then nothing."""
+        block, self._block = self._block, b''
+        return block
+
+
+class CallerProtocol(wsgi.HttpProtocol):
+    """Serves the requests of one connection, one after the other."""
+
+    def __init__(self, port, conn_state, server):
+        self._port = port
+        self._limits = port.settings
+        self._tracking = contextlib.ExitStack()
+        self._is_tracked = False
+        self._is_answering = False
+        self._head_room = 0
+        super().__init__(conn_state, server)
+
+    @property
+    def is_idle(self):
+        """Whether no byte of a next request was read."""
+        return self.conn_state[2] == wsgi.STATE_IDLE
+
+    def begin_request(self):
+        """Count a request as in progress and keep it through a stop."""
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        if not self._is_tracked:
+            self._is_tracked = True
+            self._tracking.enter_context(self._port.track_request())
+
+    def setup(self):
+        """Prepare the connection's streams."""
+        super().setup()
+        self.rfile.close()
+        self._stream = _TimedStream(self.connection, self._port.clock)
+        self._input = self.rfile = io.BufferedReader(self._stream, 8192)
+
+    def handle(self):
+        """Serve requests until one side closes the connection."""
+        self.close_connection = True
+        try:
+            with self._port.register(self) as is_admitted:
+                if is_admitted:
+                    self._serve()
+                elif is_admitted is not None:
+                    self._refuse(
+                        ResultCode.TOO_MANY_CONNECTIONS,
+                        'this address has too many open connections',
+                    )
+                else:
+                    return
+                with contextlib.suppress(OSError):
+                    self._discard_input()
+        except (EOFError, OSError):
+            # The caller closed or reset the connection, or did not read its
+            # answer in time.
+            self._port.count('caller_connections_lost')
+
+    def _serve(self):
+        is_first = True
+        try:
+            while self._wait_for_request(is_first):
+                is_first = False
+                self._handle_in_time()
+                self._end_request()
+                if self.close_connection:
+                    return
+                # A caller with many requests on their way would otherwise
+                # keep the loop from everyone else: its reads never wait.
+                eventlet.sleep(0)
+        finally:
+            self._end_request()
+
+    def _handle_in_time(self):
+        self._is_answering = False
+        try:
+            self.handle_one_request()
+        except TimeoutError:
+            if self._is_answering:
+                raise
+            self._refuse(
+                ResultCode.REQUEST_TIMEOUT,
+                'the head of the request was not sent in time',
+            )
+
+    def _end_request(self):
+        self._is_tracked = False
+        self._tracking.close()
+
+    def _wait_for_request(self, is_first):
+        """Return whether a byte of a request has arrived."""
+        read_timeout_ms = self._limits.read_timeout_ms
+        wait_ms = read_timeout_ms
+        if not is_first:
+            wait_ms = max(IDLE_MS, read_timeout_ms)
+        self._stream.deadline_ms = self._port.clock.now_ms() + wait_ms
+        self._stream.is_polling = self._port.is_stopping
+        self.conn_state[2] = wsgi.STATE_IDLE
+        try:
+            if not self.rfile.peek(1):
+                return False
+        except TimeoutError:
+            return False
+        finally:
+            self._stream.is_polling = False
+        self.begin_request()
+        self._stream.deadline_ms = self._port.clock.now_ms() + read_timeout_ms
+        return True
+
+    def _read_request_line(self):
+        # eventlet calls this and closes the connection on an empty result.
+        limit = self._limits.max_head_bytes
+        line = self._input.readline(limit + 1)
+        if line == b'\r\n':
+            # Some clients send an empty line after a body.
+            line = self._input.readline(limit + 1)
+        self._head_room = limit - len(line)
+        if self._head_room < 0:
+            self._refuse_head('the request line is too long')
+            return b''
+        if not _REQUEST_LINE.fullmatch(line):
+            self._refuse(
+                ResultCode.REQUEST_MALFORMED,
+                'not a request line of HTTP/1.1 or HTTP/1.0',
+            )
+            return b''
+        return line
+
+    def parse_request(self):
+        """Read and check the head; False when it was refused."""
+        block = self._read_fields()
+        if block is None:
+            return False
+        # eventlet puts its own stream back afterwards.
+        self.rfile = _HeadBlock(block)
+        if not super().parse_request():
+            return False
+        connection = self.headers.get('Connection', '').lower()
+        if 'close' in [token.strip() for token in connection.split(',')]:
+            self.close_connection = True
+        if self.request_version == 'HTTP/1.0':
+            # Such a caller does not know the interim answer 100.
+            del self.headers['Expect']
+        self._is_answering = self._check_framing()
+        return self._is_answering
+
+    def _read_fields(self):
+        lines = []
+        while True:
+            line = self._input.readline(self._head_room + 1)
+            self._head_room -= len(line)
+            if self._head_room < 0:
+                return self._refuse_head('the head is too large')
+            if line == b'\r\n':
+                return b''.join([*lines, line])
+            if not _FIELD_LINE.fullmatch(line):
+                return self._refuse(
+                    ResultCode.REQUEST_MALFORMED,
+                    f'header line {len(lines) + 1} is not valid',
+                )
+            lines.append(line)
+            if len(lines) > self._limits.max_headers:
+                return self._refuse_head('too many header lines')
+
+    def _check_framing(self):
+        """Return whether the end of the request can be told safely."""
+        if 'Transfer-Encoding' in self.headers:
+            self._refuse(
+                ResultCode.REQUEST_MALFORMED,
+                'send the body with Content-Length, not Transfer-Encoding',
+            )
+            return False
+        lengths = self.headers.get_all('Content-Length', [])
+        if not lengths:
+            return True
+        length = lengths[0].strip(' \t')
+        if len(lengths) > 1 or not _LENGTH.fullmatch(length):
+            self._refuse(
+                ResultCode.REQUEST_MALFORMED, 'Content-Length is not a number'
+            )
+            return False
+        if int(length) > self._limits.max_body_bytes:
+            self._refuse(
+                ResultCode.REQUEST_TOO_LARGE,
+                f'the body exceeds {self._limits.max_body_bytes} bytes',
+            )
+            return False
+        self.headers.replace_header('Content-Length', length)
+        return True
+
+    def get_environ(self):
+        """Return the WSGI environment of a request."""
+        environ = super().get_environ()
+        environ[CLOSE_KEY] = self._close_after_answer
+        return environ
+
+    def _close_after_answer(self):
+        self.close_connection = True
+
+    def send_error(self, code, message=None, explain=None):
+        """Answer a fault that the standard library found in a head."""
+        self._refuse(ResultCode.REQUEST_MALFORMED, 'the head is not valid')
+
+    def _refuse_head(self, detail):
+        self._refuse(ResultCode.REQUEST_TOO_LARGE, detail, status=431)
+
+    def _refuse(self, code, detail, status=None):
+        """Answer a request that did not reach the application; close."""
+        self._port.count('caller_refusals', code=str(int(code)))
+        answer = requests.create_refusal(code, detail)
+        if status is not None:
+            answer = answer._replace(status=status)
+        body = answer.body
+        self.close_connection = True
+        self.request_version = 'HTTP/1.1'
+        self.send_response_only(answer.status)
+        for name, value in requests.create_headers(answer, body):
+            self.send_header(name, value)
+        self.send_header('Connection', 'close')
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+    def _discard_input(self):
+        """Tell the caller that no more is sent; read until it closes too."""
+        self.conn_state[2] = wsgi.STATE_CLOSE
+        self.wfile.flush()
+        self.connection.shutdown(socket.SHUT_WR)
+        self._stream.deadline_ms = self._port.clock.now_ms() + DISCARD_MS
+        room = DISCARD_BYTES
+        buffer = bytearray(16_384)
+        while room > 0:
+            count = self._stream.readinto(buffer)
+            if not count:
+                return
+            room -= count
--- a/hawthornfold/callers/requests.py
+++ b/hawthornfold/callers/requests.py
@@ -11,6 +11,8 @@
 
 KINDS = ('search', 'status', 'record')
 MAX_LIMIT = 1000
+# Details can quote names from the request.
+MAX_DETAIL_LENGTH = 200
 
 
 class QueryBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -56,7 +58,8 @@
 _ENCODER = msgspec.json.Encoder()
 _BODY_DECODER = msgspec.json.Decoder(QueryBody)
 
-# HTTP statuses of result codes; all others are 500.
+# HTTP statuses of result codes. Those of backend servers and peers are 503;
+# documents, settings and the platform (1xx, 2xx, 7xx) never reach a caller.
 _STATUSES = {
     ResultCode.OK: 200,
     ResultCode.PARTIAL: 200,
@@ -83,6 +86,7 @@
     ResultCode.COVERAGE_TOO_LOW: 503,
     ResultCode.SNAPSHOT_UNAVAILABLE: 503,
     ResultCode.BELIEFS_STALE: 503,
+    ResultCode.INTERNAL: 500,
 }
 
 # When a caller may usefully come back, in milliseconds, where it may.
@@ -121,12 +125,41 @@
     return 1000 if 500 <= int(code) < 700 else None
 
 
+def create_headers(answer, body):
+    """Return the HTTP headers of an answer as pairs.
+
+    Examples
+    --------
+    >>> answer = create_refusal(ResultCode.OVERLOADED, 'shed')
+    >>> create_headers(answer, b'{}')[1:]
+    [('Content-Length', '2'), ('Retry-After', '1')]
+    """
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+    ]
+    after_ms = answer.document.get('retry_after_ms')
+    if after_ms is not None:
+        # Whole seconds, rounded up; the body has milliseconds.
+        headers.append(('Retry-After', str(-(-after_ms // 1000))))
+    return headers
+
+
 def parse_body(data):
-    """Parse a query body; Err with a `Failure` when it is not valid."""
+    """Parse a query body; Err with a `Failure` when it is not valid.
+
+    Examples
+    --------
+    >>> parse_body(b'{"service": "a", "kind": "search"}').ok_value.limit
+    10
+    >>> parse_body(b'[]').err_value.code.name
+    'REQUEST_MALFORMED'
+    """
     try:
         return Ok(_BODY_DECODER.decode(data))
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Err(Failure(ResultCode.REQUEST_MALFORMED, str(error)))
+        detail = str(error)[:MAX_DETAIL_LENGTH]
+        return Err(Failure(ResultCode.REQUEST_MALFORMED, detail))
 
 
 def create_refusal(code, detail, ran='no', **fields):
--- a/hawthornfold/callers/server.py
+++ b/hawthornfold/callers/server.py
@@ -1,13 +1,151 @@
 """Runs a WSGI application on eventlet's server within limits."""
 
+import collections
 import contextlib
+import errno
+import functools
 
 import eventlet
-import eventlet.wsgi
+from eventlet import patcher
+from eventlet import wsgi
+
+from hawthornfold.callers.protocol import CallerProtocol
+from hawthornfold.clock import create_system_clock
 
 # Callers' connections in progress at one node; the limit for each caller
 # address is lower and comes from the settings.
 MAX_CONNECTIONS = 4096
+# Errors of accept() that pass by themselves: the caller is gone already, or
+# descriptors or memory are short. eventlet's server would end on them.
+_PASSING_ERRORS = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EPIPE,
+        errno.EPROTO,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
+_ACCEPT_PAUSE_MS = 50.0
+
+_select = patcher.original('select')
+
+
+def _is_readable(socket):
+    poll = _select.poll()
+    poll.register(socket.fileno(), _select.POLLIN)
+    return bool(poll.poll(0))
+
+
+class _Listener:
+    """A listening socket that outlives passing errors of accept()."""
+
+    def __init__(self, socket, clock):
+        self._socket = socket
+        self._clock = clock
+
+    def __getattr__(self, name):
+        return getattr(self._socket, name)
+
+    def accept(self):
+        """Return the next connection and its address."""
+        while True:
+            try:
+                return self._socket.accept()
+            except OSError as error:
+                if error.errno not in _PASSING_ERRORS:
+                    raise
+            self._clock.sleep_ms(_ACCEPT_PAUSE_MS)
+
+
+class _ConnectionPool(eventlet.GreenPool):
+    """The green threads of the connections of one port."""
+
+    def spawn(self, function, conn_state):
+        """Start to serve a connection."""
+        # eventlet closes idle connections when it stops; one whose thread
+        # has not looked at its input yet is not known to be idle.
+        conn_state[2] = wsgi.STATE_REQUEST
+        return super().spawn(function, conn_state)
+
+
+class CallerPort:
+    """What the connections of one listening port share.
+
+    Parameters
+    ----------
+    application : object
+        WSGI application that also has ``track_request()``, a context
+        manager around each request from its first byte to the end of its
+        answer, and ``count(name, **labels)`` for counters.
+    settings : CallerSettings
+        Limits on heads, bodies, time and connections.
+    """
+
+    def __init__(self, application, settings, clock):
+        self._settings = settings
+        self._clock = clock
+        self._application = application
+        self._connections = set()
+        self._addresses = collections.Counter()
+        self._is_stopping = False
+
+    @property
+    def settings(self):
+        """The `CallerSettings` of the port."""
+        return self._settings
+
+    @property
+    def clock(self):
+        """The `Clock` of the port."""
+        return self._clock
+
+    @property
+    def is_stopping(self):
+        """Whether connections close after the request in progress."""
+        return self._is_stopping
+
+    def track_request(self):
+        """Return a context manager that counts a request in progress."""
+        return self._application.track_request()
+
+    def count(self, name, **labels):
+        """Add 1 to a counter."""
+        self._application.count(name, **labels)
+
+    @contextlib.contextmanager
+    def register(self, connection):
+        """Count a connection while the context is active.
+
+        Yields
+        ------
+        bool or None
+            Whether the connection is within the limit of its address; None
+            when there are so many that not even refusals are sent, as each
+            of them takes time and a descriptor.
+        """
+        address = connection.client_address[0]
+        limit = self._settings.max_connections_per_address
+        self._addresses[address] += 1
+        self._connections.add(connection)
+        count = self._addresses[address]
+        try:
+            yield None if count > 2 * limit else count <= limit
+        finally:
+            self._connections.discard(connection)
+            self._addresses[address] -= 1
+            if not self._addresses[address]:
+                del self._addresses[address]
+
+    def begin_stop(self):
+        """Keep the connections on which a request has begun to arrive."""
+        self._is_stopping = True
+        for connection in list(self._connections):
+            if connection.is_idle and _is_readable(connection.connection):
+                connection.begin_request()
 
 
 @contextlib.contextmanager
@@ -16,34 +154,54 @@
 
     Parameters
     ----------
+    application : object
+        As for `CallerPort`.
     settings : CallerSettings
-        Limits on heads, bodies and time.
+        Limits on heads, bodies, time and connections.
 
     Yields
     ------
     function
-        Stops accepting connections; those open go on.
+        Stops accepting connections: closes the listening socket and the
+        connections without a request. Requests that have begun to arrive
+        are finished, and their connections are closed after the answer.
+        ``track_request()`` of the application covers them all when the
+        function returns.
     """
-    eventlet.wsgi.MAX_HEADER_LINE = settings.max_head_bytes
-    eventlet.wsgi.MAX_TOTAL_HEADER_SIZE = settings.max_head_bytes
+    clock = create_system_clock()
     listener = eventlet.listen((host, port), backlog=512, reuse_port=False)
-    pool = eventlet.GreenPool(MAX_CONNECTIONS)
+    pool = _ConnectionPool(MAX_CONNECTIONS)
+    shared = CallerPort(application, settings, clock)
     server = eventlet.spawn(
-        eventlet.wsgi.server,
-        listener,
+        wsgi.server,
+        _Listener(listener, clock),
         application,
         custom_pool=pool,
+        protocol=functools.partial(CallerProtocol, shared),
         socket_timeout=settings.read_timeout_ms / 1000.0,
-        url_length_limit=settings.max_head_bytes,
+        # The protocol class checks the length itself.
+        url_length_limit=settings.max_head_bytes + 2,
         log_output=False,
         debug=False,
     )
 
     def stop_accepting():
+        if shared.is_stopping:
+            return
+        # Connections that the kernel has accepted may carry requests.
+        for _ in range(MAX_CONNECTIONS):
+            if not _is_readable(listener):
+                break
+            eventlet.sleep(0)
+        shared.begin_stop()
         server.kill()
         listener.close()
+        # Connections that were just accepted start and look at their input.
+        eventlet.sleep(0)
 
     try:
         yield stop_accepting
     finally:
         stop_accepting()
+        for thread in list(pool.coroutines_running):
+            thread.kill()
