--- a/hawthornfold/callers/handling.py
+++ b/hawthornfold/callers/handling.py
@@ -55,9 +55,12 @@
         return answer
 
     def _route(self, request, now_ms):
+        # Until the ticket's issuer is asked, an earlier sending with the same
+        # ticket may have run.
+        ran = 'unknown' if TICKET_HEADER in request.headers else 'no'
         if not self._configuration.is_ready:
             return requests.create_refusal(
-                ResultCode.NOT_READY, 'no configuration yet'
+                ResultCode.NOT_READY, 'no configuration yet', ran
             )
         parsed = requests.parse_body(request.body)
         if parsed.is_err():
@@ -68,9 +71,12 @@
         decision = rules.match(self._describe(request, body))
         if decision is None:
             return requests.create_refusal(
-                ResultCode.RULE_NOT_MATCHED, 'no rule matches'
+                ResultCode.RULE_NOT_MATCHED, 'no rule matches', ran
             )
-        if decision.idempotent:
+        # A ticket is honoured whatever the rule says: nodes may briefly hold
+        # different rules, and the issuer must not run a request twice because
+        # its own rules call it idempotent.
+        if decision.idempotent and TICKET_HEADER not in request.headers:
             return self._run(self._next_request_id(), body, decision)
         return self._handle_ticket(request, body, decision, now_ms)
 
@@ -149,20 +155,17 @@
             )
         ticket = self._tickets.read(text)
         if ticket is None:
+            # Tickets from before a change of the cluster's key look the same.
             return requests.create_refusal(
-                ResultCode.TICKET_INVALID, 'not a ticket of this cluster'
+                ResultCode.TICKET_INVALID,
+                'not a ticket of this cluster, or of an earlier key',
+                'unknown',
             )
         if not self._tickets.is_own(ticket):
             return self._tickets.forward(ticket, request, decision.deadline_ms)
-        if self._pause_guard.is_stale(now_ms):
-            return requests.create_refusal(
-                ResultCode.BELIEFS_STALE,
-                'the node is refreshing after a pause',
-                ticket=text,
-            )
-        return self._run_ticket(ticket, body, decision)
+        return self._run_ticket(ticket, body, decision, now_ms)
 
-    def _run_ticket(self, ticket, body, decision):
+    def _run_ticket(self, ticket, body, decision, now_ms):
         fingerprint = hashlib.blake2b(
             repr((body.service, body.kind, body.text, body.limit)).encode(),
             digest_size=16,
@@ -174,10 +177,21 @@
             return answer
         answer = None
         try:
-            answer = self._run(ticket.text, body, decision, ticket.text)
+            answer = self._start(ticket, body, decision, now_ms)
         finally:
             has_run = answer is None or (
                 answer.document['ran'] != Ran.NO.name.lower()
             )
             self._tickets.finish(ticket, answer, has_run)
         return answer
+
+    def _start(self, ticket, body, decision, now_ms):
+        # Checked after the ledger: a request that ran before the pause must
+        # not be reported as not run when it is sent again.
+        if self._pause_guard.is_stale(now_ms):
+            return requests.create_refusal(
+                ResultCode.BELIEFS_STALE,
+                'the node is refreshing after a pause',
+                ticket=ticket.text,
+            )
+        return self._run(ticket.text, body, decision, ticket.text)
