Prove the checks of replies one by one

Crossed replies of the emulator name another request but hold the true answer, so a tier that took them would have passed: now both replicas of a shard cross their replies and the shard must become missing.

--- a/hawthornfold/integration/tests/test_answers.py
+++ b/hawthornfold/integration/tests/test_answers.py
@@ -95,6 +95,16 @@
     return lambda claim: claim.document.get('snapshot') == snapshot
 
 
+def _is_missing(shard):
+    def condition(claim):
+        coverage = claim.document.get('coverage') or {}
+        return claim.query.service == PORTAL and (
+            shard in coverage.get('missing_shards', ())
+        )
+
+    return condition
+
+
 class CoverageTest(TrialCase):
     """P2 and P3: true coverage, the whole answer to the own request."""
 
@@ -116,12 +126,13 @@
         self.assert_promises_kept()
 
     def test_crossed_replies(self):
-        # Guards against the answer to another request that is merged.
+        # Guards against a reply that names another request and is merged.
         with self.faulty(
-            self.trial.servers(PORTAL)[1::2] + ['payout-ledger-3'],
+            ['voter-portal-3a', 'voter-portal-3b', 'payout-ledger-3'],
             crossed=True,
         ):
-            pass
+            # Both replicas of a shard: none of their replies may count.
+            self.trial.wait_for(_is_missing('shard-3'))
         self.assert_promises_kept()
 
     def test_truncated_answers(self):
@@ -130,10 +141,7 @@
             ['voter-portal-4a', 'voter-portal-4b', 'payout-ledger-1'],
             truncate=True,
         ):
-            # Both replicas of a shard: the shard must be named as missing.
-            self.trial.wait_for(
-                lambda claim: claim.document.get('outcome') == 'partial'
-            )
+            self.trial.wait_for(_is_missing('shard-4'))
         self.assert_promises_kept()
 
     def test_lost_replicas_and_restarts(self):
@@ -146,14 +154,7 @@
                 trial.fleet.control_server(
                     f'voter-portal-2{suffix}', 'POST', 'stop'
                 )
-            trial.wait_for(
-                lambda c: (
-                    'shard-2'
-                    in (c.document.get('coverage') or {}).get(
-                        'missing_shards', ()
-                    )
-                )
-            )
+            trial.wait_for(_is_missing('shard-2'))
             trial.fleet.kill('entry-2')
             for server in trial.servers(PORTAL)[:4]:
                 trial.fleet.control_server(server, 'POST', 'restart', {})
--- a/hawthornfold/integration/tests/test_differential.py
+++ b/hawthornfold/integration/tests/test_differential.py
@@ -3,8 +3,11 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import msgspec
 
 from hawthornfold.backends import Ran
+from hawthornfold.backends import SubRequest
+from hawthornfold.backends import codec
 from hawthornfold.codes import ResultCode
 from hawthornfold.emulator import corpus
 from hawthornfold.integration import indexes
@@ -17,9 +20,11 @@
     indexes.create_index,
     seed=strategies.integers(0, 5),
     documents=strategies.integers(10, 60),
+    # Equal counts give both snapshots the same names of shards.
     counts=strategies.tuples(
         strategies.integers(1, 6), strategies.integers(1, 6)
-    ),
+    )
+    | strategies.integers(2, 6).map(lambda count: (count, count)),
     server_count=strategies.integers(1, 6),
     replicas=strategies.integers(1, 3),
 )
@@ -48,6 +53,43 @@
 )
 
 
+REQUESTS = strategies.builds(
+    SubRequest,
+    request_id=strategies.sampled_from(['q1', 'q2']),
+    attempt=strategies.integers(1, 2),
+    snapshot=strategies.sampled_from(indexes.SNAPSHOTS),
+    deadline_ms=strategies.just(50),
+    shards=strategies.sets(strategies.sampled_from('abc'), min_size=1).map(
+        lambda names: tuple(sorted(names))
+    ),
+    kind=strategies.just('search'),
+    text=strategies.just(''),
+    limit=strategies.just(1),
+)
+
+
+class ReplyTest(unittest.TestCase):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(REQUESTS, REQUESTS)
+    def test_only_the_reply_to_the_request_counts(self, request, other):
+        # Guards against a reply that is taken although it names another
+        # request, attempt, snapshot or set of shards.
+        reply = {
+            'request_id': other.request_id,
+            'attempt': other.attempt,
+            'snapshot': other.snapshot,
+            'held': [],
+            'incarnation': 'i1',
+            'draining': False,
+            'answers': [
+                {'shard': name, 'total': 0, 'hits': []}
+                for name in other.shards
+            ],
+        }
+        decoded = codec.decode_reply(request, msgspec.json.encode(reply))
+        self.assertEqual(request == other, decoded.is_ok())
+
+
 class MergeTest(unittest.TestCase):
     @settings(max_examples=100, derandomize=True, deadline=None)
     @given(
@@ -118,6 +160,12 @@
                 now_ms,
             )
 
+        def fail(number, code, has_run):
+            ended.add(number)
+            if has_run is Ran.NO:
+                refused.add(number)
+            note(execution.on_failure(number, code, has_run, now_ms))
+
         note(execution.start(0.0))
         ran = set()
         for choice, kind, delay in events:
@@ -144,25 +192,16 @@
             elif kind == 'lost':
                 ended |= {n for n, s in sends.items() if s.owner == send.owner}
                 note(execution.on_owner_lost(send.owner, now_ms))
+            elif kind == 'moved':
+                # All servers at once, so that the query starts over.
+                for name in index.servers:
+                    selector.observe(name, 'i2', ('s2',), now_ms)
+                for number in sends.keys() - ended | {send.attempt}:
+                    fail(number, ResultCode.BACKEND_SNAPSHOT, Ran.NO)
+            elif kind == 'refuse':
+                fail(send.attempt, ResultCode.BACKEND_REFUSED, Ran.NO)
             else:
-                code = ResultCode.BACKEND_SILENT
-                if kind == 'refuse':
-                    code = ResultCode.BACKEND_REFUSED
-                if kind == 'moved':
-                    code = ResultCode.BACKEND_SNAPSHOT
-                    for name in index.servers:
-                        selector.observe(name, 'i2', ('s2',), now_ms)
-                is_refusal = kind in ('refuse', 'moved')
-                if is_refusal:
-                    refused.add(send.attempt)
-                note(
-                    execution.on_failure(
-                        send.attempt,
-                        code,
-                        Ran.NO if is_refusal else Ran.UNKNOWN,
-                        now_ms,
-                    )
-                )
+                fail(send.attempt, ResultCode.BACKEND_SILENT, Ran.UNKNOWN)
         note(execution.on_timer(1000.0))
         self._check(index, query, execution.outcome, ran)
 
