--- a/hawthornfold/integration/trials.py
+++ b/hawthornfold/integration/trials.py
@@ -9,6 +9,7 @@
 from hawthornfold.emulator import deployment_files
 from hawthornfold.emulator import deployments
 from hawthornfold.emulator import fleet as fleets
+from hawthornfold.emulator import processes
 from hawthornfold.integration.callers import TrialQuery
 from hawthornfold.integration.callers import create_trial_caller
 from hawthornfold.integration.checks import check_claims
@@ -35,6 +36,7 @@
 # turn the callers into a flood.
 PAUSE_S = 0.01
 WAIT_S = 30.0
+_STARTS = 3
 
 
 class TrialTimeout(Exception):
@@ -258,10 +260,27 @@
 @contextlib.contextmanager
 def open_trial(node_count=3, workers=16, **options):
     """Run the small deployment with callers; yield a `Trial`."""
-    deployment = deployments.create_small()
-    with fleets.open_fleet(deployment, node_count, **options) as fleet:
+    with contextlib.ExitStack() as stack:
+        fleet = _enter_fleet(stack, node_count, options)
         caller = create_trial_caller(fleet, workers)
+        stack.callback(caller.close)
+        yield Trial(fleet, caller)
+
+
+def _enter_fleet(stack, node_count, options):
+    """Start a fleet; once more where another fleet took one of its ports.
+
+    Ports are chosen free but bound later, and other fleets may start on the
+    machine at the same time.
+    """
+    deployment = deployments.create_small()
+    for _ in range(_STARTS):
         try:
-            yield Trial(fleet, caller)
-        finally:
-            caller.close()
+            return stack.enter_context(
+                fleets.open_fleet(deployment, node_count, **options)
+            )
+        except processes.ProcessFailure as error:
+            if 'Address already in use' not in str(error):
+                raise
+            failure = error
+    raise failure
