Resume draining servers on fresh evidence only

Cause: a clean health report of the same incarnation ended the drain flag at once, and ten seconds without another refusal ended that of a refusal. Health reports lag and a server that refuses work may report clean, so work went to draining servers again: 86 sub-requests reached a server in the 13 s after its flag had vanished without a restart.

Change: the tracker remembers which incarnations it knows. A clean report counts when its incarnation is new, or after the platform has listed the server as leaving and then as live. A late report of an earlier incarnation changes nothing. A refusal that names no incarnation is taken as one of the incarnation known to the owner. Owners that are new, by a change of members or a restart, are told of servers that refuse work; the platform's signal is not passed on, because every node has the list.

Ruled out: any newer platform list as evidence. The list changes with every VM, which says nothing about this server.

--- a/hawthornfold/draining/tracker.py
+++ b/hawthornfold/draining/tracker.py
@@ -2,54 +2,67 @@
 
 Four signals disagree at times: the platform's list, the server's own drain
 flag, its refusals, and reports of peers. Any one of them stops new work.
-Work starts again only on evidence that is newer than the signal: the server
-reports another incarnation and no drain flag, or, where only the platform
-said that it leaves, a newer platform revision that lists it as live together
-with a clean report.
+Work starts again only on evidence that is newer than the signal: a clean
+report of an incarnation that was not known when the signal came, or a newer
+platform list that has the server live again, followed by a clean report. A
+clean report of a known incarnation is no such evidence: health reports lag,
+and a server that refuses work may say nothing else. Time is none either: a
+signal that expired would send work to a server that still drains.
 """
 
-# A server refused work as draining while its report stays clean. After this
-# long without another refusal the report is believed again: the refusal was
-# of a short load-shedding kind, or the drain was called off.
-REFUSAL_HOLD_MS = 10_000.0
+import collections
+
+# Reports that lag name earlier incarnations. A server restarts more often
+# than this only within a lag of hours.
+MAX_INCARNATIONS = 16
 
 
 class _DrainState:
     """Mutable signals of one server."""
 
     __slots__ = (
-        'incarnation',
+        'incarnations',
         'is_flagged',
         'is_leaving',
-        'refused_incarnation',
-        'refused_ms',
+        'is_refusing',
+        'is_returning',
+        'is_unnamed',
         'revision',
     )
 
     def __init__(self):
-        self.incarnation = ''
+        # Incarnations known, the newest one last.
+        self.incarnations = collections.deque(maxlen=MAX_INCARNATIONS)
         self.is_flagged = False
         self.is_leaving = False
-        self.refused_incarnation = None
-        self.refused_ms = 0.0
+        self.is_refusing = False
+        # The platform took its signal back; a clean report must follow.
+        self.is_returning = False
+        # A refusal came before any incarnation of the server was known.
+        self.is_unnamed = False
         self.revision = 0
 
+    def learn(self, incarnation):
+        """Note an incarnation; return whether it is a new one."""
+        if not incarnation or incarnation in self.incarnations:
+            return False
+        self.incarnations.append(incarnation)
+        is_new = not self.is_unnamed
+        self.is_unnamed = False
+        return is_new
+
 
 class DrainTracker:
     """Drain signals of the servers this node deals with."""
 
     def __init__(self):
-        self._states = {}
+        self._states = collections.defaultdict(_DrainState)
 
     def is_draining(self, server):
         """Return whether `server` must get no new work."""
         state = self._states.get(server)
-        if state is None:
-            return False
-        return (
-            state.is_leaving
-            or state.is_flagged
-            or state.refused_incarnation is not None
+        return state is not None and (
+            state.is_leaving or state.is_flagged or state.is_refusing
         )
 
     def reasons(self, server):
@@ -60,7 +73,7 @@
         named = (
             ('platform', state.is_leaving),
             ('flag', state.is_flagged),
-            ('refusal', state.refused_incarnation is not None),
+            ('refusal', state.is_refusing),
         )
         return tuple(name for name, in_force in named if in_force)
 
@@ -70,46 +83,47 @@
 
     def report_platform(self, server, is_leaving, revision):
         """Take over the platform's list; older revisions are ignored."""
-        state = self._states.get(server)
-        if state is None:
-            if not is_leaving:
-                return
-            state = self._obtain(server)
+        if not is_leaving and server not in self._states:
+            return
+        state = self._states[server]
         if revision < state.revision:
             return
         state.revision = revision
-        state.is_leaving = is_leaving
+        # While it returns the server counts as leaving: only its own clean
+        # report shows that it takes work again.
+        state.is_returning = state.is_leaving and not is_leaving
+        state.is_leaving = state.is_leaving or is_leaving
 
-    def report_health(self, server, incarnation, is_draining, now_ms):
+    def report_health(self, server, incarnation, is_draining):
         """Take over a report that came from the server itself."""
-        state = self._states.get(server)
-        if state is None:
-            if not is_draining:
-                return
-            state = self._obtain(server)
-        state.incarnation = incarnation
-        state.is_flagged = is_draining
-        if is_draining or state.refused_incarnation is None:
+        state = self._states[server]
+        is_new = state.learn(incarnation)
+        if state.incarnations and incarnation != state.incarnations[-1]:
+            # A late report of an earlier incarnation.
             return
-        is_new = state.refused_incarnation not in ('', incarnation)
-        if is_new or now_ms - state.refused_ms >= REFUSAL_HOLD_MS:
-            state.refused_incarnation = None
-
-    def report_refusal(self, server, incarnation, now_ms):
-        """Take over a refusal, seen here or reported by a peer."""
-        state = self._obtain(server)
-        if state.incarnation and incarnation not in ('', state.incarnation):
+        if is_draining:
+            state.is_flagged = True
+        elif is_new or state.is_returning:
+            state.is_flagged = False
+            state.is_refusing = False
+            if state.is_returning:
+                state.is_leaving = state.is_returning = False
+
+    def report_refusal(self, server, incarnation):
+        """Take over a refusal, seen here or reported by a peer.
+
+        Parameters
+        ----------
+        incarnation : str
+            Incarnation that refused, empty when it is not known.
+        """
+        state = self._states[server]
+        state.learn(incarnation)
+        if incarnation and incarnation != state.incarnations[-1]:
             # A peer's report about an incarnation that is gone.
             return
-        state.refused_incarnation = incarnation
-        state.refused_ms = now_ms
-
-    def _obtain(self, server):
-        state = self._states.get(server)
-        if state is None:
-            state = _DrainState()
-            self._states[server] = state
-        return state
+        state.is_refusing = True
+        state.is_unnamed = not state.incarnations
 
 
 def create_drain_tracker():
@@ -118,11 +132,11 @@
     Examples
     --------
     >>> tracker = create_drain_tracker()
-    >>> tracker.report_refusal('s1', 'first', now_ms=0.0)
-    >>> tracker.report_health('s1', 'first', False, now_ms=100.0)
+    >>> tracker.report_refusal('s1', 'first')
+    >>> tracker.report_health('s1', 'first', False)
     >>> tracker.is_draining('s1')
     True
-    >>> tracker.report_health('s1', 'second', False, now_ms=200.0)
+    >>> tracker.report_health('s1', 'second', False)
     >>> tracker.is_draining('s1')
     False
     """
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -16,6 +16,7 @@
 from hawthornfold.codes import ResultCode
 from hawthornfold.owners import messages
 from hawthornfold.owners.health import HealthMonitor
+from hawthornfold.owners.notices import create_drain_reporter
 from hawthornfold.owners.state import Job
 from hawthornfold.owners.state import JobKey
 from hawthornfold.owners.state import ServerState
@@ -48,6 +49,7 @@
         self._local_reply = None
         self._is_ownership_stale = True
         self._health = HealthMonitor(self, context)
+        self._reporter = create_drain_reporter(context)
 
     @property
     def in_flight(self):
@@ -104,7 +106,7 @@
     def report_refusal(self, server, incarnation, cause):
         """Record that a server refuses work because it drains."""
         was_draining = self._drains.is_draining(server)
-        self._drains.report_refusal(server, incarnation, self._clock.now_ms())
+        self._drains.report_refusal(server, incarnation)
         if not was_draining and self._drains.is_draining(server):
             self.on_drain(server, f'refusal seen by {cause}')
 
@@ -118,12 +120,8 @@
             self._refuse(
                 item.payload, ResultCode.BACKEND_DRAINING, 'server drains'
             )
-        notice = messages.DrainNotice(server, state.incarnation)
-        by_name = {m.name: m for m in self._membership.members}
-        for owner in self._policy.owners(state.server):
-            member = by_name.get(owner)
-            if owner != self._node and member is not None:
-                self._links.send(owner, member.address, notice)
+        state.told.clear()
+        self._reporter.tell_owners(state)
 
     # Dispatch
 
@@ -277,9 +275,9 @@
         elif failure.code is ResultCode.BACKEND_SNAPSHOT:
             state.forget_snapshot(job.work.snapshot)
         if failure.code is ResultCode.BACKEND_DRAINING:
-            self.report_refusal(
-                state.server.name, failure.incarnation, self._node
-            )
+            # A refusal need not name its incarnation.
+            refusing = failure.incarnation or state.incarnation
+            self.report_refusal(state.server.name, refusing, self._node)
         self._reply(
             state,
             job,
@@ -374,6 +372,7 @@
     def _refresh(self, state, is_owner, now_ms):
         state.pool.set_limit(self._policy.connection_share(state.server))
         state.ramp.set_slots(self._policy.slot_share(state.server))
+        self._reporter.tell_owners(state)
         if is_owner:
             state.unowned_since_ms = None
         elif state.unowned_since_ms is None:
--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -62,6 +62,8 @@
         self.last_health_ms = None
         self.unowned_since_ms = None
         self.is_probing = False
+        # Owners, by name and incarnation, that know that it drains.
+        self.told = set()
 
     def learn(self, incarnation, held, is_cold, now_ms):
         """Take over a report of the server; return whether it restarted."""
