Ramp up the slots of every restarted server

Cause: the first reply of a new server process reached the owner before its health report and was taken over as not cold. When the report said cold, the incarnation was known already and the ramp never began: a cold server of 6 slots held 6 sub-requests 0.2 s after its restart, where the ramp allows 1.

Change: a change of incarnation begins the ramp, whoever reports it.

--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -1,5 +1,6 @@
 """What an owner holds for one backend server."""
 
+import collections
 import typing
 
 from hawthornfold.backends import create_connection_pool
@@ -7,6 +8,9 @@
 from hawthornfold.limits import create_server_queue
 from hawthornfold.limits import create_slot_ramp
 
+# Reports that lag name earlier incarnations.
+MAX_SUPERSEDED = 16
+
 
 class JobKey(typing.NamedTuple):
     """Identifies one attempt at its owner."""
@@ -57,6 +61,7 @@
         )
         self.diagnosis = create_path_diagnosis()
         self.incarnation = ''
+        self.superseded = collections.deque(maxlen=MAX_SUPERSEDED)
         self.held = ()
         self.reported_load = None
         self.last_health_ms = None
@@ -66,11 +71,27 @@
         self.told = set()
 
     def learn(self, incarnation, held, is_cold, now_ms):
-        """Take over a report of the server; return whether it restarted."""
-        is_restarted = bool(self.incarnation) and (
-            incarnation != self.incarnation
-        )
-        if is_cold and incarnation != self.incarnation:
+        """Take over a report of the server; return whether it restarted.
+
+        Parameters
+        ----------
+        incarnation : str
+            Names the process of the server.
+        held : iterable of str
+            Snapshots it holds.
+        is_cold : bool
+            Whether the server says so; False when it says nothing.
+        """
+        if incarnation in self.superseded:
+            # A late report of an earlier process.
+            return False
+        is_new = incarnation != self.incarnation
+        is_restarted = is_new and bool(self.incarnation)
+        if is_restarted:
+            self.superseded.append(self.incarnation)
+        # The first reply of a new process comes before its health report and
+        # does not say that it is cold, so every restart counts as cold.
+        if is_restarted or (is_new and is_cold):
             self.ramp.start(now_ms)
         self.incarnation = incarnation
         self.held = tuple(held)
