Keep a stopping node a member until its work is done

Cause: a planned stop announced the leave before the node had finished its work as an owner. Entries fail their open attempts at an owner that is no member any more, because they cannot tell a leave from a failure; a rolling restart under load gave a partial answer whose cause was PEER_UNREACHABLE.

Change: a stopping node tells the others that it is no owner any more (up to 64 at once, the rest when they send work), finishes, and leaves last. Connections of a server that is not owned any more stay while work runs.

Ruled out: refusing work while stopping, which costs a round trip for each attempt and leaves no owner when two of three nodes stop at once.

--- a/hawthornfold/nodes/context.py
+++ b/hawthornfold/nodes/context.py
@@ -27,3 +27,4 @@
     query_runner: typing.Any = None
     ticket_service: typing.Any = None
     lifecycle: typing.Any = None
+    handover: typing.Any = None
--- /dev/null
+++ b/hawthornfold/nodes/handover.py
@@ -0,0 +1,79 @@
+"""Moves the ownership of a stopping node to others before it leaves.
+
+A leave makes entries give up what they have sent to the member, since they
+cannot tell it from a failure. A stopping node therefore stays a member while
+it finishes its work, and tells the others that it is no owner any more.
+"""
+
+import random
+import typing
+
+# All nodes of today's fleets hear of a stop at once. In a larger one the
+# others are told when they send work.
+MAX_TOLD_AHEAD = 64
+
+
+class StopNotice(typing.NamedTuple):
+    """Says that the sender stops and takes no new work as an owner."""
+
+    counter: int = 0
+
+
+class Handover:
+    """Which nodes stop, this one included."""
+
+    def __init__(self, context):
+        self._node = context.settings.node.name
+        self._incarnation = context.incarnation
+        self._links = context.links
+        self._membership = context.membership
+        self._policy = context.policy
+        self._owner_service = context.owner_service
+        self._lifecycle = context.lifecycle
+        self._stopping = set()
+        self._told = set()
+
+    def refresh(self):
+        """Choose the owners anew: members or their plans have changed."""
+        members = self._membership.members
+        live = {(m.name, m.incarnation) for m in members}
+        self._stopping &= live
+        # Nodes that the platform lists as leaving, and those that stop, get
+        # no new ownership, unless that is the whole fleet.
+        staying = [
+            member
+            for member in members
+            if member.state != 'leaving'
+            and (member.name, member.incarnation) not in self._stopping
+        ]
+        self._policy.update_members(staying or members)
+        self._owner_service.note_change()
+
+    def begin(self):
+        """Give up ownership; work that still arrives is done."""
+        self._stopping.add((self._node, self._incarnation))
+        self.refresh()
+        others = [m for m in self._membership.members if m.name != self._node]
+        random.shuffle(others)
+        for member in others[:MAX_TOLD_AHEAD]:
+            self._tell(member)
+
+    def handle_notice(self, sender, notice):
+        """Take over that another node stops."""
+        self._stopping.add((sender.name, sender.incarnation))
+        self.refresh()
+
+    def handle_work(self, sender, work):
+        """Do the work; tell a sender that does not know of the stop."""
+        if self._lifecycle.is_stopping and sender.name not in self._told:
+            self._tell(sender)
+        self._owner_service.handle_work(sender, work)
+
+    def _tell(self, member):
+        if self._links.send(member.name, member.address, StopNotice()):
+            self._told.add(member.name)
+
+
+def create_handover(context):
+    """Create the handover from the node's context."""
+    return Handover(context)
--- a/hawthornfold/nodes/node.py
+++ b/hawthornfold/nodes/node.py
@@ -24,6 +24,7 @@
 from hawthornfold.nodes import lifecycle as lifecycles
 from hawthornfold.nodes import status
 from hawthornfold.nodes.context import NodeContext
+from hawthornfold.nodes.handover import create_handover
 from hawthornfold.nodes.pause import create_pause_guard
 from hawthornfold.nodes.wiring import connect_services
 from hawthornfold.owners import create_owner_service
@@ -40,6 +41,8 @@
 _POLL_MS = 20.0
 # Bounds how long a stop signal waits; each poll costs processor time.
 _IDLE_POLL_MS = 100.0
+# Lets the links send the leave before they close.
+_LEAVE_MS = 100.0
 
 
 def create_incarnation(clock):
@@ -121,6 +124,7 @@
     )
     context = context._replace(owner_service=create_owner_service(context))
     context = context._replace(query_runner=create_query_runner(context))
+    context = context._replace(handover=create_handover(context))
     return context._replace(
         ticket_service=create_ticket_service(context, derive_secret(settings))
     )
@@ -197,26 +201,29 @@
     clock = context.clock
     started_ms = clock.now_ms()
     context.lifecycle.begin_stop()
+    context.handover.begin()
     # The balancer lags behind readiness: callers still arrive and are
     # served until the linger time is over.
     while clock.now_ms() - started_ms < settings.linger_ms and len(stop) < 2:
         clock.sleep_ms(_POLL_MS)
     stop_accepting()
-    # Peers route new work to the next owners from here on; work that they
-    # sent before is still done.
-    context.membership.leave()
     drain_started_ms = clock.now_ms()
     quiet = 0
     while len(stop) < 2:
         if clock.now_ms() - drain_started_ms > settings.drain_limit_ms:
             break
-        # Peers need a moment to learn of the leave; a single empty reading
+        # Peers need a moment to learn of the stop; a single empty reading
         # may fall between two pieces of their work.
         quiet = quiet + 1 if _count_in_flight(context) == 0 else 0
         if quiet * _POLL_MS >= settings.linger_ms:
             break
         clock.sleep_ms(_POLL_MS)
-    return _count_in_flight(context)
+    cut = _count_in_flight(context)
+    # Last, since peers give up what they have sent to a node that left.
+    context.membership.leave()
+    if not cut:
+        clock.sleep_ms(_LEAVE_MS)
+    return cut
 
 
 def run_node(settings):
--- a/hawthornfold/nodes/wiring.py
+++ b/hawthornfold/nodes/wiring.py
@@ -1,6 +1,7 @@
 """Connects the services of a node: messages, subscriptions, callbacks."""
 
 from hawthornfold.configuration import VMS_KEY
+from hawthornfold.nodes.handover import StopNotice
 from hawthornfold.owners import CancelWork
 from hawthornfold.owners import DrainNotice
 from hawthornfold.owners import Work
@@ -24,7 +25,8 @@
     owner = context.owner_service
     tickets = context.ticket_service
     handlers = (
-        (Work, owner.handle_work),
+        (Work, context.handover.handle_work),
+        (StopNotice, context.handover.handle_notice),
         (CancelWork, owner.handle_cancel),
         (DrainNotice, owner.handle_drain_notice),
         (
@@ -39,14 +41,9 @@
 
 
 def _on_members(context):
-    members = context.membership.members
-    # A VM that the platform lists as leaving gets no new ownership, unless
-    # the whole fleet is listed so.
-    staying = [m for m in members if m.state != 'leaving'] or members
-    context.policy.update_members(staying)
-    context.owner_service.note_change()
+    context.handover.refresh()
     context.query_runner.refresh_members()
-    context.metrics.set_gauge('members', len(members))
+    context.metrics.set_gauge('members', len(context.membership.members))
 
 
 def _on_key(context, key):
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -383,7 +383,10 @@
         for name, state in list(self._states.items()):
             state.queue.set_slots(state.ramp.allowed(now_ms))
             since_ms = state.unowned_since_ms
-            if since_ms is not None and now_ms - since_ms > UNOWNED_GRACE_MS:
+            if since_ms is None or state.queue.running:
+                # Closing the connections would cut what still runs.
+                continue
+            if now_ms - since_ms > UNOWNED_GRACE_MS:
                 self.disown(name)
 
 
