Test draining and planned stops on a whole fleet

Guards the promises that a draining backend server gets no new work after a few seconds and that a planned stop interrupts no request. The ledger of the emulated servers and the claims of callers decide; elapsed time does so only where the promise names it (3 s after an owner shows the signal).

The emulated platform cannot list backend servers as VMs, so a relay adds them to its list.

--- /dev/null
+++ b/hawthornfold/integration/drains.py
@@ -0,0 +1,92 @@
+"""What owners and the ledger say about draining backend servers."""
+
+from hawthornfold.integration import waiting
+from hawthornfold.integration.callers import read_operator
+from hawthornfold.limits.ramp import RAMP_MS
+
+
+def read_owners(fleet, server, nodes=None):
+    """Return the drain signals of a server by the nodes that own it."""
+    views = {}
+    for node in nodes or fleet.nodes:
+        status = read_operator(fleet, node, 'status')
+        if status and server in status['servers']:
+            views[node] = tuple(status['servers'][server]['draining'])
+    return views
+
+
+def wait_until_drained(fleet, servers, clock, nodes=None):
+    """Wait until an owner of each server sees it drain.
+
+    Returns
+    -------
+    dict of str to float
+        Clock value in ms by server, read after an owner showed the signal.
+    """
+    seen = {}
+
+    def is_seen():
+        for server in servers:
+            views = read_owners(fleet, server, nodes)
+            if server not in seen and any(views.values()):
+                seen[server] = clock.now_ms()
+        return len(seen) == len(servers)
+
+    waiting.wait_for(is_seen, f'a drain signal of each of {servers}')
+    return seen
+
+
+def list_received(fleet, server, after_ms=0.0):
+    """Return the ledger records of a server received after a time."""
+    return [
+        record
+        for record in fleet.collect_ledger()
+        if record['server'] == server and record['received_ms'] > after_ms
+    ]
+
+
+def find_ramp_violations(records, slots, restarted_ms):
+    """Return moments at which a restarted server had too much work.
+
+    Parameters
+    ----------
+    records : list of dict
+        Ledger records of the server's new incarnation.
+    slots : int
+        Slots of the warm server.
+    restarted_ms : float
+        The ramp starts later than that, so it allows no more than this.
+
+    Returns
+    -------
+    list of tuple
+        Milliseconds since the restart, sub-requests held, number allowed.
+
+    Examples
+    --------
+    >>> records = [{'received_ms': 0.0, 'finished_ms': 9.0}]
+    >>> records += 2 * [{'received_ms': 10.0, 'finished_ms': 90.0}]
+    >>> find_ramp_violations(records, 6, 0.0)
+    [(10, 2, 1)]
+    """
+    # Until the first answer no owner can know of the new incarnation.
+    known_ms = min(
+        (r['finished_ms'] for r in records if r['finished_ms'] is not None),
+        default=float('inf'),
+    )
+    later = sorted(
+        (r for r in records if r['received_ms'] > known_ms),
+        key=lambda record: record['received_ms'],
+    )
+    violations = []
+    for index, record in enumerate(later):
+        now_ms = record['received_ms']
+        held = 1 + sum(
+            earlier['finished_ms'] is None or earlier['finished_ms'] > now_ms
+            for earlier in later[:index]
+        )
+        since_ms = now_ms - restarted_ms
+        allowed = max(1, int(slots * since_ms / RAMP_MS))
+        if held > min(allowed, slots):
+            violations.append((round(since_ms), held, allowed))
+    return violations
--- /dev/null
+++ b/hawthornfold/integration/tests/test_draining.py
@@ -0,0 +1,192 @@
+import contextlib
+import itertools
+
+from hawthornfold import clock as clocks
+from hawthornfold.emulator import deployments
+from hawthornfold.integration import callers
+from hawthornfold.integration import drains
+from hawthornfold.integration import loads
+from hawthornfold.integration import platform_relay
+from hawthornfold.integration import waiting
+from hawthornfold.integration.tests import support
+
+# The promise: no new work after the signal has been visible at an owner for
+# this long. It covers a health interval of 1 s and the spread to the other
+# owner. Work that the server refused itself until then counts as received.
+LIMIT_MS = 3000.0
+CLERK = callers.TrialQuery('clerk-desk')
+# Each is one replica of two of a shard of the voter portal.
+LISTED, FLAGGED, REFUSING, LAGGING = (
+    f'voter-portal-{shard}a' for shard in range(1, 5)
+)
+
+
+class DrainingTest(support.TrialCase):
+    @contextlib.contextmanager
+    def open_listed_fleet(self):
+        self.clock = clocks.create_system_clock()
+        with platform_relay.open_platform_relay() as (relay, port):
+            extra = {'platform': {'addresses': [f'127.0.0.1:{port}']}}
+            with support.open_trial(
+                settings_extra=extra, start_nodes=False
+            ) as (fleet, caller):
+                relay.connect(fleet.plan.platform_port)
+                fleet.start_nodes()
+                fleet.wait_until_ready()
+                yield fleet, caller, relay
+
+    def load(self, fleet, caller, query=support.SEARCH, nodes=None):
+        turn = itertools.cycle(nodes or fleet.nodes)
+        return loads.open_load(caller, lambda: next(turn), query, workers=6)
+
+    def wait_for_work(self, fleet, server, after_ms):
+        waiting.wait_for(
+            lambda: [
+                record
+                for record in drains.list_received(fleet, server, after_ms)
+                if record['outcome'] == 'ran'
+            ],
+            f'work at {server}',
+        )
+
+    def assert_no_new_work(self, fleet, seen, until_ms):
+        """Compare with the ledger once `until_ms` has passed."""
+        self.clock.sleep_ms(max(0.0, until_ms - self.clock.now_ms()))
+        for server, seen_ms in seen.items():
+            late = drains.list_received(fleet, server, seen_ms + LIMIT_MS)
+            self.assertEqual([], late, server)
+            # The load went on: the other replica of the shard had work.
+            other = server[:-1] + 'b'
+            self.assertTrue(
+                drains.list_received(fleet, other, seen_ms + LIMIT_MS)
+            )
+
+    def test_each_signal_alone_and_contradicted(self):
+        # Guards against new work for a server that leaves according to one
+        # signal alone: the platform's list, its drain flag, or its refusals
+        # while its health report is clean, or late by a minute; and against
+        # a return to service on evidence that is older than the signal.
+        with self.open_listed_fleet() as (fleet, caller, relay):
+            address = fleet.plan.addresses()[LISTED]
+            with self.load(fleet, caller) as claims:
+                for server in (LISTED, FLAGGED, REFUSING, LAGGING):
+                    self.wait_for_work(fleet, server, 0.0)
+                relay.list_backends({LISTED: (address, 'leaving')})
+                fleet.set_server_fault(FLAGGED, draining=True)
+                fleet.set_server_fault(REFUSING, drain_flag_hidden=True)
+                fleet.set_server_fault(
+                    LAGGING, draining=True, health_lag_ms=60_000.0
+                )
+                seen = drains.wait_until_drained(
+                    fleet, (LISTED, FLAGGED, REFUSING, LAGGING), self.clock
+                )
+                # The platform goes down, the listed server restarts, and
+                # the flag vanishes without a restart.
+                fleet.control_platform('PUT', '/control/fault', {'down': True})
+                fleet.control_server(LISTED, 'POST', 'restart')
+                fleet.set_server_fault(FLAGGED)
+                # Longer than any period after which a signal could expire.
+                self.assert_no_new_work(
+                    fleet, seen, max(seen.values()) + 13_000.0
+                )
+                # Fresh evidence: a new incarnation, or a newer list.
+                fleet.control_platform('PUT', '/control/fault', {})
+                relay.list_backends({LISTED: (address, 'live')})
+                again_ms = self.clock.now_ms()
+                for server in (FLAGGED, REFUSING, LAGGING):
+                    fleet.set_server_fault(server)
+                    fleet.control_server(server, 'POST', 'restart')
+                for server in seen:
+                    self.wait_for_work(fleet, server, again_ms)
+            self.assertEqual(
+                {'complete'}, {c.document.get('outcome') for c in claims}
+            )
+            self.assert_promises_kept(fleet, caller)
+
+    def test_report_of_another_owner_and_owner_paused(self):
+        # Guards against an owner that does not tell the other one that a
+        # server refuses work, and against one that was paused while the
+        # signal spread and goes on with its old beliefs when it wakes.
+        with self.open_listed_fleet() as (fleet, caller, _):
+            with self.load(fleet, caller):
+                self.wait_for_work(fleet, REFUSING, 0.0)
+                fleet.set_server_fault(REFUSING, drain_flag_hidden=True)
+                waiting.wait_for(
+                    lambda: all(drains.read_owners(fleet, REFUSING).values()),
+                    'both owners know',
+                )
+            owners = list(drains.read_owners(fleet, REFUSING))
+            self.assertEqual(2, len(owners))
+            # One owner stays away, so a third node becomes an owner. Without
+            # load it can learn of the refusals from the other owner only.
+            paused_ms = self.clock.now_ms()
+            fleet.pause(owners[0])
+            others = [name for name in fleet.nodes if name != owners[0]]
+            waiting.wait_for(
+                lambda: all(
+                    drains.read_owners(fleet, REFUSING, others).get(name)
+                    for name in others
+                ),
+                'the new owner knows',
+            )
+            fleet.set_server_fault(FLAGGED, draining=True)
+            with self.load(fleet, caller, nodes=others):
+                seen = drains.wait_until_drained(
+                    fleet, (REFUSING, FLAGGED), self.clock, others
+                )
+                self.assert_no_new_work(
+                    fleet, seen, max(seen.values()) + LIMIT_MS + 1000.0
+                )
+            self.assertEqual(
+                [], drains.list_received(fleet, REFUSING, paused_ms)
+            )
+            with self.load(fleet, caller):
+                woken_ms = self.clock.now_ms()
+                fleet.resume(owners[0])
+                waiting.wait_for(
+                    lambda: all(drains.read_owners(fleet, FLAGGED).values()),
+                    'the woken owner knows',
+                )
+                self.assert_no_new_work(
+                    fleet,
+                    {REFUSING: woken_ms, FLAGGED: woken_ms},
+                    woken_ms + LIMIT_MS + 2000.0,
+                )
+            self.assert_promises_kept(fleet, caller)
+
+    def test_cold_server_gets_its_slots_step_by_step(self):
+        # Guards against a restarted, cold server that gets all of its slots
+        # at once and becomes the straggler of every query.
+        with self.open_listed_fleet() as (fleet, caller, _):
+            server = 'clerk-desk-1'
+            turn = itertools.cycle(fleet.nodes)
+            with loads.open_load(
+                caller, lambda: next(turn), CLERK, workers=16
+            ) as claims:
+                self.wait_for_work(fleet, server, 0.0)
+                restarted_ms = self.clock.now_ms()
+                fleet.control_server(
+                    server,
+                    'POST',
+                    'restart',
+                    {'cold_ms': 4000.0, 'cold_factor': 8.0},
+                )
+                self.clock.sleep_ms(7000.0)
+            records = [
+                record
+                for record in drains.list_received(fleet, server, restarted_ms)
+                if record['outcome'] == 'ran'
+            ]
+            self.assertGreater(len(records), 20)
+            slots = deployments.create_small().find_group('clerk-desk').slots
+            self.assertEqual(
+                [], drains.find_ramp_violations(records, slots, restarted_ms)
+            )
+            counters = fleet.collect_counters()[server]
+            self.assertEqual(0, counters.get('refused_overloaded', 0))
+            # The restart itself cuts what ran, which may cost coverage.
+            self.assertLessEqual(
+                {c.document.get('outcome') for c in claims},
+                {'complete', 'partial'},
+            )
+            self.assert_promises_kept(fleet, caller)
--- /dev/null
+++ b/hawthornfold/integration/tests/test_shutdown.py
@@ -0,0 +1,163 @@
+import json
+import signal
+import threading
+
+from hawthornfold.emulator import deployments
+from hawthornfold.integration import loads
+from hawthornfold.integration import waiting
+from hawthornfold.integration.callers import read_operator
+from hawthornfold.integration.tests import support
+
+LAG_MS = 400.0
+# Covers the lag of the balancer and the time between two of its polls.
+LINGER_MS = 1500
+PAYOUT_SERVERS = [f'payout-ledger-{index}' for index in range(1, 5)]
+
+
+class ShutdownTest(support.TrialCase):
+    def open_fleet(self, **shutdown):
+        return support.open_trial(
+            settings_extra={'shutdown': shutdown}, start_nodes=False
+        )
+
+    def start(self, fleet, deadline_ms):
+        """Start the nodes with rules that leave room for a busy machine."""
+        rules = [
+            rule | {'then': rule['then'] | {'deadline_ms': deadline_ms}}
+            for rule in deployments.create_small().rules
+        ]
+        fleet.publish_document('rules', {'default': None, 'rules': rules})
+        fleet.start_nodes()
+        fleet.wait_until_ready()
+        waiting.wait_for(
+            lambda: (
+                {
+                    len(read_operator(fleet, name, 'status')['members'])
+                    for name in fleet.nodes
+                }
+                == {len(fleet.nodes)}
+            ),
+            'all nodes are members',
+        )
+
+    def submit_payouts(self, fleet, caller, nodes):
+        """Send a payout to each node; wait until the servers have them."""
+        tickets = {node: caller.obtain_ticket(node) for node in nodes}
+        pending = [
+            caller.submit(node, support.PAYOUT, ticket)
+            for node, ticket in tickets.items()
+        ]
+        waiting.wait_for(
+            lambda: (
+                set(tickets.values())
+                <= {record['request_id'] for record in fleet.collect_ledger()}
+            ),
+            'the payouts at the servers',
+        )
+        return pending
+
+    def assert_complete(self, claims):
+        self.assertTrue(claims)
+        bad = [
+            (claim.node, claim.status, claim.document)
+            for claim in claims
+            if claim.document.get('outcome') != 'complete'
+        ]
+        self.assertEqual([], bad[:5])
+
+    def test_rolling_restart_under_load(self):
+        # Guards against requests cut, lost, refused or run twice while the
+        # nodes restart one by one behind a balancer that notices late.
+        with self.open_fleet(linger_ms=LINGER_MS) as (fleet, caller):
+            self.start(fleet, 5000)
+            with loads.open_balancer(fleet, LAG_MS) as balancer:
+                with (
+                    loads.open_load(
+                        caller, balancer.choose, support.SEARCH, 6
+                    ) as searches,
+                    loads.open_load(
+                        caller, balancer.choose, support.PAYOUT, 2, True
+                    ) as payouts,
+                ):
+                    for name in fleet.nodes:
+                        self.assertEqual(0, fleet.terminate(name))
+                        fleet.start_again(name)
+                        waiting.wait_for(
+                            lambda name=name: (
+                                fleet.is_ready(name)
+                                and balancer.sees_ready(name)
+                            ),
+                            f'{name} is back',
+                        )
+            self.assert_complete(searches)
+            self.assert_complete(payouts)
+            self.assert_promises_kept(fleet, caller)
+
+    def test_owner_finishes_work_of_other_entries(self):
+        # Guards against a stop that cuts sub-requests which the node runs
+        # for other entries, and against entries that give them up.
+        with self.open_fleet(linger_ms=200) as (fleet, caller):
+            self.start(fleet, 5000)
+            for server in PAYOUT_SERVERS:
+                # About 1.5 s, far above the linger time.
+                fleet.set_server_fault(server, slow_factor=100.0)
+            pending = self.submit_payouts(fleet, caller, ['entry-1'])
+            running = sum(
+                server['running']
+                for name in ('entry-2', 'entry-3')
+                for server in read_operator(fleet, name, 'status')[
+                    'servers'
+                ].values()
+            )
+            self.assertGreater(running, 0)
+            statuses = {}
+            stops = [
+                threading.Thread(
+                    target=lambda name=name: statuses.update(
+                        {name: fleet.terminate(name)}
+                    )
+                )
+                for name in ('entry-2', 'entry-3')
+            ]
+            for stop in stops:
+                stop.start()
+            for stop in stops:
+                stop.join()
+            self.assertEqual({'entry-2': 0, 'entry-3': 0}, statuses)
+            self.assert_complete([future.result() for future in pending])
+            self.assert_promises_kept(fleet, caller)
+
+    def test_second_signal_and_drain_limit_report_what_is_cut(self):
+        # Guards against a stop that never ends, and against one that cuts
+        # requests without saying so.
+        with self.open_fleet(linger_ms=100, drain_limit_ms=60_000) as (
+            fleet,
+            caller,
+        ):
+            self.start(fleet, 7000)
+            path = fleet.plan.directory / 'entry-3.json'
+            settings = json.loads(path.read_text())
+            settings['shutdown']['drain_limit_ms'] = 500
+            path.write_text(json.dumps(settings))
+            self.assertEqual(0, fleet.terminate('entry-3'))
+            fleet.start_again('entry-3')
+            fleet.wait_until_ready(['entry-3'])
+            for server in PAYOUT_SERVERS:
+                fleet.set_server_fault(server, silent=True)
+            pending = self.submit_payouts(
+                fleet, caller, ['entry-2', 'entry-3']
+            )
+            for name, signals in (('entry-2', 2), ('entry-3', 1)):
+                process = fleet.process(name)
+                process.send_signal(signal.SIGTERM)
+                if signals == 2:
+                    waiting.wait_for(
+                        lambda name=name: not fleet.is_ready(name),
+                        'the first signal is taken',
+                    )
+                    process.send_signal(signal.SIGTERM)
+                self.assertEqual(1, process.wait(15.0))
+                self.assertRegex(process.read_output(), r'cut_requests=[1-9]')
+            for future in pending:
+                self.assertNotEqual('no', future.result().ran)
+            self.assert_promises_kept(fleet, caller)
--- /dev/null
+++ b/hawthornfold/integration/waiting.py
@@ -0,0 +1,31 @@
+"""Waits for events of a trial with a generous limit."""
+
+from hawthornfold.clock import create_system_clock
+
+# No verdict depends on it: it only ends a trial whose event never comes.
+LIMIT_S = 45.0
+_POLL_MS = 50
+
+
+def wait_for(condition, what, limit_s=LIMIT_S):
+    """Poll `condition` until it is true; return its value.
+
+    Raises
+    ------
+    AssertionError
+        When it is still false after `limit_s` seconds.
+
+    Examples
+    --------
+    >>> wait_for(lambda: 7, 'seven')
+    7
+    """
+    clock = create_system_clock()
+    end_ms = clock.now_ms() + limit_s * 1000.0
+    while True:
+        value = condition()
+        if value:
+            return value
+        if clock.now_ms() > end_ms:
+            raise AssertionError(f'never happened: {what}')
+        clock.sleep_ms(_POLL_MS)
