--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SECONDS ?= 50
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench dist
+.PHONY: demo test lint format bench dist check-dist
 
 # The stamp is rebuilt whenever the declared libraries change.
 $(VENV)/.installed: pyproject.toml
@@ -31,3 +31,6 @@
 
 dist: $(VENV)/.installed
 	$(BIN)/python tools/build_dist.py
+
+check-dist: dist
+	$(BIN)/python -m unittest tools.tests.test_dist
--- /dev/null
+++ b/hawthornfold/clock/measure.py
@@ -0,0 +1,110 @@
+"""Measures what green threads and timers of eventlet cost.
+
+docs/decisions/eventlet.md quotes the figures. Times are processor times of
+this process, which a busy machine distorts less than elapsed time.
+"""
+
+import sys
+import time
+
+import eventlet
+from eventlet import hubs
+import eventlet.event
+
+ROUNDS = 5
+SWITCHES = 100_000
+TIMERS = 50_000
+EVENTS = 50_000
+SPAWNS = 50_000
+
+
+def switch_threads():
+    """Switch between two green threads through the hub."""
+
+    def run():
+        for _ in range(SWITCHES // 2):
+            eventlet.sleep(0)
+
+    threads = [eventlet.spawn(run) for _ in range(2)]
+    for thread in threads:
+        thread.wait()
+    return SWITCHES
+
+
+def fire_timers():
+    """Set timers that fire at once."""
+    fired = eventlet.event.Event()
+    left = [TIMERS]
+
+    def on_timer():
+        left[0] -= 1
+        if not left[0]:
+            fired.send(None)
+
+    hub = hubs.get_hub()
+    for _ in range(TIMERS):
+        hub.schedule_call_global(0, on_timer)
+    fired.wait()
+    return TIMERS
+
+
+def cancel_timers():
+    """Set timers that are cancelled, as those of most queries are."""
+    hub = hubs.get_hub()
+    for _ in range(TIMERS):
+        hub.schedule_call_global(60, int).cancel()
+    eventlet.sleep(0)
+    return TIMERS
+
+
+def send_events():
+    """Wake a green thread that waits for an event."""
+    for _ in range(EVENTS):
+        event = eventlet.event.Event()
+        eventlet.spawn_n(event.send, None)
+        event.wait()
+    return EVENTS
+
+
+def spawn_threads():
+    """Start and end green threads without a result."""
+    for _ in range(SPAWNS // 100):
+        for _ in range(100):
+            eventlet.spawn_n(int)
+        eventlet.sleep(0)
+    return SPAWNS
+
+
+def measure(work):
+    """Return the least and the most microseconds an operation took.
+
+    Parameters
+    ----------
+    work : callable
+        Does the operation many times and returns how often.
+    """
+    figures = []
+    for _ in range(ROUNDS):
+        started = time.process_time()
+        amount = work()
+        figures.append((time.process_time() - started) / amount * 1e6)
+    return min(figures), max(figures)
+
+
+def main():
+    """Print a line for each operation; return the exit status."""
+    print(f'eventlet {eventlet.__version__}, hub {hubs.get_hub().__module__}')
+    for name, work in (
+        ('switch by sleep(0)', switch_threads),
+        ('timer that fires', fire_timers),
+        ('timer that is cancelled', cancel_timers),
+        ('spawn and event', send_events),
+        ('spawn without result', spawn_threads),
+    ):
+        least, most = measure(work)
+        print(f'{name:24} {least:6.2f} to {most:6.2f} us')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
