Read a request's waiting bytes before giving it up as too slow

Cause: after a pause of the process longer than the read timeout, callers whose bytes had long arrived were refused with 408 when the request took more than one read.

Change: when the time is over, waiting bytes are read and the time starts anew, once for each request; a caller that trickles bytes is therefore refused after at most twice the time.

Ruled out: measuring the loop's lag in the connection (the pause guard only ticks every 100 ms, after timers have fired).

--- a/hawthornfold/callers/protocol.py
+++ b/hawthornfold/callers/protocol.py
@@ -38,25 +38,45 @@
 
 
 class _TimedStream(io.RawIOBase):
-    """The input of a connection, with a deadline for all reads together."""
+    """The input of a connection, with one time limit for several reads.
+
+    Bytes that wait when the time is over are read once, and the time starts
+    anew: after a pause of the process, its callers are not the slow ones.
+    """
 
     def __init__(self, connection, clock):
         self._connection = connection
         self._clock = clock
         self._write_timeout_s = connection.gettimeout()
-        self.deadline_ms = clock.now_ms()
+        self._limit_ms = self._deadline_ms = 0.0
+        self._may_extend = False
         self.is_polling = False
 
+    def start(self, limit_ms):
+        """Allow `limit_ms` from now on."""
+        self._limit_ms = limit_ms
+        self._deadline_ms = self._clock.now_ms() + limit_ms
+        self._may_extend = True
+
     def readable(self):
         return True
 
     def readinto(self, buffer):
         """Read what has arrived; None when polling and nothing has."""
-        timeout_s = 0.0
-        if not self.is_polling:
-            timeout_s = (self.deadline_ms - self._clock.now_ms()) / 1000.0
-            if timeout_s <= 0.0:
-                raise TimeoutError('the request was not sent in time')
+        if self.is_polling:
+            return self._receive(buffer, 0.0)
+        timeout_ms = self._deadline_ms - self._clock.now_ms()
+        if timeout_ms > 0.0:
+            with contextlib.suppress(TimeoutError):
+                return self._receive(buffer, timeout_ms / 1000.0)
+        count = self._receive(buffer, 0.0) if self._may_extend else None
+        if count is None:
+            raise TimeoutError('the time limit has passed')
+        self.start(self._limit_ms)
+        self._may_extend = False
+        return count
+
+    def _receive(self, buffer, timeout_s):
         self._connection.settimeout(timeout_s)
         try:
             return self._connection.recv_into(buffer)
@@ -171,7 +191,7 @@
         wait_ms = read_timeout_ms
         if not is_first:
             wait_ms = max(IDLE_MS, read_timeout_ms)
-        self._stream.deadline_ms = self._port.clock.now_ms() + wait_ms
+        self._stream.start(wait_ms)
         self._stream.is_polling = self._port.is_stopping
         self.conn_state[2] = wsgi.STATE_IDLE
         try:
@@ -182,7 +202,7 @@
         finally:
             self._stream.is_polling = False
         self.begin_request()
-        self._stream.deadline_ms = self._port.clock.now_ms() + read_timeout_ms
+        self._stream.start(read_timeout_ms)
         return True
 
     def _read_request_line(self):
@@ -304,7 +324,7 @@
         self.conn_state[2] = wsgi.STATE_CLOSE
         self.wfile.flush()
         self.connection.shutdown(socket.SHUT_WR)
-        self._stream.deadline_ms = self._port.clock.now_ms() + DISCARD_MS
+        self._stream.start(DISCARD_MS)
         room = DISCARD_BYTES
         buffer = bytearray(16_384)
         while room > 0:
--- a/hawthornfold/callers/tests/test_server.py
+++ b/hawthornfold/callers/tests/test_server.py
@@ -17,6 +17,7 @@
 from hawthornfold.callers.tests.support import Caller
 from hawthornfold.callers.tests.support import Server
 from hawthornfold.callers.tests.support import create_post
+from hawthornfold.clock import create_manual_clock
 
 LINE = b'POST /v1/query HTTP/1.1\r\n'
 LENGTH = b'Content-Length: 2\r\n'
@@ -122,6 +123,24 @@
             caller.socket.settimeout(HANG_S)
             self.check_error(caller.read_all(), 408, 303)
 
+    def test_bytes_that_wait_after_a_pause_are_read_once(self):
+        # Guards against refusing a caller because the node was paused, and
+        # against extending the time without end.
+        clock = create_manual_clock()
+        connection = mock.Mock()
+        stream = protocol._TimedStream(connection, clock)
+        stream.start(100.0)
+        connection.recv_into.side_effect = [TimeoutError, 3, 4, TimeoutError]
+        self.assertEqual(stream.readinto(bytearray(9)), 3)
+        self.assertEqual(stream.readinto(bytearray(9)), 4)
+        with self.assertRaises(TimeoutError):
+            stream.readinto(bytearray(9))
+        stream.start(100.0)
+        clock.advance(200.0)
+        connection.recv_into.side_effect = BlockingIOError
+        with self.assertRaises(TimeoutError):
+            stream.readinto(bytearray(9))
+
     def test_pipelined_requests_are_answered_in_order(self):
         # Guards against answers out of order, also around HEAD, whose answer
         # has no body, and around a body that no one reads.
