Test the spread of the configuration on a whole fleet

Guards the promise that an accepted configuration is in force on all nodes and never reverts: the platform or all watchers lost during a change, a stale platform replica, a node paused across changes, restarts of all nodes one by one, a document that is refused, and a node that starts while the platform is down. All nodes are sampled during the trial; a node that is not ready serves nobody, so its revisions do not count.

measure_spread measures the time until a change is in force; no verdict depends on it.

--- /dev/null
+++ b/hawthornfold/integration/measure_spread.py
@@ -0,0 +1,173 @@
+"""Measures how long a configuration change takes to all nodes.
+
+The status pages of the nodes are polled one after the other, so a time
+includes up to one round of polls. No verdict depends on the result.
+"""
+
+import argparse
+import itertools
+import json
+import statistics
+import typing
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import fleet as fleets
+from hawthornfold.integration import revisions
+from hawthornfold.integration import waiting
+from hawthornfold.integration.callers import read_operator
+
+
+class SpreadFigures(typing.NamedTuple):
+    """What one run measured.
+
+    Parameters
+    ----------
+    in_force_ms : tuple of float
+        From the publication until the last node had it in force, a change.
+    seconds : float
+        Length of the changes together.
+    reads : int
+        Reads of the platform in that time, all nodes together.
+    messages : dict of str to int
+        Configuration messages sent in that time, by type.
+    served_bytes : int
+        Bytes of documents that nodes sent each other in that time.
+    """
+
+    in_force_ms: tuple[float, ...]
+    seconds: float
+    reads: int
+    messages: dict[str, int]
+    served_bytes: int
+
+
+def sum_counters(fleet, prefix):
+    """Return the sums of the counters of all nodes that have a prefix."""
+    sums = {}
+    for node in fleet.nodes:
+        counters = read_operator(fleet, node, 'status')['counters']
+        for name, value in counters.items():
+            if name.startswith(prefix):
+                sums[name] = sums.get(name, 0) + value
+    return sums
+
+
+def subtract(after, before):
+    """Return how much each counter has grown.
+
+    Examples
+    --------
+    >>> subtract({'a': 3, 'b': 1}, {'a': 1})
+    {'a': 2, 'b': 1}
+    """
+    return {name: after[name] - before.get(name, 0) for name in after}
+
+
+def _publish(fleet, rules):
+    document = {'default': None, 'rules': rules}
+    return fleet.publish('rules', json.dumps(document))[1]['revision']
+
+
+def _count_reads(fleet):
+    return fleet.control_platform('GET', '/control/reads')[1]['reads']
+
+
+def measure_spread(node_count, changes):
+    """Run a fleet, publish changes one by one, and measure.
+
+    Parameters
+    ----------
+    node_count : int
+        Entry nodes, in three data centres.
+    changes : int
+        Changes of the rules.
+
+    Returns
+    -------
+    SpreadFigures
+    """
+    deployment = deployments.create_small()
+    clock = create_system_clock()
+    with fleets.open_fleet(deployment, node_count) as fleet:
+        waiting.wait_for(
+            lambda: (
+                len(revisions.list_watchers(fleet))
+                == min(node_count, 2 * len(deployment.data_centres))
+            ),
+            'the watchers',
+        )
+        sent = sum_counters(fleet, 'configuration_sent')
+        served = sum_counters(fleet, 'configuration_served_bytes')
+        reads = _count_reads(fleet)
+        started_ms = clock.now_ms()
+        times = []
+        rules = list(deployment.rules)
+        for _ in range(changes):
+            rules = revisions.extend_rules(rules)
+            published_ms = clock.now_ms()
+            revision = _publish(fleet, rules)
+            pending = set(fleet.nodes)
+            for name in itertools.cycle(fleet.nodes):
+                if not pending:
+                    break
+                if name in pending and (
+                    revisions.read_revision(fleet, name) >= revision
+                ):
+                    pending.remove(name)
+            times.append(clock.now_ms() - published_ms)
+            clock.sleep_ms(500)
+        seconds = (clock.now_ms() - started_ms) / 1000.0
+        return SpreadFigures(
+            tuple(times),
+            seconds,
+            _count_reads(fleet) - reads,
+            subtract(sum_counters(fleet, 'configuration_sent'), sent),
+            sum(
+                subtract(
+                    sum_counters(fleet, 'configuration_served_bytes'), served
+                ).values()
+            ),
+        )
+
+
+def describe_figures(node_count, figures):
+    """Return the figures as text.
+
+    Examples
+    --------
+    >>> print(describe_figures(2, SpreadFigures((9.0,), 2.0, 4, {}, 80)))
+    2 nodes, 1 changes: in force at all nodes after 9 ms (median), 9 ms (most)
+    platform reads: 2.0 a second, all nodes together
+    documents between nodes: 20 bytes a node and second
+    """
+    times = figures.in_force_ms
+    lines = [
+        f'{node_count} nodes, {len(times)} changes: in force at all nodes '
+        f'after {statistics.median(times):.0f} ms (median), '
+        f'{max(times):.0f} ms (most)',
+        f'platform reads: {figures.reads / figures.seconds:.1f} a second, '
+        f'all nodes together',
+        f'documents between nodes: '
+        f'{figures.served_bytes / figures.seconds / node_count:.0f} '
+        f'bytes a node and second',
+    ]
+    lines += [
+        f'{name}: {count / figures.seconds / node_count:.2f} a node and second'
+        for name, count in sorted(figures.messages.items())
+    ]
+    return '\n'.join(lines)
+
+
+def main():
+    """Measure with the arguments of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--nodes', type=int, default=3)
+    parser.add_argument('--changes', type=int, default=20)
+    options = parser.parse_args()
+    figures = measure_spread(options.nodes, options.changes)
+    print(describe_figures(options.nodes, figures))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/hawthornfold/integration/revisions.py
@@ -0,0 +1,118 @@
+"""Watches the revisions that the nodes of a fleet have in force."""
+
+import contextlib
+import threading
+
+from hawthornfold.integration import waiting
+from hawthornfold.integration.callers import read_operator
+
+_POLL_S = 0.05
+
+
+def read_configuration(fleet, node):
+    """Return the configuration part of a node's status, or None."""
+    status = read_operator(fleet, node, 'status')
+    return None if status is None else status['configuration']
+
+
+def read_revision(fleet, node, key='rules'):
+    """Return the revision in force; 0 at a node that is not ready."""
+    found = read_configuration(fleet, node)
+    if found is None or not found['is_ready']:
+        return 0
+    return found['revisions'].get(key, 0)
+
+
+def wait_until_in_force(fleet, revision, nodes=None, key='rules'):
+    """Wait until nodes, all by default, have a revision in force."""
+    for node in nodes or fleet.nodes:
+        waiting.wait_for(
+            lambda node=node: read_revision(fleet, node, key) >= revision,
+            f'revision {revision} of {key} at {node}',
+        )
+
+
+def list_watchers(fleet):
+    """Return the nodes that read from the platform."""
+    found = {name: read_configuration(fleet, name) for name in fleet.nodes}
+    return [name for name in found if found[name]['is_watcher']]
+
+
+def extend_rules(rules):
+    """Return the rules and one more, which matches no query of a trial.
+
+    Examples
+    --------
+    >>> [rule['name'] for rule in extend_rules([{'name': 'a', 'then': {}}])]
+    ['a', 'added-1']
+    """
+    name = f'added-{len(rules)}'
+    when = {'service': f'service-{name}'}
+    return [*rules, {'name': name, 'when': when, 'then': rules[0]['then']}]
+
+
+class RevisionSampler:
+    """Samples every node and notes each fall of a revision in force.
+
+    A node that is not ready serves nobody, so what it holds until then is
+    not in force.
+    """
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._highest = {}
+        self._falls = []
+        self._samples = dict.fromkeys(fleet.nodes, 0)
+        self._ended = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._watch, args=(name,))
+            for name in fleet.nodes
+        ]
+
+    @property
+    def falls(self):
+        """Tuples of node, key, highest revision before, revision."""
+        return list(self._falls)
+
+    @property
+    def samples(self):
+        """Number of samples by node."""
+        return dict(self._samples)
+
+    def start(self):
+        """Start to sample."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """End the samples."""
+        self._ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _watch(self, node):
+        while not self._ended.wait(_POLL_S):
+            found = read_configuration(self._fleet, node)
+            if found is not None and found['is_ready']:
+                self._samples[node] += 1
+                self._compare(node, found['revisions'])
+
+    def _compare(self, node, revisions):
+        known = {key for name, key in self._highest if name == node}
+        for key in known | set(revisions):
+            before = self._highest.get((node, key), 0)
+            revision = revisions.get(key, 0)
+            if revision < before:
+                self._falls.append((node, key, before, revision))
+            self._highest[node, key] = max(before, revision)
+
+
+@contextlib.contextmanager
+def open_sampler(fleet):
+    """Sample all nodes while the context is active."""
+    sampler = RevisionSampler(fleet)
+    sampler.start()
+    try:
+        yield sampler
+    finally:
+        sampler.stop()
--- /dev/null
+++ b/hawthornfold/integration/tests/test_configuration_spread.py
@@ -0,0 +1,163 @@
+import contextlib
+import json
+
+from hawthornfold.emulator import deployments
+from hawthornfold.emulator import fleet as fleets
+from hawthornfold.integration import callers
+from hawthornfold.integration import revisions
+from hawthornfold.integration import waiting
+from hawthornfold.integration.tests import support
+
+NODES = 5
+
+
+class ConfigurationSpreadTest(support.TrialCase):
+    @contextlib.contextmanager
+    def open_sampled_fleet(self):
+        """Run nodes of one data centre, two of which are watchers."""
+        deployment = deployments.create_small()._replace(
+            data_centres=('zilina-1',)
+        )
+        self.rules = list(deployment.rules)
+        with fleets.open_fleet(deployment, NODES) as fleet:
+            self.wait_for_members(fleet)
+            with revisions.open_sampler(fleet) as sampler:
+                yield fleet
+                waiting.wait_for(
+                    lambda: min(sampler.samples.values()) > 10,
+                    'samples of every node',
+                )
+            self.assertEqual([], sampler.falls)
+
+    def wait_for_members(self, fleet):
+        waiting.wait_for(
+            lambda: len(revisions.list_watchers(fleet)) == 2,
+            'two watchers',
+        )
+
+    def publish(self, fleet, text=None):
+        """Publish rules, valid ones by default; return the revision."""
+        if text is None:
+            self.rules = revisions.extend_rules(self.rules)
+            text = json.dumps({'default': None, 'rules': self.rules})
+        return fleet.publish('rules', text)[1]['revision']
+
+    def set_platform(self, fleet, **fault):
+        fleet.control_platform('PUT', '/control/fault', fault)
+
+    def start_again(self, fleet, names):
+        for name in names:
+            fleet.start_again(name)
+        fleet.wait_until_ready(names, timeout_s=waiting.LIMIT_S)
+
+    def test_platform_or_watchers_lost_during_a_change(self):
+        # Guards against a change that stops half way because the platform
+        # or all of its readers are gone, and against a restarted node that
+        # serves something older than its peers or nothing at all.
+        with self.open_sampled_fleet() as fleet:
+            revision = self.publish(fleet)
+            waiting.wait_for(
+                lambda: any(
+                    revisions.read_revision(fleet, name) >= revision
+                    for name in fleet.nodes
+                ),
+                'a watcher has the change',
+            )
+            self.set_platform(fleet, down=True)
+            revisions.wait_until_in_force(fleet, revision)
+            self.set_platform(fleet)
+            watchers = revisions.list_watchers(fleet)
+            revision = self.publish(fleet)
+            for name in watchers:
+                fleet.kill(name)
+            others = [name for name in fleet.nodes if name not in watchers]
+            revisions.wait_until_in_force(fleet, revision, others)
+            self.set_platform(fleet, down=True)
+            self.start_again(fleet, watchers)
+            revisions.wait_until_in_force(fleet, revision)
+
+    def test_stale_platform_pause_and_refused_document(self):
+        # Guards against a node that goes back to an older revision: from a
+        # stale platform replica after a restart, or from its memory after a
+        # pause across several changes; and against a document that some
+        # nodes refuse and others take.
+        with self.open_sampled_fleet() as fleet:
+            stale = fleet.control_platform('GET', '/control/state')[1]
+            fleet.pause('entry-2')
+            for _ in range(3):
+                revision = self.publish(fleet)
+                revisions.wait_until_in_force(
+                    fleet, revision, [n for n in fleet.nodes if n != 'entry-2']
+                )
+            fleet.resume('entry-2')
+            revisions.wait_until_in_force(fleet, revision)
+            refused = self.publish(fleet, '{"rules": [{"name": 1}]}')
+
+            def read_refusals():
+                found = [
+                    revisions.read_configuration(fleet, name)['refused']
+                    for name in fleet.nodes
+                ]
+                return found if all('rules' in f for f in found) else None
+
+            seen = waiting.wait_for(read_refusals, 'the refusal everywhere')
+            self.assertEqual(
+                {refused}, {found['rules']['revision'] for found in seen}
+            )
+            self.assertEqual(
+                1, len({found['rules']['code'] for found in seen}), seen
+            )
+            self.assertEqual(
+                {revision},
+                {revisions.read_revision(fleet, name) for name in fleet.nodes},
+            )
+            self.set_platform(fleet, stale_revision=stale['revision'])
+            for index, name in enumerate(fleet.nodes):
+                # The last ones find the platform down altogether.
+                if index == NODES - 2:
+                    self.set_platform(fleet, down=True)
+                fleet.kill(name)
+                self.start_again(fleet, [name])
+                self.assertEqual(
+                    revision, revisions.read_revision(fleet, name)
+                )
+            self.set_platform(fleet)
+            revision = self.publish(fleet)
+            revisions.wait_until_in_force(fleet, revision)
+
+    def test_new_node_without_platform_serves_after_a_peer(self):
+        # Guards against a node that answers before it holds a configuration,
+        # and against one that never gets it because the platform is down.
+        with self.open_sampled_fleet() as fleet:
+            revision = self.publish(fleet)
+            revisions.wait_until_in_force(fleet, revision)
+            self.set_platform(fleet, down=True)
+            new, *peers = reversed(fleet.nodes)
+            fleet.kill(new)
+            for name in peers:
+                fleet.pause(name)
+            fleet.start_again(new)
+            waiting.wait_for(
+                lambda: callers.read_operator(fleet, new, 'status'),
+                'the new node is up',
+            )
+            caller = callers.create_trial_caller(fleet)
+            for _ in range(20):
+                claim = caller.ask(new, support.SEARCH)
+                self.assertEqual(
+                    ('NOT_READY', 'no'),
+                    (claim.document.get('code_name'), claim.ran),
+                )
+                self.assertFalse(fleet.is_ready(new))
+            for name in peers:
+                fleet.resume(name)
+            fleet.wait_until_ready([new], timeout_s=waiting.LIMIT_S)
+            self.assertEqual(revision, revisions.read_revision(fleet, new))
+            waiting.wait_for(
+                lambda: (
+                    caller.ask(new, support.SEARCH).document.get('outcome')
+                    == 'complete'
+                ),
+                'the new node answers',
+            )
+            caller.close()
