--- /dev/null
+++ b/hawthornfold/integration/tests/test_differential.py
@@ -0,0 +1,233 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+
+from hawthornfold.backends import Ran
+from hawthornfold.backends import SubRequest
+from hawthornfold.backends import codec
+from hawthornfold.codes import ResultCode
+from hawthornfold.emulator import corpus
+from hawthornfold.integration import indexes
+from hawthornfold.queries import QueryRequest
+from hawthornfold.queries import Send
+from hawthornfold.queries import merge_answers
+from hawthornfold.snapshots import create_snapshot_selector
+
+INDEXES = strategies.builds(
+    indexes.create_index,
+    seed=strategies.integers(0, 5),
+    documents=strategies.integers(10, 60),
+    # Equal counts give both snapshots the same names of shards.
+    counts=strategies.tuples(
+        strategies.integers(1, 6), strategies.integers(1, 6)
+    )
+    | strategies.integers(2, 6).map(lambda count: (count, count)),
+    server_count=strategies.integers(1, 6),
+    replicas=strategies.integers(1, 3),
+)
+QUERIES = strategies.builds(
+    QueryRequest,
+    request_id=strategies.just('q'),
+    service=strategies.just(indexes.GROUP),
+    kind=strategies.just('search'),
+    # The snapshots' names match every document of one snapshot.
+    text=strategies.sampled_from(indexes.SNAPSHOTS + corpus.VOCABULARY[:8]),
+    limit=strategies.integers(1, 30),
+    order=strategies.just(1),
+)
+# What becomes of an attempt: its index among the open ones, its end, and
+# the time until then.
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 40),
+        strategies.sampled_from(
+            ['answer'] * 8
+            + ['wrong snapshot', 'refuse', 'silent', 'lost', 'again']
+            + ['moved'] * 3
+        ),
+        strategies.integers(0, 4),
+    ),
+    min_size=4,
+    max_size=40,
+)
+
+
+REQUESTS = strategies.builds(
+    SubRequest,
+    request_id=strategies.sampled_from(['q1', 'q2']),
+    attempt=strategies.integers(1, 2),
+    snapshot=strategies.sampled_from(indexes.SNAPSHOTS),
+    deadline_ms=strategies.just(50),
+    shards=strategies.sets(strategies.sampled_from('abc'), min_size=1).map(
+        lambda names: tuple(sorted(names))
+    ),
+    kind=strategies.just('search'),
+    text=strategies.just(''),
+    limit=strategies.just(1),
+)
+
+
+class ReplyTest(unittest.TestCase):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(REQUESTS, REQUESTS)
+    def test_only_the_reply_to_the_request_counts(self, request, other):
+        # Guards against a reply that is taken although it names another
+        # request, attempt, snapshot or set of shards.
+        reply = {
+            'request_id': other.request_id,
+            'attempt': other.attempt,
+            'snapshot': other.snapshot,
+            'held': [],
+            'incarnation': 'i1',
+            'draining': False,
+            'answers': [
+                {'shard': name, 'total': 0, 'hits': []}
+                for name in other.shards
+            ],
+        }
+        decoded = codec.decode_reply(request, msgspec.json.encode(reply))
+        self.assertEqual(request == other, decoded.is_ok())
+
+
+class MergeTest(unittest.TestCase):
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    @given(
+        INDEXES,
+        QUERIES,
+        strategies.sampled_from(indexes.SNAPSHOTS),
+        strategies.data(),
+    )
+    def test_merge_equals_the_naive_merge(self, index, query, snapshot, data):
+        # Guards against an order of arrival, ties or limits that change the
+        # answer.
+        names = data.draw(
+            strategies.lists(
+                strategies.sampled_from([*index.weights(snapshot)]),
+                unique=True,
+            )
+        )
+        merged = merge_answers(
+            [
+                indexes.decode_answer(index.answer(snapshot, name, query))
+                for name in names
+            ],
+            query.limit,
+        )
+        self.assertEqual(
+            index.answer_naively(snapshot, names, query),
+            (merged.total, [hit._asdict() for hit in merged.hits]),
+        )
+
+
+class ExecutionTest(unittest.TestCase):
+    @settings(max_examples=400, derandomize=True, deadline=None)
+    @given(INDEXES, QUERIES, EVENTS, strategies.booleans())
+    def test_outcome_equals_the_naive_merge(
+        self, index, query, events, idempotent
+    ):
+        # Guards against any partition, order, loss, repetition or move to
+        # another snapshot after which the answer is not exactly that of
+        # the covered shards of one snapshot, and coverage not their weight.
+        selector = create_snapshot_selector(index.build_group())
+        for name in index.servers:
+            selector.observe(name, 'i1', ('s1',), 0.0)
+        selector.advance(0.0)
+        execution = indexes.start_execution(index, query, idempotent, selector)
+        sends = {}
+        ended = set()
+        refused = set()
+        now_ms = 0.0
+
+        def note(actions):
+            for action in actions:
+                if isinstance(action, Send):
+                    sends[action.attempt] = action
+
+        def answer(send, snapshot):
+            # A server answers with data of the snapshot that it names.
+            names = [*index.weights(snapshot)]
+            documents = [
+                index.answer(
+                    snapshot, name if name in names else names[0], query
+                )
+                for name in send.shards
+            ]
+            return execution.on_reply(
+                send.attempt,
+                snapshot,
+                [indexes.decode_answer(d) for d in documents],
+                now_ms,
+            )
+
+        def fail(number, code, has_run):
+            ended.add(number)
+            if has_run is Ran.NO:
+                refused.add(number)
+            note(execution.on_failure(number, code, has_run, now_ms))
+
+        note(execution.start(0.0))
+        ran = set()
+        for choice, kind, delay in events:
+            now_ms += delay
+            note(execution.on_timer(now_ms))
+            open_sends = [
+                send
+                for number, send in sends.items()
+                if number not in ended
+                # A copy of an answer; a refusal is true and never followed
+                # by an answer.
+                or (kind == 'again' and number not in refused)
+            ]
+            if not open_sends:
+                continue
+            send = open_sends[choice % len(open_sends)]
+            if kind == 'moved' and send.snapshot == 's2':
+                kind = 'answer'
+            ended.add(send.attempt)
+            if kind not in ('refuse', 'moved'):
+                ran.add(send.attempt)
+            if kind in ('answer', 'again'):
+                note(answer(send, send.snapshot))
+            elif kind == 'wrong snapshot':
+                note(answer(send, 's2' if send.snapshot == 's1' else 's1'))
+            elif kind == 'lost':
+                ended |= {n for n, s in sends.items() if s.owner == send.owner}
+                note(execution.on_owner_lost(send.owner, now_ms))
+            elif kind == 'moved':
+                # All servers at once, so that the query starts over.
+                for name in index.servers:
+                    selector.observe(name, 'i2', ('s2',), now_ms)
+                for number in sorted(sends.keys() - ended | {send.attempt}):
+                    fail(number, ResultCode.BACKEND_SNAPSHOT, Ran.NO)
+            elif kind == 'refuse':
+                fail(send.attempt, ResultCode.BACKEND_REFUSED, Ran.NO)
+            else:
+                fail(send.attempt, ResultCode.BACKEND_SILENT, Ran.UNKNOWN)
+        note(execution.on_timer(1000.0))
+        self._check(index, query, execution.outcome, ran)
+
+    def _check(self, index, query, outcome, ran):
+        if outcome.ran is Ran.NO:
+            self.assertEqual(set(), ran)
+        if outcome.coverage is None:
+            self.assertEqual((), outcome.answers)
+            return
+        weights = index.weights(outcome.snapshot)
+        covered = [
+            name
+            for name in weights
+            if name not in outcome.coverage.missing_shards
+        ]
+        self.assertEqual(
+            (sum(weights[name] for name in covered), sum(weights.values())),
+            outcome.coverage[:2],
+        )
+        merged = merge_answers(outcome.answers, query.limit)
+        self.assertEqual(
+            index.answer_naively(outcome.snapshot, covered, query),
+            (merged.total, [hit._asdict() for hit in merged.hits]),
+        )
+        self.assertEqual(outcome.coverage.is_complete, covered == [*weights])
--- a/hawthornfold/nodes/context.py
+++ b/hawthornfold/nodes/context.py
@@ -27,4 +27,5 @@
     query_runner: typing.Any = None
     ticket_service: typing.Any = None
     lifecycle: typing.Any = None
+    journal_lookup: typing.Any = None
     handover: typing.Any = None
