Believe a clean report long after the last drain signal

The ten seconds that the test was written for sent work to servers that still drain, again and again.

Change: a clean report is believed 10 minutes after the last signal; the VM of a server that drains is gone by then. The platform taking its own signal back ends that signal at once, as test_an_old_platform_list_changes_nothing asks; other signals wait for a clean report, and a later signal cancels the return.

Tests: test_evidence guards the cases in which reports contradict; the integration test now shows that list and flag alone stop work, since a mutation without the flag had passed: refusals stood in for it.

--- a/hawthornfold/draining/tracker.py
+++ b/hawthornfold/draining/tracker.py
@@ -6,12 +6,16 @@
 report of an incarnation that was not known when the signal came, or a newer
 platform list that has the server live again, followed by a clean report. A
 clean report of a known incarnation is no such evidence: health reports lag,
-and a server that refuses work may say nothing else. Time is none either: a
-signal that expired would send work to a server that still drains.
+and a server that refuses work may say nothing else.
 """
 
 import collections
 
+# A drain may be called off without a restart, and a refusal may have another
+# cause. Long after the last signal a clean report is believed, so that no
+# server is lost for good; the VM of a server that really drains is gone by
+# then. Ten seconds sent work to draining servers again and again.
+REFUSAL_HOLD_MS = 600_000.0
 # Reports that lag name earlier incarnations. A server restarts more often
 # than this only within a lag of hours.
 MAX_INCARNATIONS = 16
@@ -28,6 +32,7 @@
         'is_returning',
         'is_unnamed',
         'revision',
+        'signal_ms',
     )
 
     def __init__(self):
@@ -36,11 +41,12 @@
         self.is_flagged = False
         self.is_leaving = False
         self.is_refusing = False
-        # The platform took its signal back; a clean report must follow.
+        # The platform took its signal back; a clean report ends the others.
         self.is_returning = False
         # A refusal came before any incarnation of the server was known.
         self.is_unnamed = False
         self.revision = 0
+        self.signal_ms = 0.0
 
     def learn(self, incarnation):
         """Note an incarnation; return whether it is a new one."""
@@ -89,12 +95,12 @@
         if revision < state.revision:
             return
         state.revision = revision
-        # While it returns the server counts as leaving: only its own clean
-        # report shows that it takes work again.
-        state.is_returning = state.is_leaving and not is_leaving
-        state.is_leaving = state.is_leaving or is_leaving
+        state.is_returning = not is_leaving and (
+            state.is_leaving or state.is_returning
+        )
+        state.is_leaving = is_leaving
 
-    def report_health(self, server, incarnation, is_draining):
+    def report_health(self, server, incarnation, is_draining, now_ms):
         """Take over a report that came from the server itself."""
         state = self._states[server]
         is_new = state.learn(incarnation)
@@ -103,13 +109,16 @@
             return
         if is_draining:
             state.is_flagged = True
-        elif is_new or state.is_returning:
+            state.is_returning = False
+            state.signal_ms = now_ms
+            return
+        is_old = now_ms - state.signal_ms >= REFUSAL_HOLD_MS
+        if is_new or is_old or state.is_returning:
             state.is_flagged = False
             state.is_refusing = False
-            if state.is_returning:
-                state.is_leaving = state.is_returning = False
+            state.is_returning = False
 
-    def report_refusal(self, server, incarnation):
+    def report_refusal(self, server, incarnation, now_ms):
         """Take over a refusal, seen here or reported by a peer.
 
         Parameters
@@ -123,6 +132,8 @@
             # A peer's report about an incarnation that is gone.
             return
         state.is_refusing = True
+        state.is_returning = False
+        state.signal_ms = now_ms
         state.is_unnamed = not state.incarnations
 
 
@@ -132,11 +143,11 @@
     Examples
     --------
     >>> tracker = create_drain_tracker()
-    >>> tracker.report_refusal('s1', 'first')
-    >>> tracker.report_health('s1', 'first', False)
+    >>> tracker.report_refusal('s1', 'first', now_ms=0.0)
+    >>> tracker.report_health('s1', 'first', False, now_ms=100.0)
     >>> tracker.is_draining('s1')
     True
-    >>> tracker.report_health('s1', 'second', False)
+    >>> tracker.report_health('s1', 'second', False, now_ms=200.0)
     >>> tracker.is_draining('s1')
     False
     """
--- a/hawthornfold/integration/tests/test_draining.py
+++ b/hawthornfold/integration/tests/test_draining.py
@@ -68,11 +68,24 @@
         # a return to service on evidence that is older than the signal.
         with self.open_listed_fleet() as (fleet, caller, relay):
             address = fleet.plan.addresses()[LISTED]
-            with self.load(fleet, caller) as claims:
+            with self.load(fleet, caller):
                 for server in (LISTED, FLAGGED, REFUSING, LAGGING):
                     self.wait_for_work(fleet, server, 0.0)
-                relay.list_backends({LISTED: (address, 'leaving')})
-                fleet.set_server_fault(FLAGGED, draining=True)
+            # Without load no refusal can stand in for list and flag.
+            relay.list_backends({LISTED: (address, 'leaving')})
+            fleet.set_server_fault(FLAGGED, draining=True)
+            for server, reason in ((LISTED, 'platform'), (FLAGGED, 'flag')):
+                waiting.wait_for(
+                    lambda server=server, reason=reason: all(
+                        reason in reasons
+                        for reasons in drains.read_owners(
+                            fleet, server
+                        ).values()
+                    ),
+                    f'both owners of {server} see {reason}',
+                )
+            quiet_ms = self.clock.now_ms()
+            with self.load(fleet, caller) as claims:
                 fleet.set_server_fault(REFUSING, drain_flag_hidden=True)
                 fleet.set_server_fault(
                     LAGGING, draining=True, health_lag_ms=60_000.0
@@ -89,6 +102,10 @@
                 self.assert_no_new_work(
                     fleet, seen, max(seen.values()) + 13_000.0
                 )
+                for server in (LISTED, FLAGGED):
+                    self.assertEqual(
+                        [], drains.list_received(fleet, server, quiet_ms)
+                    )
                 # Fresh evidence: a new incarnation, or a newer list.
                 fleet.control_platform('PUT', '/control/fault', {})
                 relay.list_backends({LISTED: (address, 'live')})
--- a/hawthornfold/owners/health.py
+++ b/hawthornfold/owners/health.py
@@ -112,7 +112,9 @@
         """Take over the drain flag of a reply or health report."""
         name = state.server.name
         was_draining = self._drains.is_draining(name)
-        self._drains.report_health(name, incarnation, is_draining)
+        self._drains.report_health(
+            name, incarnation, is_draining, self._clock.now_ms()
+        )
         is_now = self._drains.is_draining(name)
         if is_now and not was_draining:
             self._owner.on_drain(name, 'drain flag of the server')
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -14,9 +14,7 @@
 
 from hawthornfold.backends import ExchangeFailure
 from hawthornfold.backends import Ran
-from hawthornfold.backends import SubRequest
 from hawthornfold.codes import ResultCode
-from hawthornfold.owners import messages
 from hawthornfold.owners.health import HealthMonitor
 from hawthornfold.owners.notices import create_drain_reporter
 from hawthornfold.owners.state import Job
@@ -115,7 +113,7 @@
     def report_refusal(self, server, incarnation, cause):
         """Record that a server refuses work because it drains."""
         was_draining = self._drains.is_draining(server)
-        self._drains.report_refusal(server, incarnation)
+        self._drains.report_refusal(server, incarnation, self._clock.now_ms())
         if not was_draining and self._drains.is_draining(server):
             self.on_drain(server, f'refusal seen by {cause}')
 
@@ -237,24 +235,11 @@
             )
         job.connection = connection
         outcome = self._health.exchange(
-            state, job, connection, self._sub_request(job, remaining_ms)
+            state, job, connection, job.create_sub_request(remaining_ms)
         )
         job.connection = None
         return outcome
 
-    def _sub_request(self, job, remaining_ms):
-        work = job.work
-        return SubRequest(
-            work.request_id,
-            job.part.attempt,
-            work.snapshot,
-            int(remaining_ms),
-            job.part.shards,
-            work.kind,
-            work.text,
-            work.limit,
-        )
-
     # Replies
 
     def _conclude(self, state, job, outcome, started_ms):
@@ -320,20 +305,8 @@
             if not job.work.idempotent:
                 self._remember_finished(job.key)
         self._metrics.count('owner_attempts', code=code.name)
-        reply = messages.WorkReply(
-            job.work.request_id,
-            job.part.attempt,
-            job.part.server,
-            int(code),
-            int(ran),
-            job.work.snapshot,
-            '' if state is None else state.incarnation,
-            () if state is None else state.held,
-            0 if state is None else state.queue.depth,
-            wait_ms,
-            service_ms,
-            body,
-            detail,
+        reply = job.create_reply(
+            state, code, ran, wait_ms, service_ms, body, detail
         )
         if job.sender.name == self._node:
             self._local_reply(reply)
--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -3,10 +3,12 @@
 import collections
 import typing
 
+from hawthornfold.backends import SubRequest
 from hawthornfold.backends import create_connection_pool
 from hawthornfold.backends import create_path_diagnosis
 from hawthornfold.limits import create_server_queue
 from hawthornfold.limits import create_slot_ramp
+from hawthornfold.owners import messages
 
 # Reports that lag name earlier incarnations.
 MAX_SUPERSEDED = 16
@@ -46,6 +48,40 @@
         self.connection = None
         self.is_cancelled = False
 
+    def create_sub_request(self, remaining_ms):
+        """Create the request to the server; it has `remaining_ms` left."""
+        work = self.work
+        return SubRequest(
+            work.request_id,
+            self.part.attempt,
+            work.snapshot,
+            int(remaining_ms),
+            self.part.shards,
+            work.kind,
+            work.text,
+            work.limit,
+        )
+
+    def create_reply(
+        self, state, code, ran, wait_ms, service_ms, body, detail
+    ):
+        """Create the reply to the entry; `state` is None when not owned."""
+        return messages.WorkReply(
+            self.work.request_id,
+            self.part.attempt,
+            self.part.server,
+            int(code),
+            int(ran),
+            self.work.snapshot,
+            '' if state is None else state.incarnation,
+            () if state is None else state.held,
+            0 if state is None else state.queue.depth,
+            wait_ms,
+            service_ms,
+            body,
+            detail,
+        )
+
 
 class ServerState:
     """Queue, connections and health of one owned server."""
