Wait for work at the owners that stop

Cause: one payout may go to servers of the entry itself, and then the stop of the other nodes guarded nothing; the check of that condition failed once. Change: four payouts, and the trial waits until both stopping owners run some.

--- a/hawthornfold/integration/tests/test_shutdown.py
+++ b/hawthornfold/integration/tests/test_shutdown.py
@@ -42,20 +42,25 @@
 
     def submit_payouts(self, fleet, caller, nodes):
         """Send a payout to each node; wait until the servers have them."""
-        tickets = {node: caller.obtain_ticket(node) for node in nodes}
+        tickets = [caller.obtain_ticket(node) for node in nodes]
         pending = [
             caller.submit(node, support.PAYOUT, ticket)
-            for node, ticket in tickets.items()
+            for node, ticket in zip(nodes, tickets, strict=True)
         ]
         waiting.wait_for(
             lambda: (
-                set(tickets.values())
+                set(tickets)
                 <= {record['request_id'] for record in fleet.collect_ledger()}
             ),
             'the payouts at the servers',
         )
         return pending
 
+    def count_running(self, fleet, node):
+        """Return how many sub-requests a node runs as an owner."""
+        servers = read_operator(fleet, node, 'status')['servers']
+        return sum(server['running'] for server in servers.values())
+
     def assert_complete(self, claims):
         self.assertTrue(claims)
         bad = [
@@ -99,17 +104,17 @@
         with self.open_fleet(linger_ms=200) as (fleet, caller):
             self.start(fleet, 5000)
             for server in PAYOUT_SERVERS:
-                # About 1.5 s, far above the linger time.
-                fleet.set_server_fault(server, slow_factor=100.0)
-            pending = self.submit_payouts(fleet, caller, ['entry-1'])
-            running = sum(
-                server['running']
-                for name in ('entry-2', 'entry-3')
-                for server in read_operator(fleet, name, 'status')[
-                    'servers'
-                ].values()
+                # About 0.9 s, far above the linger time.
+                fleet.set_server_fault(server, slow_factor=60.0)
+            # Enough of them that the work is spread over all owners.
+            pending = self.submit_payouts(fleet, caller, 4 * ['entry-1'])
+            waiting.wait_for(
+                lambda: all(
+                    self.count_running(fleet, name)
+                    for name in ('entry-2', 'entry-3')
+                ),
+                'work at the owners that stop',
             )
-            self.assertGreater(running, 0)
             statuses = {}
             stops = [
                 threading.Thread(
