--- /dev/null
+++ b/hawthornfold/metrics/tests/test_documentation.py
@@ -0,0 +1,81 @@
+import collections
+import pathlib
+import re
+import unittest
+
+from hawthornfold.metrics import registry
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+# The emulator's and the checks' counters are none of the node's.
+_OTHER_PACKAGES = {'tests', 'emulator', 'integration'}
+_CALL = re.compile(r"\.(count|set_gauge|observe_ms)\(\s*'([a-z_]+)'")
+_FORMATS = {'count': '{}_total', 'set_gauge': '{}', 'observe_ms': '{}_ms'}
+_DOCUMENTED = re.compile(rf'`({registry.PREFIX}[a-z_]+)`')
+# Pages that code and design name and that other work is about to bring.
+_PLANNED = {
+    'docs/CAPACITY.md',
+    'docs/decisions/owners.md',
+    'docs/http.md',
+    'docs/proofs.md',
+}
+_FILE = re.compile(r'\b(?:docs|examples|hawthornfold|tools)/[\w./-]*\w')
+
+
+def collect_metrics():
+    """Return the calls that set each exposed name."""
+    found = collections.defaultdict(set)
+    for path in (ROOT / 'hawthornfold').rglob('*.py'):
+        if _OTHER_PACKAGES.isdisjoint(path.parts):
+            for call, name in _CALL.findall(path.read_text()):
+                full = registry.PREFIX + _FORMATS[call].format(name)
+                found[full].add((call, name))
+    return found
+
+
+def list_pages():
+    """Return the pages that users and developers read."""
+    return [ROOT / 'README.md', *sorted((ROOT / 'docs').rglob('*.md'))]
+
+
+class MetricNamesTest(unittest.TestCase):
+    def test_documented_metrics_are_those_of_the_code(self):
+        # Guards against alarms on names that no node exposes, and against
+        # metrics that nobody can interpret.
+        text = (ROOT / 'docs' / 'operations.md').read_text()
+        self.assertEqual(
+            set(collect_metrics()), set(_DOCUMENTED.findall(text))
+        )
+
+    def test_no_two_metrics_share_a_name(self):
+        # Guards against a registry that refuses to render: one collision
+        # makes /v1/operator/metrics answer 500.
+        shared = {
+            name: calls
+            for name, calls in collect_metrics().items()
+            if len(calls) > 1
+        }
+        self.assertEqual({}, shared)
+
+
+class PagesTest(unittest.TestCase):
+    def test_files_named_in_pages_exist(self):
+        # Guards against pages that send readers to moved or deleted files.
+        missing = [
+            (page.name, name)
+            for page in list_pages()
+            for name in sorted(set(_FILE.findall(page.read_text())))
+            if name not in _PLANNED and not (ROOT / name).exists()
+        ]
+        self.assertEqual([], missing)
+
+    def test_planned_pages_exist(self):
+        # Guards against promises in the README that are never kept.
+        missing = sorted(n for n in _PLANNED if not (ROOT / n).exists())
+        self.assertEqual([], missing)
+
+    def test_index_lists_every_decision(self):
+        # Guards against decision pages that nobody finds.
+        directory = ROOT / 'docs' / 'decisions'
+        text = (directory / 'README.md').read_text()
+        pages = {p.name for p in directory.glob('*.md')} - {'README.md'}
+        self.assertEqual(pages, set(re.findall(r'\(([\w-]+\.md)\)', text)))
