Report busy ports and failed forwards as numbered errors

Cause: a busy port ended serve with a traceback (seen when two test runs picked the same port); an error while the issuer ran a forwarded request sent no reply, and a second sending that waited was told that the first had not ended. Ruled out: retrying the bind, since the settings are wrong then. Change: code 209; the issuer always replies; ticket counters are ASCII digits.

--- a/hawthornfold/codes/registry.py
+++ b/hawthornfold/codes/registry.py
@@ -38,6 +38,7 @@
     RULE_CONTRADICTION = 206, 'two parts of a rule contradict each other'
     RULE_DUPLICATE_NAME = 207, 'two rules have the same name'
     FILE_UNREADABLE = 208, 'the file cannot be read'
+    ADDRESS_UNAVAILABLE = 209, 'an address of the node cannot be bound'
 
     REQUEST_MALFORMED = 301, 'the request is not valid'
     REQUEST_TOO_LARGE = 302, 'the request exceeds a size limit'
--- a/hawthornfold/commands/serving.py
+++ b/hawthornfold/commands/serving.py
@@ -1,8 +1,16 @@
 """The command that runs a node."""
 
+import errno
+
+import zmq.error
+
+from hawthornfold.codes import Failure
+from hawthornfold.codes import ResultCode
 from hawthornfold.commands import output
 from hawthornfold.settings import load_settings
 
+_BIND_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
+
 
 def serve(path):
     """Run a node until it is told to stop; return the exit status.
@@ -20,5 +28,12 @@
     # Only a node needs the modules that need green threads.
     from hawthornfold import nodes
 
-    status = nodes.run_node(loaded.ok_value)
+    try:
+        status = nodes.run_node(loaded.ok_value)
+    except (OSError, zmq.error.ZMQError) as error:
+        if error.errno not in _BIND_ERRORS:
+            raise
+        failure = Failure(ResultCode.ADDRESS_UNAVAILABLE, str(error))
+        output.print_error(output.format_failure(failure))
+        return output.EXIT_INVALID
     return output.EXIT_DONE if status is None else status
--- /dev/null
+++ b/hawthornfold/commands/tests/test_serving.py
@@ -0,0 +1,35 @@
+import io
+import json
+import pathlib
+import socket
+import tempfile
+import unittest
+import unittest.mock
+
+from hawthornfold.commands import serving
+
+
+class ServeTest(unittest.TestCase):
+    def test_busy_port_is_a_numbered_error(self):
+        # Guards against a traceback when another process has the port.
+        with socket.create_server(('127.0.0.1', 0)) as taken:
+            port = taken.getsockname()[1]
+            document = {
+                'cluster': 'c',
+                'node': {
+                    'name': 'n',
+                    'data_centre': 'd',
+                    'host': '127.0.0.1',
+                },
+                'callers': {'port': 1},
+                'operators': {'port': 2},
+                'peers': {'port': port},
+                'platform': {'addresses': ['127.0.0.1:9']},
+            }
+            with tempfile.TemporaryDirectory() as directory:
+                path = pathlib.Path(directory) / 'settings.json'
+                path.write_text(json.dumps(document))
+                with unittest.mock.patch('sys.stderr', io.StringIO()) as out:
+                    status = serving.serve(str(path))
+        self.assertEqual(2, status)
+        self.assertIn('209 ADDRESS_UNAVAILABLE', out.getvalue())
--- a/hawthornfold/tickets/issuer.py
+++ b/hawthornfold/tickets/issuer.py
@@ -47,10 +47,12 @@
         if len(text) > MAX_TICKET_LENGTH:
             return None
         parts = text.split('~')
-        if len(parts) != 4 or not parts[2].isascii():
+        if len(parts) != 4:
             return None
         node, incarnation, counter, mac = parts
-        if not counter.isdigit() or not mac.isascii():
+        # isdigit alone accepts digits that int does not, such as a
+        # superscript two.
+        if not (counter.isascii() and counter.isdigit() and mac.isascii()):
             return None
         expected = self._sign(f'{node}~{incarnation}~{counter}')
         if not hmac.compare_digest(mac, expected):
--- a/hawthornfold/tickets/service.py
+++ b/hawthornfold/tickets/service.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import eventlet.event
+import logbook
 import msgspec
 
 from hawthornfold.callers import requests
@@ -18,6 +19,13 @@
 FORWARD_SLACK_MS = 100.0
 
 
+# Stands for the answer of a run that has not ended; None is the answer of a
+# run that ended with an internal error.
+_NOT_ENDED = object()
+
+_LOG = logbook.Logger('tickets')
+
+
 class TicketState(enum.Enum):
     """Whether a request with a ticket is to be run now."""
 
@@ -140,10 +148,17 @@
 
     def _wait(self, ticket, deadline_ms):
         end = self._ends[ticket.counter]
-        answer = None
+        answer = _NOT_ENDED
         with eventlet.Timeout(deadline_ms / 1000.0, False):
             answer = end.wait()
-        if answer is not None:
+        if answer is None:
+            return requests.create_refusal(
+                ResultCode.INTERNAL,
+                'the first sending ended with an internal error',
+                'unknown',
+                ticket=ticket.text,
+            )
+        if answer is not _NOT_ENDED:
             return answer
         return requests.create_refusal(
             ResultCode.TICKET_IN_PROGRESS,
@@ -207,17 +222,30 @@
                 'unknown',
             )
         else:
-            headers = {**message.headers, 'x-ticket': message.ticket}
-            answer = self._handler(
-                requests.CallerRequest(
-                    'POST', message.path, headers, message.body
-                )
-            )
+            answer = self._handle_own(message)
         reply = messages.ForwardReply(
             message.forward_id, answer.status, answer.body
         )
         self._links.send(sender.name, sender.address, reply)
 
+    def _handle_own(self, message):
+        headers = {**message.headers, 'x-ticket': message.ticket}
+        request = requests.CallerRequest(
+            'POST', message.path, headers, message.body
+        )
+        try:
+            return self._handler(request)
+        except Exception:  # noqa: BLE001
+            # The node that waits must be told, whatever went wrong here.
+            self._metrics.count('forward_internal_errors')
+            _LOG.exception('forwarded request failed with an internal error')
+            return requests.create_refusal(
+                ResultCode.INTERNAL,
+                'internal error of the issuer',
+                'unknown',
+                ticket=message.ticket,
+            )
+
     def _find_issuer(self, ticket):
         for member in self._membership.members:
             if (member.name, str(member.incarnation)) == (
--- a/hawthornfold/tickets/tests/test_ledger.py
+++ b/hawthornfold/tickets/tests/test_ledger.py
@@ -73,5 +73,12 @@
         text = issuer.issue().text
         self.assertIsNotNone(issuer.read(text))
         self.assertIsNone(other.read(text))
-        for damaged in ('', '~~~', text.replace('n1', 'n2'), text + 'x', 'é'):
+        for damaged in (
+            '',
+            '~~~',
+            text.replace('n1', 'n2'),
+            text + 'x',
+            'é',
+            'n~1~²~x',
+        ):
             self.assertIsNone(issuer.read(damaged))
