--- a/hawthornfold/nodes/pause.py
+++ b/hawthornfold/nodes/pause.py
@@ -36,7 +36,6 @@
         """Record that the loop runs; note a pause and its end."""
         now_ms = self._clock.now_ms()
         lag_ms = now_ms - self._last_tick_ms - TICK_MS
-        self._metrics.set_gauge('loop_lag_ms', max(0.0, lag_ms))
         if now_ms - self._last_tick_ms > self._lease_ms:
             self._paused_ms = now_ms
             self._metrics.count('pauses')
