Make the watcher and staleness trials bite

Cause: in a scratch copy without the takeover of lost watchers the test passed, because the watchers had passed the change on before they were killed; without the comparison of revisions the test with the stale replica passed, because the stale reply always came first. Change: the watchers are paused before the change is published, and the stale replica answers 700 ms late.

--- a/hawthornfold/integration/tests/test_configuration_spread.py
+++ b/hawthornfold/integration/tests/test_configuration_spread.py
@@ -67,6 +67,9 @@
             revisions.wait_until_in_force(fleet, revision)
             self.set_platform(fleet)
             watchers = revisions.list_watchers(fleet)
+            # Paused first, so that none of them passes the change on.
+            for name in watchers:
+                fleet.pause(name)
             revision = self.publish(fleet)
             for name in watchers:
                 fleet.kill(name)
@@ -111,7 +114,11 @@
                 {revision},
                 {revisions.read_revision(fleet, name) for name in fleet.nodes},
             )
-            self.set_platform(fleet, stale_revision=stale['revision'])
+            # Late as well: a node that hears from its peers first must not
+            # take the stale reply that follows.
+            self.set_platform(
+                fleet, stale_revision=stale['revision'], delay_ms=700.0
+            )
             for index, name in enumerate(fleet.nodes):
                 # The last ones find the platform down altogether.
                 if index == NODES - 2:
