--- a/hawthornfold/integration/tests/test_configuration_spread.py
+++ b/hawthornfold/integration/tests/test_configuration_spread.py
@@ -19,8 +19,11 @@
             data_centres=('zilina-1',)
         )
         self.rules = list(deployment.rules)
-        with fleets.open_fleet(deployment, NODES) as fleet:
-            self.wait_for_members(fleet)
+        extra = {'platform': {'watch_wait_ms': 2000}}
+        with fleets.open_fleet(
+            deployment, NODES, settings_extra=extra
+        ) as fleet:
+            self.wait_for_watchers(fleet)
             with revisions.open_sampler(fleet) as sampler:
                 yield fleet
                 waiting.wait_for(
@@ -29,9 +32,18 @@
                 )
             self.assertEqual([], sampler.falls)
 
-    def wait_for_members(self, fleet):
+    def wait_for_watchers(self, fleet):
+        """Wait until two nodes read; at its start every node does."""
+
+        def count_watches():
+            reads = fleet.control_platform('GET', '/control/reads')[1]
+            return reads['waiting']
+
         waiting.wait_for(
-            lambda: len(revisions.list_watchers(fleet)) == 2,
+            lambda: (
+                len(revisions.list_watchers(fleet)) == 2
+                and count_watches() == 2
+            ),
             'two watchers',
         )
 
