--- a/hawthornfold/integration/tests/test_configuration_spread.py
+++ b/hawthornfold/integration/tests/test_configuration_spread.py
@@ -19,8 +19,11 @@
             data_centres=('zilina-1',)
         )
         self.rules = list(deployment.rules)
-        with fleets.open_fleet(deployment, NODES) as fleet:
-            self.wait_for_members(fleet)
+        extra = {'platform': {'watch_wait_ms': 2000}}
+        with fleets.open_fleet(
+            deployment, NODES, settings_extra=extra
+        ) as fleet:
+            self.wait_for_watchers(fleet)
             with revisions.open_sampler(fleet) as sampler:
                 yield fleet
                 waiting.wait_for(
@@ -29,9 +32,18 @@
                 )
             self.assertEqual([], sampler.falls)
 
-    def wait_for_members(self, fleet):
+    def wait_for_watchers(self, fleet):
+        """Wait until two nodes read; at its start every node does."""
+
+        def count_watches():
+            reads = fleet.control_platform('GET', '/control/reads')[1]
+            return reads['waiting']
+
         waiting.wait_for(
-            lambda: len(revisions.list_watchers(fleet)) == 2,
+            lambda: (
+                len(revisions.list_watchers(fleet)) == 2
+                and count_watches() == 2
+            ),
             'two watchers',
         )
 
@@ -67,6 +79,9 @@
             revisions.wait_until_in_force(fleet, revision)
             self.set_platform(fleet)
             watchers = revisions.list_watchers(fleet)
+            # Paused first, so that none of them passes the change on.
+            for name in watchers:
+                fleet.pause(name)
             revision = self.publish(fleet)
             for name in watchers:
                 fleet.kill(name)
@@ -111,7 +126,11 @@
                 {revision},
                 {revisions.read_revision(fleet, name) for name in fleet.nodes},
             )
-            self.set_platform(fleet, stale_revision=stale['revision'])
+            # Late as well: a node that hears from its peers first must not
+            # take the stale reply that follows.
+            self.set_platform(
+                fleet, stale_revision=stale['revision'], delay_ms=700.0
+            )
             for index, name in enumerate(fleet.nodes):
                 # The last ones find the platform down altogether.
                 if index == NODES - 2:
