Pass over servers of other data centres when ownership changes

Cause: each change of members looked at all 58,000 servers of the target size; at 0.09 changes a second that is 0.3% of a core of the 2.1% (calculated from 0.6 us a look). Ruled out: rarer updates, which delay the takeover. Change: servers are indexed by data centre; only those a node may own are looked at.

--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -342,27 +342,32 @@
         self._metrics.set_gauge('owned_servers', len(self._states))
 
     def _update_ownership(self, now_ms):
-        known = set()
-        slice_start_ms = now_ms
-        for group in self._groups.all():
-            known.update(group.servers)
-            for server in list(group.servers.values()):
-                # The first pass over 5,273 servers and 655 members takes
-                # 3.5 s; in one piece that would pass for a pause.
-                if self._clock.now_ms() - slice_start_ms > SLICE_MS:
-                    self._clock.sleep_ms(0)
-                    slice_start_ms = self._clock.now_ms()
-                is_owner = self._policy.is_owner(self._node, server)
-                state = self._states.get(server.name)
-                if state is not None and state.server != server:
-                    self.disown(server.name)
-                    state = None
-                if is_owner and state is None:
-                    self.own(group.name, server)
-                elif state is not None:
-                    self._refresh(state, is_owner, now_ms)
-        for name in [n for n in self._states if n not in known]:
-            self.disown(name)
+        """Adopt servers that this node owns now; refresh those it holds."""
+        for name, state in list(self._states.items()):
+            group = self._groups.find(state.group)
+            server = None if group is None else group.servers.get(name)
+            if server != state.server:
+                self.disown(name)
+                continue
+            is_owner = self._policy.is_owner(self._node, server)
+            self._refresh(state, is_owner, now_ms)
+        centres = self._groups.servers_by_data_centre()
+        for data_centre, servers in centres.items():
+            if self._policy.may_own(self._node, data_centre):
+                self._adopt(servers)
+
+    def _adopt(self, servers):
+        slice_start_ms = self._clock.now_ms()
+        for group_name, server in servers:
+            # The first pass over 5,273 servers and 655 members takes 3.5 s;
+            # in one piece that would pass for a pause.
+            if self._clock.now_ms() - slice_start_ms > SLICE_MS:
+                self._clock.sleep_ms(0)
+                slice_start_ms = self._clock.now_ms()
+            if server.name not in self._states and self._policy.is_owner(
+                self._node, server
+            ):
+                self.own(group_name, server)
 
     def _refresh(self, state, is_owner, now_ms):
         state.pool.set_limit(self._policy.connection_share(state.server))
--- a/hawthornfold/queries/groups.py
+++ b/hawthornfold/queries/groups.py
@@ -30,6 +30,7 @@
     def __init__(self, audit):
         self._audit = audit
         self._states = {}
+        self._by_data_centre = None
 
     def find(self, name):
         """Return the `ServiceGroup` of this name, or None."""
@@ -44,8 +45,20 @@
         """Return all `ServiceGroup` objects."""
         return [state.group for state in self._states.values()]
 
+    def servers_by_data_centre(self):
+        """Return lists of (group name, `BackendServer`) by data centre."""
+        if self._by_data_centre is None:
+            self._by_data_centre = {}
+            for group in self.all():
+                for server in group.servers.values():
+                    self._by_data_centre.setdefault(
+                        server.data_centre, []
+                    ).append((group.name, server))
+        return self._by_data_centre
+
     def update(self, key, group):
         """Take over a configuration key; `group` is None when deleted."""
+        self._by_data_centre = None
         name = key.removeprefix(KEY_PREFIX)
         if group is None:
             self._states.pop(name, None)
--- a/hawthornfold/routing/owners.py
+++ b/hawthornfold/routing/owners.py
@@ -23,9 +23,19 @@
     def owners(self, server):
         """Return the names of the owners of `server`, preferred first."""
 
+    def may_own(self, name, data_centre):
+        """Return False when the node owns no server of a data centre.
+
+        Spares the look at each of its servers: at the target size ten data
+        centres in eleven are passed over so.
+        """
+        return True
+
     def is_owner(self, name, server):
         """Return whether the node `name` is an owner of `server`."""
-        return name in self.owners(server)
+        return self.may_own(name, server.data_centre) and (
+            name in self.owners(server)
+        )
 
     @abc.abstractmethod
     def connection_share(self, server):
@@ -69,25 +79,22 @@
     def owners(self, server):
         """Return the names of the owners of `server`, preferred first."""
         cached = self._cache.get(server.name)
-        if cached is None:
+        if cached is None or cached[0].data_centre != server.data_centre:
             cached = self._compute(server)
             self._cache[server.name] = (server, cached)
             return cached
         return cached[1]
 
-    def is_owner(self, name, server):
-        """Return whether the node `name` is an owner of `server`.
+    def may_own(self, name, data_centre):
+        """Return whether the node may own servers of a data centre.
 
-        Servers of another data centre with enough members of its own need
-        no hashing: at the target size that is ten servers in eleven.
+        A data centre with enough members of its own needs no others.
         """
-        local = self._by_data_centre.get(server.data_centre, ())
-        if (
-            len(local) >= self._owners_per_server
-            and self._members.get(name) != server.data_centre
-        ):
-            return False
-        return name in self.owners(server)
+        local = self._by_data_centre.get(data_centre, ())
+        return (
+            len(local) < self._owners_per_server
+            or self._members.get(name) == data_centre
+        )
 
     def connection_share(self, server):
         """Return how many connections one owner may open to `server`."""
