--- a/hawthornfold/metrics/tests/test_documentation.py
+++ b/hawthornfold/metrics/tests/test_documentation.py
@@ -11,8 +11,6 @@
 _CALL = re.compile(r"\.(count|set_gauge|observe_ms)\(\s*'([a-z_]+)'")
 _FORMATS = {'count': '{}_total', 'set_gauge': '{}', 'observe_ms': '{}_ms'}
 _DOCUMENTED = re.compile(rf'`({registry.PREFIX}[a-z_]+)`')
-# Pages that code and design name and that other work is about to bring.
-_PLANNED = {'docs/CAPACITY.md', 'docs/decisions/owners.md'}
 _FILE = re.compile(r'\b(?:docs|examples|hawthornfold|tools)/[\w./-]*\w')
 
 
@@ -59,15 +57,10 @@
             (page.name, name)
             for page in list_pages()
             for name in sorted(set(_FILE.findall(page.read_text())))
-            if name not in _PLANNED and not (ROOT / name).exists()
+            if not (ROOT / name).exists()
         ]
         self.assertEqual([], missing)
 
-    def test_planned_pages_exist(self):
-        # Guards against promises in the README that are never kept.
-        missing = sorted(n for n in _PLANNED if not (ROOT / n).exists())
-        self.assertEqual([], missing)
-
     def test_index_lists_every_decision(self):
         # Guards against decision pages that nobody finds.
         directory = ROOT / 'docs' / 'decisions'
