--- a/hawthornfold/integration/tests/test_answers.py
+++ b/hawthornfold/integration/tests/test_answers.py
@@ -69,9 +69,12 @@
         repartition.start_group(trial)
         with trial.load(repartition.QUERIES):
             trial.wait_for(_is_answer_of('s1'), 20)
+            # Known before any server holds it: s1 keeps its own shards.
+            repartition.publish(trial.fleet, 's1', 's2')
+            trial.wait_for(_is_answer_of('s1'), 100)
             for server in repartition.SERVERS:
                 trial.set_held(server, 's1', 's2')
-            repartition.publish(trial.fleet, 's1', 's2')
+                trial.wait_for_answers(5)
             trial.wait_for(_is_answer_of('s2'), 20)
             for server in repartition.SERVERS:
                 trial.set_held(server, 's2')
@@ -155,7 +158,7 @@
                     f'voter-portal-2{suffix}', 'POST', 'stop'
                 )
             trial.wait_for(_is_missing('shard-2'))
-            trial.fleet.kill('entry-2')
+            trial.kill('entry-2')
             for server in trial.servers(PORTAL)[:4]:
                 trial.fleet.control_server(server, 'POST', 'restart', {})
                 trial.wait_for_answers(5)
@@ -252,7 +255,7 @@
         with trial.load(payouts=6):
             trial.wait_for_answers(20)
             stopping = threading.Thread(
-                target=trial.fleet.terminate, args=('entry-3',)
+                target=trial.terminate, args=('entry-3',)
             )
             stopping.start()
             trial.wait_for_answers(30)
@@ -270,7 +273,7 @@
                 trial.wait_for_answers(7 + 4 * step)
                 # Entry of a third of the queries, and owner of a third of
                 # the servers of all others.
-                trial.fleet.kill('entry-1')
+                trial.kill('entry-1')
                 trial.wait_for_answers(10)
                 trial.fleet.start_again('entry-1')
                 trial.fleet.wait_until_ready(['entry-1'])
@@ -284,7 +287,7 @@
         # before it knows rules and servers.
         trial = self.trial
         for name in trial.fleet.nodes:
-            trial.fleet.kill(name)
+            trial.kill(name)
         trial.fleet.control_platform('PUT', '/control/fault', {'down': True})
         trial.fleet.start_again('entry-1')
         with trial.load(payouts=2):
--- a/hawthornfold/integration/trials.py
+++ b/hawthornfold/integration/trials.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import socket
 import threading
 
 from hawthornfold import clock as clocks
@@ -54,6 +55,7 @@
         self._records = {}
         self._lost_servers = set()
         self._first_claim = 0
+        self._reserved = {}
 
     @property
     def fleet(self):
@@ -169,10 +171,20 @@
         """Replace the snapshots that a server holds."""
         self._fleet.control_server(server, 'PUT', 'held', list(snapshots))
 
+    def kill(self, name):
+        """End a process; its ports stay reserved for its next start."""
+        self._fleet.kill(name)
+        self._reserve_ports(name)
+
+    def terminate(self, name):
+        """Stop a process as planned; its ports stay reserved."""
+        self._fleet.terminate(name)
+        self._reserve_ports(name)
+
     def kill_backends(self, process):
         """End a backends process; its last ledger records are lost."""
         self._keep_records()
-        self._fleet.kill(process)
+        self.kill(process)
         self._lost_servers.update(
             name
             for name, place in self._fleet.plan.servers.items()
@@ -219,6 +231,28 @@
             if record['server'] in servers and record['started_ms'] is not None
         )
 
+    def _reserve_ports(self, name):
+        """Keep other fleets on the machine from taking a dead one's ports.
+
+        The sockets never listen, so the next start can bind as well.
+        """
+        plan = self._fleet.plan
+        ports = list(plan.nodes.get(name, ()))
+        for place in plan.servers.values():
+            if place.process == name:
+                ports += [place.control_port, place.port]
+        for port in set(ports) - self._reserved.keys():
+            holder = socket.socket()
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind(('127.0.0.1', port))
+            self._reserved[port] = holder
+
+    def close(self):
+        """Give the reserved ports back."""
+        for holder in self._reserved.values():
+            holder.close()
+        self._reserved.clear()
+
     def _keep_records(self):
         for record in self._fleet.collect_ledger():
             # The incarnation tells apart the processes of one server.
@@ -264,7 +298,9 @@
         fleet = _enter_fleet(stack, node_count, options)
         caller = create_trial_caller(fleet, workers)
         stack.callback(caller.close)
-        yield Trial(fleet, caller)
+        trial = Trial(fleet, caller)
+        stack.callback(trial.close)
+        yield trial
 
 
 def _enter_fleet(stack, node_count, options):
--- a/hawthornfold/integration/two_faults.py
+++ b/hawthornfold/integration/two_faults.py
@@ -128,11 +128,11 @@
             'PUT', '/control/fault', _PLATFORM_FAULTS[choice.kind]
         )
     elif choice.kind == 'kill node':
-        fleet.kill(choice.place)
+        trial.kill(choice.place)
     elif choice.kind == 'pause node':
         fleet.pause(choice.place)
     elif choice.kind == 'restart node':
-        fleet.kill(choice.place)
+        trial.kill(choice.place)
         trial.wait_for_answers(source.randint(0, _MAX_GAP))
         fleet.start_again(choice.place)
     elif choice.kind == 'kill backends':
