Ask the trials for a word that occurs in documents

Cause: the default text matched nothing, so at-most-once trials compared empty answers. Change: a word of the corpus.

--- a/hawthornfold/integration/tests/support.py
+++ b/hawthornfold/integration/tests/support.py
@@ -9,8 +9,9 @@
 from hawthornfold.integration.callers import TrialQuery
 
 NODES = 3
-SEARCH = TrialQuery('voter-portal')
-PAYOUT = TrialQuery('payout-ledger', 'search')
+SEARCH = TrialQuery('voter-portal', text='oakford')
+# A word that occurs in documents, so that answers have hits to compare.
+PAYOUT = TrialQuery('payout-ledger', text='oakford')
 
 
 @contextlib.contextmanager
