--- a/hawthornfold/integration/drains.py
+++ b/hawthornfold/integration/drains.py
@@ -45,8 +45,19 @@
     ]
 
 
-def find_ramp_violations(records, slots, restarted_ms):
-    """Return moments at which a restarted server had too much work.
+def find_owner(fleet, record):
+    """Return the owner that sent a sub-request, from its entry's journal."""
+    entry = record['request_id'].split('~')[0]
+    page = read_operator(fleet, entry, f'explain/{record["request_id"]}')
+    start = f'attempt {record["attempt"]} by owner '
+    for event in page['events']:
+        if event['detail'].startswith(start):
+            return event['detail'].removeprefix(start).split()[0]
+    raise LookupError(f'{record["request_id"]} has no attempt {start}')
+
+
+def find_ramp_violations(records, slots, restarted_ms, owner_of):
+    """Return moments at which an owner gave a restarted server too much.
 
     Parameters
     ----------
@@ -56,6 +67,9 @@
         Slots of the warm server.
     restarted_ms : float
         The ramp starts later than that, so it allows no more than this.
+    owner_of : callable
+        Returns the owner that sent a record. Each owner has a ramp of its
+        own; the second owner sends only what the first has not answered.
 
     Returns
     -------
@@ -66,7 +80,7 @@
     --------
     >>> records = [{'received_ms': 0.0, 'finished_ms': 9.0}]
     >>> records += 2 * [{'received_ms': 10.0, 'finished_ms': 90.0}]
-    >>> find_ramp_violations(records, 6, 0.0)
+    >>> find_ramp_violations(records, 6, 0.0, lambda record: 'a')
     [(10, 2, 1)]
     """
     # Until the first answer no owner can know of the new incarnation.
@@ -81,12 +95,17 @@
     violations = []
     for index, record in enumerate(later):
         now_ms = record['received_ms']
-        held = 1 + sum(
-            earlier['finished_ms'] is None or earlier['finished_ms'] > now_ms
+        held = [
+            earlier
             for earlier in later[:index]
-        )
+            if earlier['finished_ms'] is None
+            or earlier['finished_ms'] > now_ms
+        ]
         since_ms = now_ms - restarted_ms
-        allowed = max(1, int(slots * since_ms / RAMP_MS))
-        if held > min(allowed, slots):
-            violations.append((round(since_ms), held, allowed))
+        allowed = min(slots, max(1, int(slots * since_ms / RAMP_MS)))
+        if len(held) >= allowed:
+            owner = owner_of(record)
+            held = [r for r in held if owner_of(r) == owner]
+        if len(held) >= allowed:
+            violations.append((round(since_ms), len(held) + 1, allowed))
     return violations
