--- a/hawthornfold/emulator/platform_state.py
+++ b/hawthornfold/emulator/platform_state.py
@@ -18,12 +18,17 @@
 
 
 class Vm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A VM as the platform lists it; `address` is of its peer link."""
+    """A VM as the platform lists it.
+
+    The address of an entry VM is that of its peer link; a backend server's VM
+    is listed under the server's name.
+    """
 
     name: str
     address: str
     data_centre: str
     state: typing.Literal['live', 'leaving'] = 'live'
+    role: typing.Literal['entry', 'backend'] = 'entry'
 
 
 class PlatformFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/hawthornfold/integration/drains.py
+++ b/hawthornfold/integration/drains.py
@@ -1,5 +1,6 @@
 """What owners and the ledger say about draining backend servers."""
 
+from hawthornfold.emulator import plans
 from hawthornfold.integration import waiting
 from hawthornfold.integration.callers import read_operator
 from hawthornfold.limits.ramp import RAMP_MS
@@ -109,3 +110,24 @@
         if len(held) >= allowed:
             violations.append((round(since_ms), len(held) + 1, allowed))
     return violations
+
+
+def publish_backends(fleet, states):
+    """List backend servers as VMs beside the entry VMs.
+
+    Parameters
+    ----------
+    states : dict of str to (str, str)
+        Address and state (``live`` or ``leaving``) by server name.
+    """
+    backends = [
+        {
+            'name': name,
+            'address': address,
+            'data_centre': '',
+            'state': state,
+            'role': 'backend',
+        }
+        for name, (address, state) in states.items()
+    ]
+    fleet.publish_vms(plans.build_vms(fleet.plan) + backends)
--- a/hawthornfold/integration/tests/test_draining.py
+++ b/hawthornfold/integration/tests/test_draining.py
@@ -1,4 +1,3 @@
-import contextlib
 import itertools
 
 from hawthornfold import clock as clocks
@@ -6,7 +5,6 @@
 from hawthornfold.integration import callers
 from hawthornfold.integration import drains
 from hawthornfold.integration import loads
-from hawthornfold.integration import platform_relay
 from hawthornfold.integration import waiting
 from hawthornfold.integration.tests import support
 
@@ -22,18 +20,8 @@
 
 
 class DrainingTest(support.TrialCase):
-    @contextlib.contextmanager
-    def open_listed_fleet(self):
+    def setUp(self):
         self.clock = clocks.create_system_clock()
-        with platform_relay.open_platform_relay() as (relay, port):
-            extra = {'platform': {'addresses': [f'127.0.0.1:{port}']}}
-            with support.open_trial(
-                settings_extra=extra, start_nodes=False
-            ) as (fleet, caller):
-                relay.connect(fleet.plan.platform_port)
-                fleet.start_nodes()
-                fleet.wait_until_ready()
-                yield fleet, caller, relay
 
     def load(self, fleet, caller, query=support.SEARCH, nodes=None):
         turn = itertools.cycle(nodes or fleet.nodes)
@@ -66,13 +54,13 @@
         # signal alone: the platform's list, its drain flag, or its refusals
         # while its health report is clean, or late by a minute; and against
         # a return to service on evidence that is older than the signal.
-        with self.open_listed_fleet() as (fleet, caller, relay):
+        with support.open_trial() as (fleet, caller):
             address = fleet.plan.addresses()[LISTED]
             with self.load(fleet, caller):
                 for server in (LISTED, FLAGGED, REFUSING, LAGGING):
                     self.wait_for_work(fleet, server, 0.0)
             # Without load no refusal can stand in for list and flag.
-            relay.list_backends({LISTED: (address, 'leaving')})
+            drains.publish_backends(fleet, {LISTED: (address, 'leaving')})
             fleet.set_server_fault(FLAGGED, draining=True)
             for server, reason in ((LISTED, 'platform'), (FLAGGED, 'flag')):
                 waiting.wait_for(
@@ -108,7 +96,7 @@
                     )
                 # Fresh evidence: a new incarnation, or a newer list.
                 fleet.control_platform('PUT', '/control/fault', {})
-                relay.list_backends({LISTED: (address, 'live')})
+                drains.publish_backends(fleet, {LISTED: (address, 'live')})
                 again_ms = self.clock.now_ms()
                 for server in (FLAGGED, REFUSING, LAGGING):
                     fleet.set_server_fault(server)
@@ -124,7 +112,7 @@
         # Guards against an owner that does not tell the other one that a
         # server refuses work, and against one that was paused while the
         # signal spread and goes on with its old beliefs when it wakes.
-        with self.open_listed_fleet() as (fleet, caller, _):
+        with support.open_trial() as (fleet, caller):
             with self.load(fleet, caller):
                 self.wait_for_work(fleet, REFUSING, 0.0)
                 fleet.set_server_fault(REFUSING, drain_flag_hidden=True)
@@ -174,7 +162,7 @@
     def test_cold_server_gets_its_slots_step_by_step(self):
         # Guards against a restarted, cold server that gets all of its slots
         # at once and becomes the straggler of every query.
-        with self.open_listed_fleet() as (fleet, caller, _):
+        with support.open_trial() as (fleet, caller):
             server = 'clerk-desk-1'
             turn = itertools.cycle(fleet.nodes)
             with loads.open_load(
