--- a/tools/tests/test_dist.py
+++ b/tools/tests/test_dist.py
@@ -107,6 +107,7 @@
     def setUp(self):
         super().setUp()
         callers, operators, peers, platform = reserve_ports(4)
+        self.pool = urllib3.PoolManager(retries=False, timeout=5.0)
         self.operators = f'127.0.0.1:{operators}'
         self.callers = f'http://127.0.0.1:{callers}'
         settings = {
@@ -139,12 +140,11 @@
         self.wait_until_alive()
 
     def wait_until_alive(self):
-        pool = urllib3.PoolManager(retries=False, timeout=5.0)
         deadline = time.monotonic() + _LIMIT_SECONDS
         while time.monotonic() < deadline:
             self.assertIsNone(self.process.poll(), 'the node has ended')
             try:
-                if pool.request('GET', self.callers + '/healthz').status:
+                if self.pool.request('GET', self.callers + '/healthz').status:
                     return
             except urllib3.exceptions.HTTPError:
                 time.sleep(0.05)
@@ -159,6 +159,10 @@
         done = self.run_command('status', '--node', self.operators)
         self.assertEqual(0, done.returncode, done.stderr)
         self.assertIn('entry-1', done.stdout)
+        url = f'http://{self.operators}/v1/operator/metrics'
+        metrics = self.pool.request('GET', url)
+        self.assertEqual(200, metrics.status, metrics.data)
+        self.assertIn(b'hawthornfold_members', metrics.data)
         self.assertEqual([], list_children(self.process.pid))
         self.process.send_signal(signal.SIGTERM)
         self.assertEqual(0, self.process.wait(_LIMIT_SECONDS))
