Record cutovers in the audit trail; name a metric once

Cause: selectors were advanced without the registry, so cutovers were missing from the trail; platform_read_ms was exposed with the unit twice. Change: the runner advances through the registry; the metric is platform_read.

--- a/hawthornfold/emulator/tests/test_platform.py
+++ b/hawthornfold/emulator/tests/test_platform.py
@@ -107,4 +107,4 @@
         self.assertEqual([], self._call('GET', '/v1/vms')['vms'])
         self._fault()
         (listed,) = self._call('GET', '/v1/vms')['vms']
-        self.assertEqual({**vm, 'state': 'live'}, listed)
+        self.assertEqual({**vm, 'state': 'live', 'role': 'entry'}, listed)
--- a/hawthornfold/platforms/reader.py
+++ b/hawthornfold/platforms/reader.py
@@ -100,7 +100,7 @@
             outcome='ok' if outcome.is_ok() else 'failed',
         )
         self._metrics.observe_ms(
-            'platform_read_ms', self._clock.now_ms() - started_ms, what=what
+            'platform_read', self._clock.now_ms() - started_ms, what=what
         )
         return outcome
 
--- a/hawthornfold/queries/groups.py
+++ b/hawthornfold/queries/groups.py
@@ -70,16 +70,19 @@
         state.group = group
         state.selector.replace_group(group)
 
-    def advance(self, now_ms):
-        """Let every selector re-evaluate its snapshot."""
-        for name, state in self._states.items():
-            before = state.selector.current
-            state.selector.advance(now_ms)
-            after = state.selector.current
-            if before != after:
-                self._audit.record(
-                    'snapshot', name, before or '', after, 'reachable weight'
-                )
+    def advance(self, state, now_ms):
+        """Let a group's selector re-evaluate its snapshot."""
+        before = state.selector.current
+        state.selector.advance(now_ms)
+        after = state.selector.current
+        if before != after:
+            self._audit.record(
+                'snapshot',
+                state.group.name,
+                before or '',
+                after,
+                'reachable weight',
+            )
 
 
 def create_group_registry(audit):
--- a/hawthornfold/queries/runner.py
+++ b/hawthornfold/queries/runner.py
@@ -135,7 +135,7 @@
         refusal = self._admit(request, decision, group_state, now_ms)
         if refusal is not None:
             return refusal
-        group_state.selector.advance(now_ms)
+        self._groups.advance(group_state, now_ms)
         chooser = create_target_chooser(
             group_state.group,
             group_state.selector,
--- /dev/null
+++ b/hawthornfold/queries/tests/test_groups.py
@@ -0,0 +1,33 @@
+import unittest
+
+from hawthornfold import audit
+from hawthornfold import clock
+from hawthornfold.nodes.measure import create_group_document
+from hawthornfold.queries import groups
+from hawthornfold.snapshots import parse_service_group
+
+
+class GroupRegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.trail = audit.create_audit_trail(clock.create_manual_clock())
+        self.registry = groups.create_group_registry(self.trail)
+        parsed = parse_service_group('portal', create_group_document(4))
+        self.registry.update('services/portal', parsed.ok_value)
+
+    def test_a_cutover_is_recorded_once(self):
+        # Guards against cutovers that operators cannot find in the trail.
+        state = self.registry.state('portal')
+        self.registry.advance(state, 0.0)
+        self.registry.advance(state, 1.0)
+        recorded = [
+            (entry.kind, entry.subject, entry.after)
+            for entry in self.trail.entries()
+        ]
+        self.assertEqual([('snapshot', 'portal', 's1')], recorded)
+
+    def test_servers_follow_changed_and_deleted_groups(self):
+        # Guards against ownership of servers that no longer exist.
+        centres = self.registry.servers_by_data_centre()
+        self.assertEqual(4, len(centres['dc']))
+        self.registry.update('services/portal', None)
+        self.assertEqual({}, self.registry.servers_by_data_centre())
