--- a/hawthornfold/nodes/handover.py
+++ b/hawthornfold/nodes/handover.py
@@ -1,8 +1,8 @@
 """Moves the ownership of a stopping node to others before it leaves.
 
-A leave makes entries give up what they have sent to the member, since they
-cannot tell it from a failure. A stopping node therefore stays a member while
-it finishes its work, and tells the others that it is no owner any more.
+New work must go to other owners before the node leaves, not after. A stopping
+node therefore tells the others that it is no owner any more, stays a member
+while it finishes its work, and leaves last.
 """
 
 import random
