--- a/hawthornfold/queries/attempts.py
+++ b/hawthornfold/queries/attempts.py
@@ -62,3 +62,61 @@
     if Ran.UNKNOWN in verdicts:
         return Ran.UNKNOWN
     return Ran.NO
+
+
+class AttemptBook:
+    """All attempts of one query, numbered from 1."""
+
+    def __init__(self):
+        self._attempts = []
+        self._open = {}
+
+    @property
+    def all(self):
+        """All attempts, oldest first."""
+        return tuple(self._attempts)
+
+    @property
+    def open_attempts(self):
+        """The attempts that have not ended, oldest first."""
+        return list(self._open.values())
+
+    @property
+    def has_open(self):
+        """Whether any attempt has not ended."""
+        return bool(self._open)
+
+    @property
+    def ran(self):
+        """Whether any attempt ran, as truthfully as known."""
+        return combine_ran(self._attempts)
+
+    def ran_of(self, shard_name):
+        """Return whether any attempt for a shard ran."""
+        return combine_ran(
+            attempt
+            for attempt in self._attempts
+            if shard_name in attempt.shards
+        )
+
+    def pending_shards(self):
+        """Return the names of the shards with an open attempt."""
+        return {
+            name for attempt in self._open.values() for name in attempt.shards
+        }
+
+    def open(self, target, shards, kind, now_ms):
+        """Record a new attempt and return it."""
+        attempt = Attempt(
+            len(self._attempts) + 1, target, shards, kind, now_ms
+        )
+        self._attempts.append(attempt)
+        self._open[attempt.number] = attempt
+        return attempt
+
+    def close(self, number, ran):
+        """End an attempt and return it; None when it is not open."""
+        attempt = self._open.pop(number, None)
+        if attempt is not None:
+            attempt.close(ran)
+        return attempt
--- a/hawthornfold/queries/execution.py
+++ b/hawthornfold/queries/execution.py
@@ -16,7 +16,7 @@
 
 from hawthornfold.backends import Ran
 from hawthornfold.codes import ResultCode
-from hawthornfold.queries import attempts as attempt_module
+from hawthornfold.queries.attempts import AttemptBook
 from hawthornfold.queries.attempts import AttemptKind
 from hawthornfold.queries.progress import SnapshotRun
 from hawthornfold.queries.progress import conclude
@@ -77,8 +77,7 @@
         self._early_stop_ms = now + EARLY_STOP_SHARE * decision.deadline_ms
         self._may_hedge = decision.hedge and decision.idempotent
         self._hedge_delay_ms = hedge.delay_for(decision.deadline_ms)
-        self._attempts = []
-        self._open_attempts = {}
+        self._book = AttemptBook()
         self._run = None
         self._ended_runs = []
         self._retries = 0
@@ -107,7 +106,7 @@
     @property
     def attempts(self):
         """All attempts so far, oldest first."""
-        return tuple(self._attempts)
+        return self._book.all
 
     def next_timer_ms(self, now_ms):
         """Return when `on_timer` is due next."""
@@ -115,7 +114,7 @@
         if now_ms < self._early_stop_ms:
             due_ms = min(due_ms, self._early_stop_ms)
         if self._may_hedge:
-            for attempt in self._open_attempts.values():
+            for attempt in self._book.open_attempts:
                 if _is_hedgeable(attempt):
                     hedge_ms = attempt.sent_ms + self._hedge_delay_ms
                     due_ms = min(due_ms, hedge_ms)
@@ -135,7 +134,7 @@
         Replies to attempts that have ended, and answers that name another
         snapshot than the attempt's, change nothing.
         """
-        attempt = self._close(attempt_number, Ran.YES)
+        attempt = self._book.close(attempt_number, Ran.YES)
         if attempt is None or self._outcome is not None:
             return []
         if snapshot != self._run.layout.snapshot:
@@ -149,7 +148,7 @@
 
     def on_failure(self, attempt_number, code, ran, now_ms):
         """Take a refusal or failure; return the actions it leads to."""
-        attempt = self._close(attempt_number, ran)
+        attempt = self._book.close(attempt_number, ran)
         if attempt is None or self._outcome is not None:
             return []
         self._run.last_code = code
@@ -160,7 +159,7 @@
         """Fail the open attempts of an owner that is no longer a member."""
         lost = [
             attempt.number
-            for attempt in self._open_attempts.values()
+            for attempt in self._book.open_attempts
             if attempt.target.owner == owner
         ]
         actions = []
@@ -182,7 +181,7 @@
             return []
         due = [
             attempt
-            for attempt in list(self._open_attempts.values())
+            for attempt in self._book.open_attempts
             if _is_hedgeable(attempt)
             and now_ms >= attempt.sent_ms + self._hedge_delay_ms
         ]
@@ -197,7 +196,7 @@
     def _pin(self, layout, now_ms):
         self._run = SnapshotRun(layout)
         actions = self._send(layout.shards, AttemptKind.PRIMARY, now_ms)
-        if not self._open_attempts:
+        if not self._book.has_open:
             return actions + self._settle((), False, now_ms)
         return actions
 
@@ -224,17 +223,12 @@
 
     def _open(self, part, kind, now_ms):
         target = part.target
-        number = len(self._attempts) + 1
-        attempt = attempt_module.Attempt(
-            number, target, part.shards, kind, now_ms
-        )
-        self._attempts.append(attempt)
-        self._open_attempts[number] = attempt
+        attempt = self._book.open(target, part.shards, kind, now_ms)
         for name in part.shards:
             self._run.tries[name] += 1
             self._run.tried[name].add(target)
         return Send(
-            number,
+            attempt.number,
             target.server,
             target.owner,
             part.shards,
@@ -271,12 +265,6 @@
 
     # Settling
 
-    def _close(self, number, ran):
-        attempt = self._open_attempts.pop(number, None)
-        if attempt is not None:
-            attempt.close(ran)
-        return attempt
-
     def _settle(self, names, is_costly, now_ms):
         """Send unanswered shards again where allowed; end when all is done.
 
@@ -294,14 +282,14 @@
         actions = []
         unanswered = [n for n in names if n not in self._run.answers]
         if unanswered:
-            pending = self._pending_shards()
+            pending = self._book.pending_shards()
             orphaned = [
                 self._run.shards[name]
                 for name in unanswered
                 if name not in pending
             ]
             actions += self._resend(orphaned, is_costly, now_ms)
-        if not self._open_attempts:
+        if not self._book.has_open:
             restarted = self._restart(now_ms)
             if restarted is not None:
                 return actions + restarted
@@ -320,18 +308,7 @@
     def _may_resend(self, shard):
         if self._decision.idempotent:
             return True
-        return all(
-            attempt.ran is Ran.NO
-            for attempt in self._attempts
-            if shard.name in attempt.shards
-        )
-
-    def _pending_shards(self):
-        return {
-            name
-            for attempt in self._open_attempts.values()
-            for name in attempt.shards
-        }
+        return self._book.ran_of(shard.name) is Ran.NO
 
     def _cancel_superseded(self, names):
         """Cancel attempts all of whose shards were answered elsewhere.
@@ -347,7 +324,7 @@
         answers = self._run.answers
         done = [
             attempt
-            for attempt in self._open_attempts.values()
+            for attempt in self._book.open_attempts
             if all(name in answers for name in attempt.shards)
         ]
         return self._cancel(done)
@@ -355,7 +332,7 @@
     def _cancel(self, attempts):
         actions = []
         for attempt in attempts:
-            self._close(attempt.number, Ran.UNKNOWN)
+            self._book.close(attempt.number, Ran.UNKNOWN)
             actions.append(Cancel(attempt.number, attempt.target.owner))
         return actions
 
@@ -367,7 +344,7 @@
             return None
         if len(self._ended_runs) >= MAX_RESTARTS:
             return None
-        if not self._decision.idempotent and self._ran() is not Ran.NO:
+        if not self._decision.idempotent and self._book.ran is not Ran.NO:
             return None
         tried = {run.layout.snapshot for run in self._ended_runs}
         tried.add(self._run.layout.snapshot)
@@ -381,16 +358,13 @@
         self._ended_runs.append(self._run)
         return self._pin(layout, now_ms)
 
-    def _ran(self):
-        return attempt_module.combine_ran(self._attempts)
-
     def _has_enough(self):
         if self._run is None or not self._run.answers:
             return False
         return self._run.coverage().reaches(self._decision.coverage_percent)
 
     def _end(self, code):
-        actions = self._cancel(list(self._open_attempts.values()))
+        actions = self._cancel(self._book.open_attempts)
         self._finish(code)
         return actions
 
@@ -398,7 +372,7 @@
         runs = list(self._ended_runs)
         if self._run is not None:
             runs.append(self._run)
-        self._outcome = conclude(runs, self._decision, code, self._ran())
+        self._outcome = conclude(runs, self._decision, code, self._book.ran)
 
 
 def _is_hedgeable(attempt):
