Give a server one slot after it has cut connections

Change: a cut connection (new code 510) or an idle one found closed leaves one slot until the server answers; the same process gets its slots back, a new one ramps up.

--- a/hawthornfold/backends/connection.py
+++ b/hawthornfold/backends/connection.py
@@ -258,9 +258,10 @@
             return self._fail(ResultCode.CANCELLED, 'cancelled')
         if isinstance(error, urllib3.exceptions.TimeoutError):
             return self._fail(ResultCode.BACKEND_SILENT, str(error))
-        return self._fail(
-            ResultCode.BACKEND_BAD_REPLY, f'{type(error).__name__}: {error}'
-        )
+        detail = f'{type(error).__name__}: {error}'
+        if isinstance(error, ConnectionError):
+            return self._fail(ResultCode.BACKEND_CONNECTION_LOST, detail)
+        return self._fail(ResultCode.BACKEND_BAD_REPLY, detail)
 
     def _fail(self, code, detail):
         # Bytes were sent, so only the server itself can say that the
--- a/hawthornfold/backends/pool.py
+++ b/hawthornfold/backends/pool.py
@@ -17,6 +17,7 @@
         self._idle = []
         self._busy = set()
         self._oldest_usable_ms = 0.0
+        self._has_lost = False
 
     @property
     def count(self):
@@ -33,6 +34,11 @@
         """Connections this owner may open."""
         return self._limit
 
+    @property
+    def has_lost(self):
+        """Whether the last `acquire` found idle connections closed."""
+        return self._has_lost
+
     def set_limit(self, limit):
         """Change the limit; surplus idle connections are closed."""
         self._limit = limit
@@ -42,6 +48,7 @@
     def acquire(self):
         """Take an idle connection or a new one; None at the limit."""
         now_ms = self._clock.now_ms()
+        self._has_lost = False
         while self._idle:
             connection, idle_since_ms = self._idle.pop()
             if (
@@ -51,6 +58,7 @@
                 self._busy.add(connection)
                 return connection
             connection.close()
+            self._has_lost = True
         return self.acquire_fresh()
 
     def acquire_fresh(self):
--- a/hawthornfold/codes/registry.py
+++ b/hawthornfold/codes/registry.py
@@ -74,6 +74,7 @@
     BACKEND_SNAPSHOT = 506, 'the backend server lacks the pinned snapshot'
     BACKEND_BREAKER_OPEN = 507, 'the circuit breaker of the server is open'
     CANCELLED = 508, 'the sub-request was cancelled'
+    BACKEND_CONNECTION_LOST = 510, 'the backend server cut the connection'
     QUEUE_FULL = 509, 'the queue of the backend server is full'
 
     PEER_BAD_MESSAGE = 601, 'a peer message is not valid'
--- a/hawthornfold/limits/ramp.py
+++ b/hawthornfold/limits/ramp.py
@@ -15,6 +15,11 @@
         self._ramp_ms = ramp_ms
         self._started_ms = None
 
+    @property
+    def is_active(self):
+        """Whether a ramp was started and not ended."""
+        return self._started_ms is not None
+
     def set_slots(self, slots):
         """Change the number of slots of the warm server."""
         self._slots = slots
--- a/hawthornfold/owners/health.py
+++ b/hawthornfold/owners/health.py
@@ -19,6 +19,11 @@
 # work dispatched, so that a silent network cannot double the load.
 REPEAT_PERCENT = 2.0
 REPEAT_CAPACITY = 10.0
+# Failures that a restart of the server causes.
+_CUT_CODES = (
+    ResultCode.BACKEND_UNREACHABLE,
+    ResultCode.BACKEND_CONNECTION_LOST,
+)
 
 
 class HealthMonitor:
@@ -56,6 +61,8 @@
         failure = outcome.err_value
         if failure.code is ResultCode.BACKEND_SILENT:
             return self._diagnose(state, job, request, outcome, may_repeat)
+        if failure.code in _CUT_CODES:
+            state.suspect_restart(self._clock.now_ms())
         if failure.code is ResultCode.BACKEND_UNREACHABLE:
             self._record_failure(state)
         elif failure.ran is not Ran.UNKNOWN:
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -233,6 +233,8 @@
             return _failure(
                 ResultCode.BACKEND_REFUSED, Ran.NO, 'connection share in use'
             )
+        if state.pool.has_lost:
+            state.suspect_restart(now_ms)
         job.connection = connection
         outcome = self._health.exchange(
             state, job, connection, job.create_sub_request(remaining_ms)
--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -102,6 +102,7 @@
         self.reported_load = None
         self.last_health_ms = None
         self.unowned_since_ms = None
+        self.is_restart_suspected = False
         self.is_probing = False
         # Owners, by name and incarnation, that know that it drains.
         self.told = set()
@@ -123,6 +124,9 @@
             return False
         is_new = incarnation != self.incarnation
         is_restarted = is_new and bool(self.incarnation)
+        if self.is_restart_suspected and not is_new:
+            self.ramp.finish()
+        self.is_restart_suspected = False
         if is_restarted:
             self.superseded.append(self.incarnation)
         # The first reply of a new process comes before its health report and
@@ -134,6 +138,18 @@
         self.queue.set_slots(self.ramp.allowed(now_ms))
         return is_restarted
 
+    def suspect_restart(self, now_ms):
+        """Take over that the server has cut connections.
+
+        It may have restarted and be cold. Until it says which process
+        answers it gets one slot; without this an owner used all slots of a
+        cold server for the length of an exchange.
+        """
+        if self.incarnation and not self.ramp.is_active:
+            self.is_restart_suspected = True
+            self.ramp.start(now_ms)
+            self.queue.set_slots(self.ramp.allowed(now_ms))
+
     def forget_snapshot(self, snapshot):
         """Take over that the server refused a snapshot as not held.
 
