--- a/hawthornfold/queries/execution.py
+++ b/hawthornfold/queries/execution.py
@@ -72,7 +72,6 @@
         self._selector = selector
         self._chooser = chooser
         self._budget = budget
-        self._started_ms = now
         self._deadline_ms = now + decision.deadline_ms
         self._early_stop_ms = now + EARLY_STOP_SHARE * decision.deadline_ms
         self._may_hedge = decision.hedge and decision.idempotent
