Warm no connections before the membership is known

Ruled out: the shares of two owners (24 at most). Change: health checks and warming wait until the membership was confirmed once; work that arrives earlier still opens what it needs.

--- a/hawthornfold/owners/health.py
+++ b/hawthornfold/owners/health.py
@@ -36,6 +36,8 @@
         self._metrics = context.metrics
         self._audit = context.audit
         self._pause_guard = context.pause_guard
+        self._membership = context.membership
+        self._has_joined = False
         self._repeats = create_token_bucket(REPEAT_CAPACITY, REPEAT_CAPACITY)
 
     # Exchanges
@@ -168,7 +170,16 @@
     # Upkeep
 
     def tick(self, now_ms):
-        """Start the health checks that are due."""
+        """Start the health checks that are due.
+
+        None before the membership was confirmed once: a node that starts
+        takes itself for the only one, and nine that start together and warm
+        three connections each exceed the 25 of a small server.
+        """
+        if not self._has_joined:
+            self._has_joined = self._membership.is_confirmed(now_ms)
+            if not self._has_joined:
+                return
         for state in list(self._owner.states.values()):
             if state.is_probing or not self._is_due(state, now_ms):
                 continue
