Open no connections for servers that a node gives up

Cause: the health checks of servers in their time of grace opened connections to all 106 servers while nine nodes were joining: 63 connections at a server of 100 and all 25 of a small one, two more refused. Ruled out: the shares of two owners (14 in the end) and the wait for the membership alone, after which it still failed. Change: a server that is given up is not checked.

--- a/hawthornfold/owners/health.py
+++ b/hawthornfold/owners/health.py
@@ -187,6 +187,9 @@
             eventlet.spawn_n(self._check, state)
 
     def _is_due(self, state, now_ms):
+        if state.unowned_since_ms is not None:
+            # Its new owners check it; connections are not opened for it.
+            return False
         if state.diagnosis.is_open:
             return state.diagnosis.needs_probe(now_ms)
         if state.last_health_ms is None:
