Remove a logger and a property that nothing uses

Cause: a search for names that occur once, run over the whole change. Change: the unused logger of the group registry and ConnectionPool.idle_count are gone. Ruled out: the other names it found, which are hooks that libraries call or a numbered code that stays reserved.

--- a/hawthornfold/backends/pool.py
+++ b/hawthornfold/backends/pool.py
@@ -24,11 +24,6 @@
         """Connections open, idle and busy together."""
         return len(self._idle) + len(self._busy)
 
-    @property
-    def idle_count(self):
-        """Connections open and idle."""
-        return len(self._idle)
-
     @property
     def limit(self):
         """Connections this owner may open."""
--- a/hawthornfold/queries/groups.py
+++ b/hawthornfold/queries/groups.py
@@ -1,7 +1,5 @@
 """The service groups in force, with what this node has learnt of each."""
 
-import logbook
-
 from hawthornfold.hedging import create_hedge_delay
 from hawthornfold.shedding import URGENCIES
 from hawthornfold.shedding import create_admission_controller
@@ -9,8 +7,6 @@
 
 KEY_PREFIX = 'services/'
 
-_LOG = logbook.Logger('queries')
-
 
 class GroupState:
     """A service group and this node's estimates for it."""
