--- a/hawthornfold/backends/connection.py
+++ b/hawthornfold/backends/connection.py
@@ -50,7 +50,7 @@
     held: tuple[str, ...] = ()
 
 
-class _CoalescingConnection(urllib3.connection.HTTPConnection):
+class CoalescingConnection(urllib3.connection.HTTPConnection):
     """Sends the head and the body of a request with one system call.
 
     urllib3 sends them separately. A send costs more than all the rest of an
@@ -68,7 +68,7 @@
         else:
             self._pending.append(data)
 
-    def request_at_once(self, method, path, body):
+    def request_at_once(self, method, path, body, headers=_HEADERS):
         """Send a whole request."""
         self._pending = []
         try:
@@ -76,8 +76,9 @@
                 method,
                 path,
                 body=body,
-                headers=_HEADERS,
+                headers=headers,
                 preload_content=False,
+                decode_content=False,
             )
             data = b''.join(self._pending)
         finally:
@@ -88,11 +89,11 @@
 class BackendConnection:
     """A connection that carries one exchange at a time."""
 
-    def __init__(self, host, port, now_ms):
-        self._connection = _CoalescingConnection(
+    def __init__(self, host, port, now_ms, connect_timeout_s):
+        self._connection = CoalescingConnection(
             host,
             port,
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=connect_timeout_s,
             socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
         )
         self._opened_ms = now_ms
@@ -269,7 +270,7 @@
         return Err(ExchangeFailure(code, codec.Ran.UNKNOWN, detail))
 
 
-def open_connection(address, now_ms):
+def open_connection(address, now_ms, connect_timeout_s=CONNECT_TIMEOUT_S):
     """Create a connection to ``host:port``; it connects on first use."""
     host, _, port = address.rpartition(':')
-    return BackendConnection(host, int(port), now_ms)
+    return BackendConnection(host, int(port), now_ms, connect_timeout_s)
--- a/hawthornfold/callers/protocol.py
+++ b/hawthornfold/callers/protocol.py
@@ -19,10 +19,6 @@
 # Key of the WSGI environment under which the application finds a function
 # that closes the connection after the answer.
 CLOSE_KEY = 'hawthornfold.close_connection'
-# Connections that wait for their next request longer than this are closed.
-# Clients reuse connections for about as long, and a close that crosses a
-# request costs the client a second sending.
-IDLE_MS = 60_000.0
 # After the last answer, input is discarded within these bounds before the
 # close. A close with unread input sends a reset, which can destroy an answer
 # that the caller has not read yet.
@@ -190,7 +186,7 @@
         read_timeout_ms = self._limits.read_timeout_ms
         wait_ms = read_timeout_ms
         if not is_first:
-            wait_ms = max(IDLE_MS, read_timeout_ms)
+            wait_ms = max(self._limits.idle_timeout_ms, read_timeout_ms)
         self._stream.start(wait_ms)
         self._stream.is_polling = self._port.is_stopping
         self.conn_state[2] = wsgi.STATE_IDLE
@@ -263,11 +259,7 @@
     def _check_framing(self):
         """Return whether the end of the request can be told safely."""
         if 'Transfer-Encoding' in self.headers:
-            self._refuse(
-                ResultCode.REQUEST_MALFORMED,
-                'send the body with Content-Length, not Transfer-Encoding',
-            )
-            return False
+            return self._check_transfer_encoding()
         lengths = self.headers.get_all('Content-Length', [])
         if not lengths:
             return True
@@ -286,6 +278,14 @@
         self.headers.replace_header('Content-Length', length)
         return True
 
+    def _check_transfer_encoding(self):
+        """Refuse a body without a length; subclasses may accept it."""
+        self._refuse(
+            ResultCode.REQUEST_MALFORMED,
+            'send the body with Content-Length, not Transfer-Encoding',
+        )
+        return False
+
     def get_environ(self):
         """Return the WSGI environment of a request."""
         environ = super().get_environ()
--- a/hawthornfold/callers/server.py
+++ b/hawthornfold/callers/server.py
@@ -149,7 +149,9 @@
 
 
 @contextlib.contextmanager
-def serve_application(host, port, application, settings):
+def serve_application(
+    host, port, application, settings, protocol=CallerProtocol
+):
     """Serve `application` while the context is active.
 
     Parameters
@@ -158,6 +160,8 @@
         As for `CallerPort`.
     settings : CallerSettings
         Limits on heads, bodies, time and connections.
+    protocol : type
+        `CallerProtocol` or a subclass.
 
     Yields
     ------
@@ -177,7 +181,7 @@
         _Listener(listener, clock),
         application,
         custom_pool=pool,
-        protocol=functools.partial(CallerProtocol, shared),
+        protocol=functools.partial(protocol, shared),
         socket_timeout=settings.read_timeout_ms / 1000.0,
         # The protocol class checks the length itself.
         url_length_limit=settings.max_head_bytes + 2,
--- a/hawthornfold/clock/clock.py
+++ b/hawthornfold/clock/clock.py
@@ -26,8 +26,12 @@
     """The clock of the operating system."""
 
     def now_ms(self):
-        """Return monotonic milliseconds as a float."""
-        return time.monotonic() * 1000.0
+        """Return monotonic milliseconds as a float.
+
+        The time for which the VM was suspended counts, which the ordinary
+        monotonic clock leaves out: beliefs and deadlines age meanwhile.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
     def wall_ms(self):
         """Return milliseconds since the Unix epoch as an int."""
--- /dev/null
+++ b/hawthornfold/directory/__init__.py
@@ -0,0 +1,31 @@
+"""The backend servers and rules that a node reads from a published store."""
+
+from hawthornfold.directory.directory import ServerDirectory
+from hawthornfold.directory.directory import create_server_directory
+from hawthornfold.directory.records import CallerLimits
+from hawthornfold.directory.records import ItemFailure
+from hawthornfold.directory.records import ReadFailure
+from hawthornfold.directory.records import RoutingConfiguration
+from hawthornfold.directory.records import ServerChange
+from hawthornfold.directory.records import ServerRecord
+from hawthornfold.directory.records import ServiceRecord
+from hawthornfold.directory.records import StoreChanges
+from hawthornfold.directory.store import PublishedStore
+from hawthornfold.directory.watcher import StoreWatcher
+from hawthornfold.directory.watcher import create_store_watcher
+
+__all__ = [
+    'CallerLimits',
+    'ItemFailure',
+    'PublishedStore',
+    'ReadFailure',
+    'RoutingConfiguration',
+    'ServerChange',
+    'ServerDirectory',
+    'ServerRecord',
+    'ServiceRecord',
+    'StoreChanges',
+    'StoreWatcher',
+    'create_server_directory',
+    'create_store_watcher',
+]
--- /dev/null
+++ b/hawthornfold/directory/directory.py
@@ -0,0 +1,210 @@
+"""Which backend servers may be used, from what the store has published.
+
+A removed record means that the server leaves, but for one case: while the
+store was away, records of live servers may have lapsed, and their servers
+write them again soon after its return. Removals that are learned around an
+outage are therefore carried out late.
+"""
+
+import typing
+
+from hawthornfold.directory.records import ServerRecord
+
+# Servers write lapsed records again within 2 s of the store's return.
+LAPSE_GRACE_MS = 2_300.0
+# A server goes on serving for some time after it announced that it leaves.
+# It is used for this long where no other server is left; nodes may learn of
+# the announcement late, so this stays well below any drain time.
+LAST_RESORT_MS = 1_000.0
+
+
+class DirectoryEvent(typing.NamedTuple):
+    """A change of belief about a server.
+
+    Parameters
+    ----------
+    kind : str
+        ``added``, ``draining``, ``ready``, ``restarted``, ``moved`` or
+        ``removed``.
+    record : ServerRecord
+        The server's latest record.
+    """
+
+    kind: str
+    record: ServerRecord
+
+
+class _Leaving(typing.NamedTuple):
+    record: ServerRecord
+    since_ms: float
+
+
+class ServerDirectory:
+    """The servers of all services, by id."""
+
+    def __init__(self):
+        self._records = {}
+        self._by_service = {}
+        self._leaving = {}
+        # Removals that wait, by the time at which they are carried out.
+        self._pending_removals = {}
+        self._distrust_until_ms = 0.0
+
+    @property
+    def records(self):
+        """All records by server id, draining servers included."""
+        return dict(self._records)
+
+    def get(self, server_id):
+        """Return the record of a server, or None."""
+        return self._records.get(server_id)
+
+    def servers_of(self, service, now_ms):
+        """Return the records of the servers that may get new work.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now_ms : float
+            Current time.
+
+        Returns
+        -------
+        list of ServerRecord
+            Servers that are ready; when there are none, those that have
+            begun to leave within `LAST_RESORT_MS`.
+        """
+        ready = self._by_service.get(service)
+        if ready:
+            return list(ready.values())
+        return [
+            leaving.record
+            for leaving in self._leaving.values()
+            if leaving.record.service == service
+            and now_ms - leaving.since_ms < LAST_RESORT_MS
+        ]
+
+    def note_outage(self, now_ms):
+        """Take note that the store did not answer this node."""
+        self._distrust_until_ms = now_ms + LAPSE_GRACE_MS
+        for server_id in self._pending_removals:
+            self._pending_removals[server_id] = self._distrust_until_ms
+
+    def replace_all(self, changes, now_ms):
+        """Take over a complete list of servers.
+
+        Returns
+        -------
+        list of DirectoryEvent
+        """
+        listed = {change.server_id for change in changes}
+        events = []
+        for server_id in set(self._records) - listed:
+            events += self._remove(server_id, now_ms)
+        return events + self.apply(changes, now_ms)
+
+    def apply(self, changes, now_ms):
+        """Take over the changes of some servers.
+
+        Returns
+        -------
+        list of DirectoryEvent
+        """
+        events = []
+        for server_id, record in changes:
+            if record is None:
+                events += self._remove(server_id, now_ms)
+            else:
+                events += self._write(record, now_ms)
+        return events
+
+    def expire(self, now_ms):
+        """Carry out the removals that are due.
+
+        Returns
+        -------
+        list of DirectoryEvent
+        """
+        due = [
+            server_id
+            for server_id, due_ms in self._pending_removals.items()
+            if due_ms <= now_ms
+        ]
+        events = []
+        for server_id in due:
+            events += self._drop(server_id, now_ms)
+        for server_id, leaving in list(self._leaving.items()):
+            if now_ms - leaving.since_ms >= LAST_RESORT_MS:
+                del self._leaving[server_id]
+        return events
+
+    def _write(self, record, now_ms):
+        server_id = record.server_id
+        self._pending_removals.pop(server_id, None)
+        before = self._records.get(server_id)
+        if before is not None and record.born_ms < before.born_ms:
+            # Written by an earlier process of the server.
+            return []
+        self._records[server_id] = record
+        self._index(before, record, now_ms)
+        kind = _name_change(before, record)
+        return [] if kind is None else [DirectoryEvent(kind, record)]
+
+    def _index(self, before, record, now_ms):
+        server_id = record.server_id
+        if before is not None:
+            self._by_service.get(before.service, {}).pop(server_id, None)
+        if record.is_draining:
+            if before is None or not before.is_draining:
+                self._leaving[server_id] = _Leaving(record, now_ms)
+        else:
+            self._leaving.pop(server_id, None)
+            servers = self._by_service.setdefault(record.service, {})
+            servers[server_id] = record
+
+    def _remove(self, server_id, now_ms):
+        if server_id not in self._records:
+            return []
+        if now_ms < self._distrust_until_ms:
+            self._pending_removals[server_id] = self._distrust_until_ms
+            return []
+        return self._drop(server_id, now_ms)
+
+    def _drop(self, server_id, now_ms):
+        self._pending_removals.pop(server_id, None)
+        record = self._records.pop(server_id, None)
+        if record is None:
+            return []
+        self._by_service.get(record.service, {}).pop(server_id, None)
+        if not record.is_draining:
+            self._leaving[server_id] = _Leaving(record, now_ms)
+        return [DirectoryEvent('removed', record)]
+
+
+def _name_change(before, record):
+    if before is None:
+        return 'added'
+    if record.born_ms > before.born_ms > 0:
+        return 'restarted'
+    if (record.address, record.service) != (before.address, before.service):
+        return 'moved'
+    if record.is_draining != before.is_draining:
+        return 'draining' if record.is_draining else 'ready'
+    return None
+
+
+def create_server_directory():
+    """Create an empty directory.
+
+    Examples
+    --------
+    >>> from hawthornfold.directory.records import ServerChange
+    >>> directory = create_server_directory()
+    >>> record = ServerRecord('s1', 'portal', '127.0.0.1:1', 'dc-a', 2)
+    >>> directory.apply([ServerChange('s1', record)], 0.0)[0].kind
+    'added'
+    >>> [found.server_id for found in directory.servers_of('portal', 1.0)]
+    ['s1']
+    """
+    return ServerDirectory()
--- a/hawthornfold/emulator/fleet.py
+++ b/hawthornfold/emulator/fleet.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import json
-import pathlib
 import tempfile
 import urllib.parse
 
@@ -22,7 +21,6 @@
 
 PLATFORM = 'platform'
 PROXY = 'proxy'
-_MEMORY_FILE_SYSTEM = pathlib.Path('/dev/shm')
 
 
 class Fleet:
@@ -325,15 +323,14 @@
 
 
 def create_directory():
-    """Create a temporary directory, in memory where that is possible.
+    """Create a temporary directory.
 
     Returns
     -------
     tempfile.TemporaryDirectory
         To be used as a context manager.
     """
-    parent = _MEMORY_FILE_SYSTEM if _MEMORY_FILE_SYSTEM.is_dir() else None
-    return tempfile.TemporaryDirectory(prefix='hawthornfold-', dir=parent)
+    return tempfile.TemporaryDirectory(prefix='hawthornfold-')
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/hawthornfold/gateway/handler.py
@@ -0,0 +1,317 @@
+"""Handles one request: rule, execution, answer."""
+
+import http
+import typing
+
+import logbook
+
+from hawthornfold.codes import ResultCode
+from hawthornfold.gateway.exchange import OutgoingRequest
+from hawthornfold.gateway.exchange import strip_connection_headers
+from hawthornfold.gateway.relay import Relay
+from hawthornfold.gathering import ExecutionTimes
+from hawthornfold.gathering import Verdict
+from hawthornfold.gathering import create_execution
+from hawthornfold.gathering import merge_records
+from hawthornfold.rules import RequestFacts
+
+_LOG = logbook.Logger('request')
+
+# Answers leave this long before the caller's deadline, so that they arrive.
+DEADLINE_MARGIN_MS = 8.0
+# A configuration older than this may lack a route that was just added, so
+# the node does not say that there is no such path.
+STALE_MS = 5_000.0
+# When callers may come back after a refusal, in milliseconds: a node without
+# configuration needs a read of the store, a service without a server the
+# time in which a server restarts or a probe succeeds.
+_RETRY_AFTER_MS = {
+    ResultCode.NOT_READY: 500.0,
+    ResultCode.BELIEFS_STALE: 1_000.0,
+    ResultCode.BACKEND_UNREACHABLE: 300.0,
+    ResultCode.DEADLINE_EXCEEDED: 300.0,
+}
+# Statuses that promise that a request has not run.
+_PROMISES = frozenset((408, 421, 429, 503))
+_DROPPED = frozenset(('content-length', 'transfer-encoding', 'connection'))
+
+
+class IncomingRequest(typing.NamedTuple):
+    """A caller's request.
+
+    Parameters
+    ----------
+    method, target : str
+        As in the request line.
+    host : str
+        Host without port, lowercase.
+    headers : tuple of tuple of str
+        All headers as sent.
+    body : bytes
+        The whole body.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class GatewayAnswer(typing.NamedTuple):
+    """The answer to a caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def status_line(self):
+        """Status and reason, as WSGI wants them."""
+        try:
+            reason = http.HTTPStatus(self.status).phrase
+        except ValueError:
+            reason = 'Unknown'
+        return f'{self.status} {reason}'
+
+
+class _Route(typing.NamedTuple):
+    """What is known of a request before it is sent."""
+
+    request_id: str
+    decision: object
+    services: tuple[str, ...]
+    times: ExecutionTimes
+
+
+class GatewayHandler:
+    """Answers requests by the rules in force."""
+
+    def __init__(self, state, names, watcher, clock, metrics):
+        self._state = state
+        self._names = names
+        self._watcher = watcher
+        self._clock = clock
+        self._metrics = metrics
+
+    def handle(self, incoming, arrived_ms, watch_caller):
+        """Answer a request.
+
+        Parameters
+        ----------
+        incoming : IncomingRequest
+            The request, complete.
+        arrived_ms : float
+            When its first byte arrived, on the node's clock.
+        watch_caller : callable
+            Takes a function to call when the caller leaves, and returns a
+            context manager that watches meanwhile.
+
+        Returns
+        -------
+        GatewayAnswer or None
+            None when the caller has left.
+        """
+        headers = {name.lower(): value for name, value in incoming.headers}
+        request_id = headers.get(self._names.request_id.lower(), '')
+        configuration = self._state.configuration
+        if configuration is None:
+            return self._refuse(
+                request_id, ResultCode.NOT_READY, 'no configuration yet'
+            )
+        decision = configuration.rules.match(self._describe(incoming))
+        if decision is None:
+            return self._refuse_unmatched(request_id, configuration)
+        if not request_id:
+            return self._refuse(
+                request_id,
+                ResultCode.REQUEST_MALFORMED,
+                f'the header {self._names.request_id} is missing',
+            )
+        route = _Route(
+            request_id,
+            decision,
+            self._choose_services(decision),
+            self._time(decision, headers, arrived_ms),
+        )
+        return self._run(route, incoming, watch_caller, configuration.version)
+
+    def _describe(self, incoming):
+        return RequestFacts(
+            '',
+            '',
+            '',
+            incoming.method,
+            incoming.target.partition('?')[0],
+            {'host': incoming.host},
+            self._state.settings.data_centre,
+        )
+
+    def _choose_services(self, decision):
+        if decision.gather is not None:
+            return decision.gather.shards
+        return (self._state.turns.choose(decision),)
+
+    def _time(self, decision, headers, arrived_ms):
+        left_ms = float(decision.deadline_ms)
+        text = headers.get(self._names.deadline.lower(), '')
+        if text.isdecimal():
+            left_ms = min(left_ms, float(text))
+        deadline_ms = arrived_ms + left_ms - DEADLINE_MARGIN_MS
+        answer_ms = deadline_ms
+        if decision.objective_ms is not None:
+            margin_ms = self._state.settings.answer_margin_ms
+            answer_ms = arrived_ms + decision.objective_ms - margin_ms
+        return ExecutionTimes(
+            arrived_ms, min(answer_ms, deadline_ms), deadline_ms
+        )
+
+    def _run(self, route, incoming, watch_caller, version):
+        decision = route.decision
+        window = self._state.window_of(decision, route.services[0])
+        window.record_request(route.times.arrived_ms)
+        execution = create_execution(
+            decision,
+            route.services,
+            route.times,
+            self._state.directory,
+            self._state.placement,
+            window,
+            self._state.latency_book,
+        )
+        outgoing = OutgoingRequest(
+            incoming.method,
+            incoming.target,
+            strip_connection_headers(incoming.headers),
+            incoming.body,
+            route.request_id,
+        )
+        relay = Relay(
+            self._state,
+            self._clock,
+            self._metrics,
+            execution,
+            decision,
+            outgoing,
+        )
+        with watch_caller(relay.notify_caller_left):
+            result = relay.run(route.times.deadline_ms)
+        answer = self._create_answer(route, execution, result.verdict)
+        self._log(route, execution, result, answer, version)
+        return answer
+
+    def _create_answer(self, route, execution, verdict):
+        if verdict is None:
+            return None
+        if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
+            if route.decision.gather is None:
+                return _pass_on(execution.answers[0])
+            return self._merge(route.decision, execution)
+        failure = execution.failure
+        if verdict is Verdict.PASSED_FAILURE and (
+            failure.status not in _PROMISES
+        ):
+            return _pass_on(failure)
+        if verdict is Verdict.NOT_RUN:
+            return _create_refusal(
+                ResultCode.BACKEND_UNREACHABLE, 503, 'no server can run it'
+            )
+        if verdict is Verdict.TIMED_OUT:
+            return _create_refusal(
+                ResultCode.DEADLINE_EXCEEDED, 504, 'no answer in time'
+            )
+        return _create_refusal(
+            ResultCode.BACKEND_CONNECTION_LOST, 502, 'it may have run'
+        )
+
+    def _merge(self, decision, execution):
+        answers = execution.answers
+        headers = [
+            (self._names.part_seals, ', '.join(a.seal for a in answers)),
+            (self._names.missing_parts, str(execution.missing)),
+            ('Content-Type', 'application/octet-stream'),
+        ]
+        body = merge_records((a.body for a in answers), decision.gather.limit)
+        return GatewayAnswer(200, tuple(headers), body)
+
+    def _refuse_unmatched(self, request_id, configuration):
+        age_ms = self._watcher.age_ms(self._clock.now_ms())
+        if age_ms is None or age_ms > STALE_MS:
+            return self._refuse(
+                request_id,
+                ResultCode.BELIEFS_STALE,
+                f'no rule matches, but version {configuration.version} is '
+                f'{age_ms:.0f} ms old',
+            )
+        return self._refuse(
+            request_id, ResultCode.RULE_NOT_MATCHED, 'no rule matches', 404
+        )
+
+    def _refuse(self, request_id, code, detail, status=None):
+        """Refuse a request of which nothing was sent."""
+        if status is None:
+            status = 503 if code in _RETRY_AFTER_MS else 400
+        self._metrics.count('requests', outcome='refused', code=str(int(code)))
+        _LOG.info(
+            'event=request_refused request={} code={} status={} detail="{}"',
+            request_id,
+            int(code),
+            status,
+            detail,
+        )
+        return _create_refusal(code, status, detail)
+
+    def _log(self, route, execution, result, answer, version):
+        now_ms = self._clock.now_ms()
+        elapsed_ms = now_ms - route.times.arrived_ms
+        verdict = (
+            'caller-left' if result.verdict is None else (result.verdict.value)
+        )
+        rule = route.decision.rule
+        self._metrics.count('requests', outcome=verdict)
+        self._metrics.count('hedges', execution.hedges)
+        self._metrics.count('retries', execution.retries)
+        if answer is not None:
+            self._metrics.observe_ms('request', elapsed_ms, rule=rule)
+        window = self._state.window_of(route.decision, route.services[0])
+        missing = execution.missing_services
+        _LOG.info(
+            'event=request_ended request={} rule={} version={} verdict={} '
+            'status={} ms={:.1f} answer_ms={:.0f} deadline_ms={:.0f} '
+            'parts={} missing={} hedges={} retries={} repeats={}/{:.0f} '
+            'store_age_ms={:.0f} faults="{}"',
+            route.request_id,
+            rule,
+            version,
+            verdict,
+            answer.status if answer is not None else '-',
+            elapsed_ms,
+            route.times.answer_ms - route.times.arrived_ms,
+            route.times.deadline_ms - route.times.arrived_ms,
+            len(route.services),
+            ','.join(missing[:8]) or '-',
+            execution.hedges,
+            execution.retries,
+            window.repeats,
+            window.allowance(now_ms),
+            self._watcher.age_ms(now_ms) or -1.0,
+            ' '.join(result.faults),
+        )
+
+
+def _pass_on(response):
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers
+        if name.lower() not in _DROPPED
+    )
+    return GatewayAnswer(response.status, headers, response.body)
+
+
+def _create_refusal(code, status, detail):
+    headers = [('Content-Type', 'text/plain')]
+    retry_after_ms = _RETRY_AFTER_MS.get(code)
+    if status == 503 and retry_after_ms is not None:
+        headers.append(('Retry-After', f'{retry_after_ms / 1000.0:.2f}'))
+    body = f'{int(code)} {code.name}: {detail}\n'.encode()
+    return GatewayAnswer(status, tuple(headers), body)
--- /dev/null
+++ b/hawthornfold/gateway/links.py
@@ -0,0 +1,155 @@
+"""The connections of a node to its backend servers, within their limits."""
+
+import collections
+
+import eventlet
+import eventlet.semaphore
+
+from hawthornfold.gateway.exchange import CONNECT_TIMEOUT_MS
+from hawthornfold.gateway.exchange import ServerConnection
+
+# Part of a server's connections that all nodes together may open. The rest
+# is for nodes that restart, whose old connections the server has not closed.
+USABLE_SHARE = 0.8
+
+
+def share_connections(limit, node_count):
+    """Return how many connections one node may open to a server.
+
+    Examples
+    --------
+    >>> share_connections(26, 7), share_connections(26, 63)
+    (2, 1)
+    """
+    return max(1, int(limit * USABLE_SHARE / max(node_count, 1)))
+
+
+class ServerLink:
+    """Idle and busy connections to one server process."""
+
+    def __init__(self, address, limit, names, clock, metrics):
+        self._address = address
+        self._limit = limit
+        self._names = names
+        self._clock = clock
+        self._metrics = metrics
+        self._slots = eventlet.semaphore.Semaphore(limit)
+        self._idle = collections.deque()
+        self._busy = set()
+        self._is_closed = False
+
+    @property
+    def address(self):
+        """``ip:port`` of the server."""
+        return self._address
+
+    @property
+    def count(self):
+        """Connections open, idle and busy together."""
+        return len(self._idle) + len(self._busy)
+
+    def set_limit(self, limit):
+        """Change how many connections the node may open."""
+        for _ in range(self._limit, limit):
+            self._slots.release()
+        for _ in range(limit, self._limit):
+            # Without blocking: busy connections end by themselves.
+            self._slots.acquire(blocking=False)
+        self._limit = limit
+
+    def acquire(self, is_idempotent, timeout_ms):
+        """Take a connection, opening one when none is idle.
+
+        Returns
+        -------
+        tuple of (ServerConnection or None, str)
+            The connection, or None and the reason.
+        """
+        if not self._slots.acquire(timeout=max(timeout_ms, 1.0) / 1000.0):
+            return None, 'no free connection'
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh_enough(is_idempotent):
+                self._busy.add(connection)
+                return connection, ''
+            connection.close()
+        connection = ServerConnection(self._address, self._names, self._clock)
+        self._busy.add(connection)
+        self._metrics.count('server_connections_opened')
+        error = connection.open(min(timeout_ms, CONNECT_TIMEOUT_MS))
+        if error is not None:
+            self.release(connection)
+            return None, error
+        return connection, ''
+
+    def release(self, connection):
+        """Give a connection back; it is closed unless it can be reused."""
+        self._busy.discard(connection)
+        if connection.is_reusable and not self._is_closed:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        self._slots.release()
+
+    def probe(self):
+        """Open a connection to see whether the server accepts it.
+
+        Returns
+        -------
+        bool
+            Whether it did; the connection is kept.
+        """
+        if not self._slots.acquire(blocking=False):
+            return False
+        connection = ServerConnection(self._address, self._names, self._clock)
+        self._busy.add(connection)
+        self._metrics.count('server_connections_opened')
+        error = connection.open(CONNECT_TIMEOUT_MS)
+        self.release(connection)
+        return error is None
+
+    def discard_idle(self):
+        """Close all idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def close(self):
+        """Close idle connections now and busy ones after their exchange."""
+        self._is_closed = True
+        self.discard_idle()
+
+
+class ServerLinks:
+    """The links to all servers, by server id."""
+
+    def __init__(self, names, clock, metrics):
+        self._names = names
+        self._clock = clock
+        self._metrics = metrics
+        self._links = {}
+
+    def get(self, record, limit):
+        """Return the link to a server, opening it when there is none."""
+        link = self._links.get(record.server_id)
+        if link is None or link.address != record.address:
+            if link is not None:
+                link.close()
+            link = self._links[record.server_id] = ServerLink(
+                record.address, limit, self._names, self._clock, self._metrics
+            )
+        return link
+
+    def find(self, server_id):
+        """Return the link to a server, or None."""
+        return self._links.get(server_id)
+
+    def drop(self, server_id):
+        """Close the link to a server that is gone or has restarted."""
+        link = self._links.pop(server_id, None)
+        if link is not None:
+            link.close()
+
+    def close(self):
+        """Close all links."""
+        for server_id in list(self._links):
+            self.drop(server_id)
--- /dev/null
+++ b/hawthornfold/gateway/names.py
@@ -0,0 +1,36 @@
+"""Names of the headers by which callers, the tier and servers speak."""
+
+import typing
+
+
+class HeaderNames(typing.NamedTuple):
+    """The names that a deployment uses for each header.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifies one attempt of a caller; servers return it.
+    deadline : str
+        How long the sender waits, in milliseconds.
+    target : str
+        Id of the server that alone may execute the request.
+    seal : str
+        A server's proof of origin of an answer.
+    part_seals : str
+        Proofs of origin of all parts of a gathered answer.
+    missing_parts : str
+        Number of shards that a gathered answer leaves out.
+    not_executed : str
+        Marks the answer of a server that did not execute the request.
+    load : str
+        A server's load: requests running, requests waiting, slots.
+    """
+
+    request_id: str = 'X-Request-Id'
+    deadline: str = 'X-Deadline-Ms'
+    target: str = 'X-Target-Server'
+    seal: str = 'X-Seal'
+    part_seals: str = 'X-Part-Seals'
+    missing_parts: str = 'X-Missing-Parts'
+    not_executed: str = 'X-Not-Executed'
+    load: str = 'X-Load'
--- /dev/null
+++ b/hawthornfold/gateway/node.py
@@ -0,0 +1,293 @@
+"""Wires a gateway node and runs it until it is told to stop."""
+
+import contextlib
+import os
+import signal
+
+import eventlet
+import logbook
+
+from hawthornfold.callers.server import serve_application
+from hawthornfold.clock import create_system_clock
+from hawthornfold.directory import create_store_watcher
+from hawthornfold.gateway.handler import GatewayHandler
+from hawthornfold.gateway.ingress import GatewayApplication
+from hawthornfold.gateway.ingress import GatewayProtocol
+from hawthornfold.gateway.ingress import IngressLimits
+from hawthornfold.gateway.readiness import ReadyApplication
+from hawthornfold.gateway.readiness import ReadyLimits
+from hawthornfold.gateway.settings import split_address
+from hawthornfold.gateway.state import GatewayState
+from hawthornfold.logs import setup_logs
+from hawthornfold.metrics import create_metrics
+
+_LOG = logbook.Logger('gateway')
+
+# How often signals and the settings file are looked at.
+POLL_MS = 100.0
+SETTINGS_POLL_MS = 1_000.0
+# Silent servers are looked for, and blocked ones probed, at this pace.
+SWEEP_MS = 50.0
+# A loop that an internal error has ended starts again after this time.
+RESTART_MS = 500.0
+# After the stop signal callers still arrive until the balancer has seen two
+# failed checks, one a second.
+LINGER_MS = 2_600.0
+# The process ends this long before it would be killed.
+KILL_MARGIN_MS = 400.0
+# The node does without answers in progress for this long before it ends.
+QUIET_MS = 300.0
+
+
+class GatewayNode:
+    """The parts of a running node.
+
+    Parameters
+    ----------
+    load_settings : callable
+        Returns the `GatewaySettings`; raises ValueError or OSError with a
+        reason when they cannot be read.
+    open_store : callable
+        Takes an address and the clock and returns a `PublishedStore`.
+    names : HeaderNames
+        The deployment's header names.
+    ready_path : str
+        Path of the readiness check.
+    """
+
+    def __init__(self, load_settings, open_store, names, ready_path):
+        self._load_settings = load_settings
+        self._ready_path = ready_path
+        self._settings = load_settings()
+        self._clock = create_system_clock()
+        self._metrics = create_metrics()
+        self._state = GatewayState(
+            self._settings, names, self._clock, self._metrics
+        )
+        self._watcher = create_store_watcher(
+            open_store(lambda: self._settings.store_address, self._clock),
+            self._state.directory,
+            self._clock,
+            self._metrics,
+            self._state.handle_server_events,
+            self._state.set_configuration,
+        )
+        handler = GatewayHandler(
+            self._state, names, self._watcher, self._clock, self._metrics
+        )
+        self._limits = IngressLimits(self._state)
+        self._application = GatewayApplication(
+            handler, self._state, self._clock, self._metrics, self._limits
+        )
+
+    @property
+    def settings(self):
+        """The `GatewaySettings` in force."""
+        return self._settings
+
+    def is_ready(self):
+        """Return whether callers should be sent to this node."""
+        return (
+            not self._state.is_stopping
+            and self._state.configuration is not None
+            and self._watcher.is_loaded
+        )
+
+    def describe(self):
+        """Return what the node believes, for operators."""
+        state = self._state
+        configuration = state.configuration
+        now_ms = self._clock.now_ms()
+        return {
+            'node': self._settings.node_name,
+            'ready': self.is_ready(),
+            'version': configuration.version if configuration else None,
+            'store_revision': self._watcher.revision,
+            'store_age_ms': self._watcher.age_ms(now_ms),
+            'nodes': state.node_count,
+            'servers': len(state.directory.records),
+            'blocked_servers': state.placement.blocked_ids(),
+            'requests_in_progress': self._application.in_progress,
+        }
+
+    @contextlib.contextmanager
+    def open(self):
+        """Serve while the context is active.
+
+        Yields
+        ------
+        function
+            Stops accepting callers.
+        """
+        settings = self._settings
+        with contextlib.ExitStack() as stack:
+            loops = [
+                eventlet.spawn(self._run_always, loop)
+                for loop in (
+                    self._watcher.run,
+                    self._watcher.run_expiry,
+                    self._run_sweep,
+                )
+            ]
+            stack.callback(lambda: [loop.kill() for loop in loops])
+            stack.callback(self._state.links.close)
+            ready = ReadyApplication(
+                self._ready_path, self.is_ready, self.describe, self._metrics
+            )
+            addresses = [split_address(settings.ready_address)]
+            if settings.metrics_port:
+                host = split_address(settings.ready_address)[0]
+                addresses.append((host, settings.metrics_port))
+            for host, port in addresses:
+                stack.enter_context(
+                    serve_application(host, port, ready, ReadyLimits())
+                )
+            host, port = split_address(settings.caller_address)
+            yield stack.enter_context(
+                serve_application(
+                    host,
+                    port,
+                    self._application,
+                    self._limits,
+                    GatewayProtocol,
+                )
+            )
+
+    def reload(self, cause):
+        """Read the settings again; the last good ones stay on a fault."""
+        try:
+            settings = self._load_settings()
+        except (ValueError, OSError) as error:
+            self._metrics.count('settings_refused')
+            _LOG.error('event=settings_refused cause={} {}', cause, error)
+            return
+        if settings != self._settings:
+            self._settings = settings
+            self._state.set_settings(settings)
+        _LOG.info('event=settings_loaded cause={}', cause)
+
+    def stop(self, stop_accepting):
+        """Finish what is in flight.
+
+        Returns
+        -------
+        int
+            How many requests were cut.
+        """
+        started_ms = self._clock.now_ms()
+        limit_ms = self._settings.stop_grace_ms - KILL_MARGIN_MS
+        self._state.begin_stop()
+        _LOG.info(
+            'event=stopping in_progress={}', self._application.in_progress
+        )
+        self._clock.sleep_ms(min(LINGER_MS, limit_ms / 2.0))
+        stop_accepting()
+        quiet_since_ms = self._clock.now_ms()
+        while self._clock.now_ms() - started_ms < limit_ms:
+            now_ms = self._clock.now_ms()
+            if self._application.in_progress:
+                quiet_since_ms = now_ms
+            elif now_ms - quiet_since_ms >= QUIET_MS:
+                break
+            self._clock.sleep_ms(POLL_MS / 2.0)
+        return self._application.in_progress
+
+    def _run_always(self, loop):
+        """Run a loop; start it again when an internal error ends it."""
+        while True:
+            try:
+                loop()
+            except Exception:  # noqa: BLE001
+                self._metrics.count('internal_errors', loop=loop.__name__)
+                _LOG.exception('event=loop_failed loop={}', loop.__name__)
+            self._clock.sleep_ms(RESTART_MS)
+
+    def _run_sweep(self):
+        placement = self._state.placement
+        while True:
+            self._clock.sleep_ms(SWEEP_MS)
+            now_ms = self._clock.now_ms()
+            for server_id in placement.block_silent(now_ms):
+                self._metrics.count('servers_blocked')
+                _LOG.warning(
+                    'event=server_blocked server={} cause=silence', server_id
+                )
+            for server_id in placement.blocked_ids():
+                if placement.health(server_id).needs_probe(now_ms):
+                    self._start_probe(server_id, now_ms)
+
+    def _start_probe(self, server_id, now_ms):
+        record = self._state.directory.get(server_id)
+        if record is None:
+            self._state.placement.forget(server_id)
+            return
+        # Counts as failed until it has succeeded; the next one waits.
+        health = self._state.placement.health(server_id)
+        health.record_probe(False, now_ms)
+        eventlet.spawn_n(self._probe, record, health)
+
+    def _probe(self, record, health):
+        has_succeeded = self._state.link_to(record).probe()
+        self._metrics.count(
+            'server_probes', outcome='ok' if has_succeeded else 'failed'
+        )
+        health.record_probe(has_succeeded, self._clock.now_ms())
+        if has_succeeded:
+            _LOG.info(
+                'event=server_unblocked server={} cause=probe',
+                record.server_id,
+            )
+
+
+def run_gateway(load_settings, open_store, names, ready_path, settings_path):
+    """Run a gateway node until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings_path : str
+        The settings file; it is read again when it changes.
+
+    Returns
+    -------
+    int
+        Exit status: 0 after a graceful stop, 1 when requests were cut.
+    """
+    signals = []
+    node = GatewayNode(load_settings, open_store, names, ready_path)
+    with setup_logs(node.settings.node_name):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda number, _: signals.append(number))
+        with node.open() as stop_accepting:
+            _LOG.info('event=started callers={}', node.settings.caller_address)
+            _wait_for_stop(node, signals, settings_path)
+            cut = node.stop(stop_accepting)
+        _LOG.info('event=stopped cut_requests={}', cut)
+    return 1 if cut else 0
+
+
+def _wait_for_stop(node, signals, settings_path):
+    clock = create_system_clock()
+    modified = _read_modified(settings_path)
+    next_look_ms = clock.now_ms() + SETTINGS_POLL_MS
+    while True:
+        clock.sleep_ms(POLL_MS)
+        while signals:
+            if signals.pop(0) != signal.SIGHUP:
+                return
+            node.reload('SIGHUP')
+            modified = _read_modified(settings_path)
+        if clock.now_ms() >= next_look_ms:
+            next_look_ms = clock.now_ms() + SETTINGS_POLL_MS
+            current = _read_modified(settings_path)
+            if current != modified:
+                modified = current
+                node.reload('file')
+
+
+def _read_modified(path):
+    """Return what changes when a file is written, or None without one."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_ino, status.st_size
--- /dev/null
+++ b/hawthornfold/gateway/readiness.py
@@ -0,0 +1,62 @@
+"""The readiness check, the metrics page and the rules in force."""
+
+import contextlib
+
+import msgspec
+
+
+class ReadyLimits:
+    """Limits of the port for the balancer and for operators."""
+
+    max_headers = 64
+    max_connections_per_address = 64
+    max_head_bytes = 16_384
+    max_body_bytes = 4_096
+    read_timeout_ms = 3_000.0
+    idle_timeout_ms = 60_000.0
+
+
+class ReadyApplication:
+    """Answers ``/api/ready``, ``/metrics`` and ``/status``.
+
+    Parameters
+    ----------
+    ready_path : str
+        Path of the readiness check.
+    is_ready : callable
+        Returns whether callers should be sent here.
+    describe : callable
+        Returns the status as a dictionary.
+    """
+
+    def __init__(self, ready_path, is_ready, describe, metrics):
+        self._ready_path = ready_path
+        self._is_ready = is_ready
+        self._describe = describe
+        self._metrics = metrics
+
+    @contextlib.contextmanager
+    def track_request(self):
+        """Do not count these requests as in progress."""
+        yield
+
+    def count(self, name, **labels):
+        """Add 1 to a counter."""
+        self._metrics.count(name, **labels)
+
+    def __call__(self, environ, start_response):
+        """Answer one request, as WSGI defines it."""
+        path = environ['PATH_INFO']
+        status, kind, body = '404 Not Found', 'text/plain', b''
+        if path == self._ready_path:
+            is_ready = self._is_ready()
+            status = '200 OK' if is_ready else '503 Service Unavailable'
+        elif path == '/metrics':
+            body, headers = self._metrics.render([])
+            status, kind = '200 OK', headers.get('Content-Type', 'text/plain')
+        elif path == '/status':
+            status, kind = '200 OK', 'application/json'
+            body = msgspec.json.encode(self._describe())
+        headers = [('Content-Type', kind), ('Content-Length', str(len(body)))]
+        start_response(status, headers)
+        return [body]
--- /dev/null
+++ b/hawthornfold/gateway/relay.py
@@ -0,0 +1,207 @@
+"""Runs the exchanges of one request and waits for its verdict."""
+
+import contextlib
+import typing
+
+import eventlet
+import eventlet.queue
+
+from hawthornfold.gathering import Cancel
+from hawthornfold.gathering import ExchangeOutcome
+from hawthornfold.gathering import OutcomeKind
+from hawthornfold.gathering import Send
+from hawthornfold.gathering import Verdict
+
+# An answer was given without some parts: their exchanges may go on for this
+# long, so that connections survive short pauses of servers.
+LINGER_MS = 200.0
+# Faulty attempts that a log line lists at most.
+MAX_LISTED = 12
+
+_CALLER_LEFT = object()
+
+
+class RelayResult(typing.NamedTuple):
+    """How a request ended.
+
+    Parameters
+    ----------
+    verdict : Verdict or None
+        None when the caller left first.
+    faults : tuple of str
+        Attempts without an answer, as service/server/kind/detail/time.
+    """
+
+    verdict: Verdict | None
+    faults: tuple[str, ...]
+
+
+class _Exchange:
+    """One running attempt; `connection` is None until it has one."""
+
+    __slots__ = ('connection', 'is_cancelled', 'record')
+
+    def __init__(self, record):
+        self.record = record
+        self.connection = None
+        self.is_cancelled = False
+
+    def cancel(self):
+        self.is_cancelled = True
+        if self.connection is not None:
+            self.connection.abort()
+
+
+class Relay:
+    """Drives one `Execution` with real exchanges.
+
+    Parameters
+    ----------
+    state : GatewayState
+        Links, placement and latency book.
+    clock : Clock
+        The node's clock.
+    metrics : Metrics
+        Receives counters.
+    """
+
+    def __init__(self, state, clock, metrics, execution, decision, request):
+        self._state = state
+        self._clock = clock
+        self._metrics = metrics
+        self._execution = execution
+        self._decision = decision
+        self._request = request
+        self._inbox = eventlet.queue.LightQueue()
+        self._running = {}
+        self._faults = []
+
+    def notify_caller_left(self):
+        """End the request: nobody waits for its answer."""
+        self._inbox.put((_CALLER_LEFT, None))
+
+    def run(self, deadline_ms):
+        """Run the request to its end.
+
+        Parameters
+        ----------
+        deadline_ms : float
+            When the request is given up, on the node's clock.
+
+        Returns
+        -------
+        RelayResult
+        """
+        self._deadline_ms = deadline_ms
+        execution = self._execution
+        verdict = None
+        try:
+            self._carry_out(execution.start(self._clock.now_ms()))
+            verdict = self._wait_for_verdict()
+        finally:
+            self._end(verdict)
+        return RelayResult(verdict, tuple(self._faults))
+
+    def _wait_for_verdict(self):
+        execution = self._execution
+        while True:
+            now_ms = self._clock.now_ms()
+            verdict = execution.conclude(now_ms)
+            if verdict is not None:
+                return verdict
+            wait_ms = execution.wakeup_ms(now_ms) - now_ms
+            with contextlib.suppress(eventlet.queue.Empty):
+                attempt, outcome = self._inbox.get(
+                    timeout=max(wait_ms, 0.5) / 1000.0
+                )
+                if attempt is _CALLER_LEFT:
+                    return None
+                now_ms = self._clock.now_ms()
+                self._carry_out(
+                    execution.handle_outcome(attempt, outcome, now_ms)
+                )
+            self._carry_out(execution.tick(self._clock.now_ms()))
+
+    def _carry_out(self, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                exchange = _Exchange(action.record)
+                self._running[action.attempt] = exchange
+                eventlet.spawn_n(self._run_exchange, action, exchange)
+            elif isinstance(action, Cancel):
+                exchange = self._running.get(action.attempt)
+                if exchange is not None:
+                    eventlet.spawn_after(LINGER_MS / 1000.0, exchange.cancel)
+
+    def _end(self, verdict):
+        left = list(self._running.values())
+        if not left:
+            return
+        if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
+            for exchange in left:
+                eventlet.spawn_after(LINGER_MS / 1000.0, exchange.cancel)
+        else:
+            for exchange in left:
+                exchange.cancel()
+
+    def _run_exchange(self, send, exchange):
+        outcome = ExchangeOutcome(OutcomeKind.LOST, None, 'internal error')
+        started_ms = self._clock.now_ms()
+        waiting = None
+        try:
+            outcome, waiting = self._exchange(exchange)
+        finally:
+            self._running.pop(send.attempt, None)
+            self._record(send, exchange, outcome, waiting, started_ms)
+            self._inbox.put((send.attempt, outcome))
+
+    def _exchange(self, exchange):
+        record = exchange.record
+        link = self._state.link_to(record)
+        left_ms = self._deadline_ms - self._clock.now_ms()
+        connection, reason = link.acquire(self._decision.idempotent, left_ms)
+        if connection is None:
+            return ExchangeOutcome(OutcomeKind.UNREACHABLE, None, reason), None
+        try:
+            if exchange.is_cancelled:
+                outcome = ExchangeOutcome(
+                    OutcomeKind.UNREACHABLE, None, 'cancelled'
+                )
+                return outcome, None
+            exchange.connection = connection
+            return connection.exchange(
+                self._request, record.server_id, self._deadline_ms
+            )
+        finally:
+            exchange.connection = None
+            link.release(connection)
+
+    def _record(self, send, exchange, outcome, waiting, started_ms):
+        now_ms = self._clock.now_ms()
+        placement = self._state.placement
+        server_id = exchange.record.server_id
+        key = self._execution.attempt_key(send.attempt)
+        kind = outcome.kind
+        elapsed_ms = now_ms - started_ms
+        if exchange.is_cancelled:
+            self._metrics.count('exchanges', outcome='cancelled')
+            placement.health(server_id).cancel(key)
+            return
+        self._metrics.count('exchanges', outcome=kind.value)
+        if kind is OutcomeKind.ANSWERED:
+            self._metrics.observe_ms('exchange', elapsed_ms)
+            placement.record_answer(
+                server_id, key, self._decision, elapsed_ms, waiting, now_ms
+            )
+            return
+        if len(self._faults) < MAX_LISTED:
+            self._faults.append(
+                f'{exchange.record.service}/{server_id}/{kind.value}/'
+                f'{outcome.detail}/{elapsed_ms:.0f}ms'
+            )
+        health = placement.health(server_id)
+        if kind is OutcomeKind.WRONG_SERVER:
+            health.expel(key)
+            return
+        is_absent = kind in (OutcomeKind.UNREACHABLE, OutcomeKind.LOST)
+        health.record_failure(key, is_absent, now_ms)
--- /dev/null
+++ b/hawthornfold/gateway/state.py
@@ -0,0 +1,165 @@
+"""What a gateway node believes: configuration, servers, budgets."""
+
+import logbook
+
+from hawthornfold.directory import create_server_directory
+from hawthornfold.gateway.links import ServerLinks
+from hawthornfold.gateway.links import share_connections
+from hawthornfold.limits import create_arrival_window
+from hawthornfold.placement import create_latency_book
+from hawthornfold.placement import create_placement
+from hawthornfold.placement import create_weighted_turns
+
+_LOG = logbook.Logger('gateway')
+
+# Connections to a server whose service the configuration does not name.
+_UNKNOWN_LIMIT = 1
+
+
+class GatewayState:
+    """The beliefs of one node and how they change.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of the node.
+    names : HeaderNames
+        The deployment's header names.
+    clock : Clock
+        The node's clock.
+    metrics : Metrics
+        Receives counters.
+    """
+
+    def __init__(self, settings, names, clock, metrics):
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._configuration = None
+        self._node_count = 1
+        self._windows = {}
+        self._groups = {}
+        self._started_ms = clock.now_ms()
+        self._is_stopping = False
+        self.directory = create_server_directory()
+        self.latency_book = create_latency_book()
+        self.placement = create_placement(
+            settings.data_centre, self.latency_book
+        )
+        self.turns = create_weighted_turns()
+        self.links = ServerLinks(names, clock, metrics)
+
+    @property
+    def settings(self):
+        """The node's `GatewaySettings`."""
+        return self._settings
+
+    @property
+    def configuration(self):
+        """The `RoutingConfiguration` in force, or None."""
+        return self._configuration
+
+    @property
+    def is_stopping(self):
+        """Whether the node has been told to stop."""
+        return self._is_stopping
+
+    @property
+    def node_count(self):
+        """Nodes that share the servers' limits, this one included."""
+        return self._node_count
+
+    def begin_stop(self):
+        """Tell callers from now on to go elsewhere."""
+        self._is_stopping = True
+
+    def set_settings(self, settings):
+        """Take over settings that were read again."""
+        self._settings = settings
+        self._apply_shares()
+
+    def set_node_count(self, count):
+        """Divide the servers' limits among `count` nodes."""
+        if count == self._node_count:
+            return
+        _LOG.info(
+            'event=node_count_changed before={} after={}',
+            self._node_count,
+            count,
+        )
+        self._node_count = count
+        self._apply_shares()
+
+    def set_configuration(self, configuration):
+        """Put a newer configuration in force."""
+        before = self._configuration
+        self._configuration = configuration
+        self._groups = {}
+        self.latency_book.keep_only(
+            rule.name for rule in configuration.rules.rules
+        )
+        self._apply_shares()
+        self._metrics.count('configurations_applied')
+        _LOG.info(
+            'event=configuration_applied before={} after={} rules={}',
+            None if before is None else before.version,
+            configuration.version,
+            len(configuration.rules.rules),
+        )
+
+    def handle_server_events(self, events):
+        """Act on a list of `DirectoryEvent`."""
+        for event in events:
+            server_id = event.record.server_id
+            if event.kind in ('restarted', 'moved'):
+                # The process behind the id is another one.
+                self.links.drop(server_id)
+                self.placement.forget(server_id)
+            elif event.kind == 'removed':
+                self.links.drop(server_id)
+                self.placement.forget(server_id)
+            elif event.kind == 'draining':
+                link = self.links.find(server_id)
+                if link is not None:
+                    link.discard_idle()
+
+    def link_to(self, record):
+        """Return the `ServerLink` to a server."""
+        return self.links.get(record, self._connection_limit(record.service))
+
+    def window_of(self, decision, service):
+        """Return the `ArrivalWindow` that a request draws on.
+
+        All shards of a gathered query share one budget.
+        """
+        group = service
+        if decision.gather is not None:
+            group = self._groups.get(decision.rule)
+            if group is None:
+                group = min(decision.gather.shards)
+                self._groups[decision.rule] = group
+        window = self._windows.get(group)
+        if window is None:
+            settings = self._settings
+            window = self._windows[group] = create_arrival_window(
+                settings.repeat_ratio,
+                settings.repeat_slack / self._node_count,
+                settings.repeat_window_ms,
+                self._started_ms,
+            )
+        return window
+
+    def _connection_limit(self, service):
+        services = self._configuration.services if self._configuration else {}
+        known = services.get(service)
+        if known is None:
+            return _UNKNOWN_LIMIT
+        return share_connections(known.max_connections, self._node_count)
+
+    def _apply_shares(self):
+        for window in self._windows.values():
+            window.set_slack(self._settings.repeat_slack / self._node_count)
+        for server_id, record in self.directory.records.items():
+            link = self.links.find(server_id)
+            if link is not None:
+                link.set_limit(self._connection_limit(record.service))
--- /dev/null
+++ b/hawthornfold/limits/arrivals.py
@@ -0,0 +1,100 @@
+"""The budget of repeated arrivals within a sliding window.
+
+Servers bear a bounded number of requests that reach them a second time. All
+nodes draw on the one bound without knowing each other's spending: the part
+that grows with the requests adds up over nodes by itself, and each node takes
+its share of the constant part.
+"""
+
+import collections
+
+# Kept back, as arrivals are counted by the servers' clock and window.
+SAFETY = 0.85
+# Work that is not the most urgent leaves this share of the budget alone.
+URGENT_RESERVE = 0.25
+
+
+class ArrivalWindow:
+    """Requests and repeated arrivals of one group of services.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeated arrivals allowed for each request.
+    slack : float
+        Repeated arrivals allowed besides, on this node.
+    window_ms : float
+        Length of the window.
+    started_ms : float
+        When the node started. The slack is earned over the first window:
+        a process that ran here before may have spent it.
+    """
+
+    def __init__(self, ratio, slack, window_ms, started_ms):
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+        self._started_ms = started_ms
+        self._requests = collections.deque()
+        self._repeats = collections.deque()
+
+    @property
+    def repeats(self):
+        """Repeated arrivals within the window."""
+        return len(self._repeats)
+
+    def allowance(self, now_ms):
+        """Return how many repeated arrivals the window allows."""
+        self._forget(now_ms)
+        earned = min(1.0, (now_ms - self._started_ms) / self._window_ms)
+        return SAFETY * (
+            self._ratio * len(self._requests) + self._slack * earned
+        )
+
+    def set_slack(self, slack):
+        """Change the node's share of the constant part."""
+        self._slack = slack
+
+    def record_request(self, now_ms):
+        """Count a request of a caller."""
+        self._requests.append(now_ms)
+
+    def record_repeat(self, now_ms):
+        """Count a repeated arrival whatever the budget says."""
+        self._repeats.append(now_ms)
+
+    def take(self, now_ms, is_urgent=True):
+        """Count a repeated arrival if the budget allows it.
+
+        Returns
+        -------
+        bool
+            Whether it may be sent.
+        """
+        allowance = self.allowance(now_ms)
+        if not is_urgent:
+            allowance *= 1.0 - URGENT_RESERVE
+        if len(self._repeats) + 1.0 > allowance:
+            return False
+        self._repeats.append(now_ms)
+        return True
+
+    def _forget(self, now_ms):
+        oldest_ms = now_ms - self._window_ms
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest_ms:
+                times.popleft()
+
+
+def create_arrival_window(ratio, slack, window_ms, started_ms):
+    """Create an empty window.
+
+    Examples
+    --------
+    >>> window = create_arrival_window(0.2, 0.0, 10_000.0, started_ms=0.0)
+    >>> for _ in range(10):
+    ...     window.record_request(100.0)
+    >>> [window.take(100.0), window.take(100.0)]
+    [True, False]
+    """
+    return ArrivalWindow(ratio, slack, window_ms, started_ms)
--- a/hawthornfold/logs/setup.py
+++ b/hawthornfold/logs/setup.py
@@ -1,10 +1,13 @@
-"""Sends log lines to standard error in one structured format."""
+"""Sends log lines to standard output in one structured format."""
 
 import contextlib
 import sys
 
 import logbook
 
+from hawthornfold.clock import create_system_clock
+from hawthornfold.logs.writer import create_bounded_handler
+
 LINE_FORMAT = (
     'time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} '
     'node={record.extra[node]} logger={record.channel} {record.message}'
@@ -26,10 +29,14 @@
     def add_node(record):
         record.extra['node'] = node_name
 
-    handler = logbook.StreamHandler(
-        sys.stderr, level=logbook.lookup_level(level_name.upper())
+    sys.stdout.flush()
+    handler = create_bounded_handler(
+        sys.stdout.fileno(),
+        logbook.lookup_level(level_name.upper()),
+        create_system_clock(),
+        LINE_FORMAT,
     )
-    handler.format_string = LINE_FORMAT
     with logbook.Processor(add_node).applicationbound():
         with handler.applicationbound():
             yield
+    handler.flush()
--- /dev/null
+++ b/hawthornfold/placement/placement.py
@@ -0,0 +1,134 @@
+"""Chooses the server of a request by the time it is expected to take."""
+
+import random
+
+from hawthornfold.placement.health import ServerHealth
+from hawthornfold.placement.health import silence_ms
+
+# A failed exchange costs about as much as a second one after a time-out.
+FAILURE_COST_MS = 250.0
+# A server in another data centre is chosen where it is better by this much:
+# the way there, and the price of the bytes.
+REMOTE_COST_MS = 2.0
+# A server that has just started takes longer by about this factor.
+COLD_FACTOR = 1.6
+# Exchanges that have waited this multiple of the usual time show a pause.
+STALL_FACTOR = 2.0
+# Added to the multiple; queueing for a slot is no pause.
+STALL_SLACK_MS = 6.0
+
+
+class Placement:
+    """The observations of all servers, and the choice among them."""
+
+    def __init__(self, data_centre, latency_book, rng):
+        self._data_centre = data_centre
+        self._latency_book = latency_book
+        self._rng = rng
+        self._health = {}
+
+    def health(self, server_id):
+        """Return the `ServerHealth` of a server."""
+        health = self._health.get(server_id)
+        if health is None:
+            health = self._health[server_id] = ServerHealth()
+        return health
+
+    def forget(self, server_id):
+        """Drop what was observed of a server that is gone or restarted."""
+        self._health.pop(server_id, None)
+
+    def blocked_ids(self):
+        """Return the ids of the servers that get no work."""
+        return [i for i, health in self._health.items() if health.is_blocked]
+
+    def choose(self, candidates, decision, now_ms):
+        """Return the best of some servers, or None.
+
+        Parameters
+        ----------
+        candidates : list of ServerRecord
+            Servers that may get the request.
+        decision : Decision
+            What the rules say of the request.
+        now_ms : float
+            Current time.
+
+        Returns
+        -------
+        ServerRecord or None
+            None when there is no candidate, or all of them are blocked.
+        """
+        usual_ms = self._latency_book.usual_ms(decision)
+        best, best_cost = None, 0.0
+        for record in candidates:
+            health = self.health(record.server_id)
+            if health.is_blocked:
+                continue
+            cost = self._cost(record, health, usual_ms, now_ms)
+            # Equal servers share the requests.
+            cost *= 1.0 + 0.02 * self._rng.random()
+            if best is None or cost < best_cost:
+                best, best_cost = record, cost
+        return best
+
+    def _cost(self, record, health, usual_ms, now_ms):
+        slots = max(record.slots, 1)
+        ahead = max(health.in_flight, health.reported_waiting)
+        cost = usual_ms * health.slowness(now_ms) * (1.0 + ahead / slots)
+        if record.warmup_ms > 0:
+            cost *= COLD_FACTOR
+        cost += FAILURE_COST_MS * health.failure_share(now_ms)
+        stall_ms = health.stall_ms(now_ms)
+        if stall_ms > STALL_FACTOR * usual_ms + STALL_SLACK_MS:
+            cost += stall_ms
+        if record.data_centre != self._data_centre:
+            cost += REMOTE_COST_MS
+        return cost
+
+    def begin(self, server_id, attempt, decision, now_ms):
+        """Count an exchange that starts."""
+        usual_ms = self._latency_book.usual_ms(decision)
+        self.health(server_id).begin(attempt, silence_ms(usual_ms), now_ms)
+
+    def block_silent(self, now_ms):
+        """Give servers that have been silent for too long no more work.
+
+        Returns
+        -------
+        list of str
+            Ids of the servers that were not blocked before.
+        """
+        silent = [
+            server_id
+            for server_id, health in self._health.items()
+            if not health.is_blocked and health.is_silent(now_ms)
+        ]
+        for server_id in silent:
+            self._health[server_id].block(now_ms)
+        return silent
+
+    def record_answer(
+        self, server_id, attempt, decision, elapsed_ms, waiting, now_ms
+    ):
+        """Take over the time of an answered exchange."""
+        usual_ms = self._latency_book.usual_ms(decision)
+        self._latency_book.record(decision, elapsed_ms)
+        self.health(server_id).record_answer(
+            attempt, elapsed_ms / usual_ms, waiting, now_ms
+        )
+
+
+def create_placement(data_centre, latency_book, rng=None):
+    """Create the placement of a node.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where the node runs.
+    latency_book : LatencyBook
+        Usual times of exchanges.
+    rng : random.Random, optional
+        Breaks ties.
+    """
+    return Placement(data_centre, latency_book, rng or random.Random())
--- /dev/null
+++ b/hawthornfold/placement/weights.py
@@ -0,0 +1,47 @@
+"""Divides requests among services by weight."""
+
+
+class WeightedTurns:
+    """Smooth weighted round robin, one sequence for each rule.
+
+    Each target's credit grows by its weight; the target with the most
+    credit gets the request and pays the sum of all weights. Any run of
+    requests is divided as the weights say to within one request a target.
+    """
+
+    def __init__(self):
+        self._credits = {}
+
+    def choose(self, decision):
+        """Return the service that gets the next request of a rule."""
+        targets = decision.forward
+        if len(targets) == 1:
+            return targets[0].service
+        credit = self._credits.get(decision.rule)
+        names = {target.service for target in targets}
+        if credit is None or credit.keys() != names:
+            credit = self._credits[decision.rule] = dict.fromkeys(names, 0.0)
+        for target in targets:
+            credit[target.service] += target.weight
+        eligible = [t.service for t in targets if t.weight > 0]
+        chosen = max(eligible, key=credit.__getitem__)
+        credit[chosen] -= sum(target.weight for target in targets)
+        return chosen
+
+
+def create_weighted_turns():
+    """Create turns without history.
+
+    Examples
+    --------
+    >>> from hawthornfold.rules import Decision
+    >>> from hawthornfold.rules import ForwardTarget
+    >>> decision = Decision(
+    ...     'r', 0, 600, True, 100, 'refuse', True, 1, 20, 'pin',
+    ...     forward=(ForwardTarget('a', 3), ForwardTarget('b', 1)),
+    ... )
+    >>> turns = create_weighted_turns()
+    >>> [turns.choose(decision) for _ in range(4)].count('a')
+    3
+    """
+    return WeightedTurns()
--- /dev/null
+++ b/hawthornfold/platform/documents.py
@@ -0,0 +1,218 @@
+"""Decodes the items of the platform's store into the project's types."""
+
+import math
+import typing
+
+import msgspec
+
+from hawthornfold.directory import CallerLimits
+from hawthornfold.directory import ItemFailure
+from hawthornfold.directory import RoutingConfiguration
+from hawthornfold.directory import ServerChange
+from hawthornfold.directory import ServerRecord
+from hawthornfold.directory import ServiceRecord
+from hawthornfold.directory import StoreChanges
+from hawthornfold.platform.names import CONFIGURATION_KEY
+from hawthornfold.platform.names import SERVERS_PREFIX
+from hawthornfold.rules import URGENCIES
+from hawthornfold.rules import ForwardTarget
+from hawthornfold.rules import Gather
+from hawthornfold.rules import Rule
+from hawthornfold.rules import RulesDocument
+from hawthornfold.rules import Then
+from hawthornfold.rules import When
+from hawthornfold.rules import create_rules
+
+
+class Item(msgspec.Struct):
+    """An item of the store, as written or as removed."""
+
+    Key: str
+    Revision: int = 0
+    # Base64 text; msgspec decodes it.
+    Value: bytes = b''
+    Deleted: bool = False
+
+
+class _Entry(msgspec.Struct):
+    # The service, in spite of the name.
+    Backend: str
+    Address: str
+    Zone: str
+    State: typing.Literal['ready', 'draining']
+    MaxConcurrency: typing.Annotated[int, msgspec.Meta(ge=0)] = 1
+    WarmupLeftMs: float = 0.0
+    born: int = 0
+
+
+class _Split(msgspec.Struct):
+    Backend: str
+    Weight: float
+
+
+class _Route(msgspec.Struct):
+    Name: str
+    Host: str
+    Prefix: str
+    RouteType: typing.Literal['idempotent', 'non_idempotent']
+    TimeoutMs: float
+    TargetLatencyMs: float | None = None
+    # 0 is the most urgent.
+    Priority: int = 0
+    MaxAttempts: int = 1
+    Backend: str | None = None
+    Split: list[_Split] | None = None
+    FanoutServices: list[str] | None = None
+    TopK: int = 1
+    MinSuccessShare: float = 1.0
+
+
+class _Service(msgspec.Struct):
+    Name: str
+    HealthPath: str = '/health'
+    MaxConns: int = 1
+
+
+class _Limits(msgspec.Struct):
+    MaxHeaderBytes: int
+    MaxBodyBytes: int
+    HeaderTimeoutMs: float
+    IdleTimeoutMs: float
+
+
+class _Configuration(msgspec.Struct):
+    Version: int
+    Routes: list[_Route]
+    Services: list[_Service]
+    Limits: _Limits
+
+
+# Priorities are ranks without a fixed scale; the lowest is the most urgent.
+_URGENCIES = tuple(URGENCIES)
+_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode_items(items, revision):
+    """Decode items in the order of their revisions.
+
+    Returns
+    -------
+    StoreChanges
+        Items that cannot be read stand under its failures; an entry of a
+        server that cannot be read names no server to use.
+    """
+    servers = []
+    configuration = None
+    failures = []
+    for item in items:
+        try:
+            if item.Key.startswith(SERVERS_PREFIX):
+                servers.append(_decode_server_item(item))
+            elif item.Key == CONFIGURATION_KEY and not item.Deleted:
+                configuration = decode_configuration(item.Value)
+        except (ValueError, RecursionError) as error:
+            failures.append(ItemFailure(item.Key[:200], str(error)))
+            if item.Key.startswith(SERVERS_PREFIX):
+                servers.append(
+                    ServerChange(item.Key[len(SERVERS_PREFIX) :], None)
+                )
+    return StoreChanges(
+        revision, tuple(servers), configuration, tuple(failures)
+    )
+
+
+def _decode_server_item(item):
+    server_id = item.Key[len(SERVERS_PREFIX) :]
+    if item.Deleted:
+        return ServerChange(server_id, None)
+    return ServerChange(server_id, decode_entry(server_id, item.Value))
+
+
+def decode_entry(server_id, value):
+    """Decode a server's entry; raises ValueError when it cannot be read."""
+    entry = _ENTRY_DECODER.decode(value)
+    host, _, port = entry.Address.rpartition(':')
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise ValueError(f'{entry.Address!r} is not host:port')
+    return ServerRecord(
+        server_id,
+        entry.Backend,
+        entry.Address,
+        entry.Zone,
+        entry.MaxConcurrency,
+        entry.State == 'draining',
+        entry.WarmupLeftMs,
+        entry.born,
+    )
+
+
+def decode_configuration(value):
+    """Decode the operator's configuration.
+
+    Routes become rules. Of the routes of a host the longest prefix decides,
+    so it stands first.
+
+    Raises
+    ------
+    ValueError
+        If it cannot be read.
+    """
+    wire = _CONFIGURATION_DECODER.decode(value)
+    routes = sorted(wire.Routes, key=lambda r: len(r.Prefix), reverse=True)
+    ranks = sorted({route.Priority for route in routes})
+    urgencies = {
+        rank: _URGENCIES[min(place, len(_URGENCIES) - 1)]
+        for place, rank in enumerate(ranks)
+    }
+    rules = RulesDocument(
+        tuple(_create_rule(r, urgencies[r.Priority]) for r in routes)
+    )
+    limits = wire.Limits
+    return RoutingConfiguration(
+        wire.Version,
+        create_rules(rules, wire.Version),
+        {
+            service.Name: ServiceRecord(
+                service.Name, service.HealthPath, service.MaxConns
+            )
+            for service in wire.Services
+        },
+        CallerLimits(
+            limits.MaxHeaderBytes,
+            limits.MaxBodyBytes,
+            limits.HeaderTimeoutMs,
+            limits.IdleTimeoutMs,
+        ),
+    )
+
+
+def _create_rule(route, urgency):
+    is_idempotent = route.RouteType == 'idempotent'
+    forward, gather = (), None
+    if route.FanoutServices:
+        gather = Gather(tuple(route.FanoutServices), route.TopK)
+    elif route.Split:
+        forward = tuple(
+            ForwardTarget(part.Backend, part.Weight) for part in route.Split
+        )
+    elif route.Backend:
+        forward = (ForwardTarget(route.Backend),)
+    else:
+        raise ValueError(f'route {route.Name} names no service')
+    return Rule(
+        route.Name,
+        When(path=route.Prefix + '*', headers={'host': route.Host.lower()}),
+        Then(
+            urgency=urgency,
+            deadline_ms=route.TimeoutMs,
+            idempotent=is_idempotent,
+            # Rounded up; the slack covers the error of a binary fraction.
+            coverage_percent=math.ceil(100.0 * route.MinSuccessShare - 1e-6),
+            hedge=is_idempotent,
+            objective_ms=route.TargetLatencyMs,
+            max_servers=route.MaxAttempts,
+            forward=forward,
+            gather=gather,
+        ),
+    )
--- /dev/null
+++ b/hawthornfold/platform/names.py
@@ -0,0 +1,19 @@
+"""Names on the platform's wire that hold more than one module."""
+
+from hawthornfold.gateway.names import HeaderNames
+
+SETTINGS_VARIABLE = 'HAWTHORNFOLD_NODE_FILE'
+READY_PATH = '/api/ready'
+SERVERS_PREFIX = 'servers/'
+CONFIGURATION_KEY = 'op/config'
+
+HEADERS = HeaderNames(
+    request_id='X-Request-Id',
+    deadline='X-Deadline-Ms',
+    target='X-Target-Instance',
+    seal='X-Server-Seal',
+    part_seals='X-Part-Seals',
+    missing_parts='X-Missing-Parts',
+    not_executed='X-Not-Executed',
+    load='X-Server-Load',
+)
--- a/hawthornfold/rules/compiling.py
+++ b/hawthornfold/rules/compiling.py
@@ -33,6 +33,10 @@
         then.max_retries,
         then.extra_load_percent,
         then.snapshot,
+        then.objective_ms,
+        then.max_servers,
+        then.forward,
+        then.gather,
     )
 
 
@@ -65,6 +69,17 @@
             'extra_load_percent',
             'hedges and retries need an extra load above 0 percent',
         )
+    if then.forward and then.gather is not None:
+        yield contradict(
+            'gather', 'a request is either passed through or gathered'
+        )
+    if then.forward and not any(t.weight for t in then.forward):
+        yield contradict('forward', 'no target has a weight above 0')
+    if then.gather is not None and not then.idempotent:
+        yield contradict(
+            'gather',
+            'gathering asks many servers, which needs "idempotent": true',
+        )
     if not then.coverage_percent and then.below_coverage == 'refuse':
         yield contradict(
             'below_coverage', 'no answer covers less than 0 percent'
@@ -182,16 +197,32 @@
     faults = conversion.faults + list(_check_parts(conversion.parts))
     if faults:
         return Err(locate_faults(document, faults))
-    content = conversion.value
+    return Ok(create_rules(conversion.value, revision))
+
+
+def create_rules(document, revision=None):
+    """Compile a `RulesDocument` that was built in code.
+
+    Parameters
+    ----------
+    document : schema.RulesDocument
+        Rules whose fields are within the bounds of the schema.
+    revision : int, optional
+        The revision of the document.
+
+    Returns
+    -------
+    RuleSet
+    """
     rules = tuple(
         CompiledRule(
             rule.name,
             compile_condition(rule.when),
             _create_decision(rule.name, rule.then),
         )
-        for rule in content.rules
+        for rule in document.rules
     )
     default = None
-    if content.default is not None:
-        default = _create_decision(DEFAULT_NAME, content.default)
-    return Ok(create_rule_set(rules, default, revision))
+    if document.default is not None:
+        default = _create_decision(DEFAULT_NAME, document.default)
+    return create_rule_set(rules, default, revision)
--- a/hawthornfold/rules/decisions.py
+++ b/hawthornfold/rules/decisions.py
@@ -61,6 +61,18 @@
     snapshot_policy : str
         'restart' if the query may start over on another snapshot, 'pin' if
         not.
+    objective_ms : float or None
+        Time from arrival within which an answer is of full use to the
+        caller; None when the rule names none.
+    max_servers : int
+        Most servers that one request, or one shard's part of it, is sent
+        to.
+    forward : tuple of ForwardTarget
+        Services that get the request unchanged, each with the weight of its
+        share; empty unless the rule passes requests through.
+    gather : Gather or None
+        The shards whose records are merged, and how many records an answer
+        holds; None unless the rule gathers.
     """
 
     rule: str
@@ -73,3 +85,7 @@
     max_retries: int
     extra_load_percent: float
     snapshot_policy: str
+    objective_ms: float | None = None
+    max_servers: int = 2
+    forward: tuple = ()
+    gather: typing.Any = None
--- a/hawthornfold/rules/schema.py
+++ b/hawthornfold/rules/schema.py
@@ -84,6 +84,25 @@
     data_centre: Pattern = None
 
 
+ServiceName = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+
+
+class ForwardTarget(typing.NamedTuple):
+    """A service that gets a share of the requests, and its weight."""
+
+    service: ServiceName
+    weight: _between(float, 0, 1_000_000) = 1.0
+
+
+class Gather(typing.NamedTuple):
+    """Services that each answer one shard's part of a query."""
+
+    shards: typing.Annotated[
+        tuple[ServiceName, ...], msgspec.Meta(min_length=1, max_length=4096)
+    ]
+    limit: _between(int, 1, 100_000) = 10
+
+
 class Then(typing.NamedTuple):
     """The decision of a rule; see `Decision` for the fields."""
 
@@ -98,6 +117,12 @@
     max_retries: _between(int, 0, 10) = 0
     extra_load_percent: _between(float, 0, 100) = 5.0
     snapshot: typing.Literal['restart', 'pin'] = 'restart'
+    objective_ms: _between(float, 1, 600_000) | None = None
+    max_servers: _between(int, 1, 16) = 2
+    forward: typing.Annotated[
+        tuple[ForwardTarget, ...], msgspec.Meta(max_length=64)
+    ] = ()
+    gather: Gather | None = None
 
 
 class Rule(typing.NamedTuple):
--- a/hawthornfold/rules/tests/test_rules.py
+++ b/hawthornfold/rules/tests/test_rules.py
@@ -49,6 +49,10 @@
     'default': None,
 }
 
+# What a decision says of passing requests on, where its rule says nothing:
+# no objective, two servers, no services and no shards.
+PASSING = (None, 2, (), None)
+
 
 def matches_naively(when, facts):
     """Match by the text of docs/rules.md, without any of its code."""
@@ -132,7 +136,7 @@
         rule_set = compile_content(content).ok()
         self.assertEqual(
             rule_set.match(RequestFacts('s', 'a')),
-            ('r', 2, 5, True, 98, 'refuse', True, 2, 2.5, 'pin'),
+            ('r', 2, 5, True, 98, 'refuse', True, 2, 2.5, 'pin', *PASSING),
         )
         self.assertEqual(
             rule_set.match(RequestFacts('s', 'b')),
@@ -147,6 +151,7 @@
                 0,
                 5,
                 'restart',
+                *PASSING,
             ),
         )
         del content['default']
--- a/hawthornfold/settings/schema.py
+++ b/hawthornfold/settings/schema.py
@@ -85,6 +85,8 @@
         Most header fields in a request.
     read_timeout_ms : int
         Time a caller has to send a whole request.
+    idle_timeout_ms : int
+        Time that a connection may wait for its next request.
     max_connections_per_address : int
         Open connections from one caller address.
     max_in_flight : int
@@ -98,6 +100,9 @@
     read_timeout_ms: _between(10, 60_000) = 5_000
     max_connections_per_address: _between(1, 65_536) = 256
     max_in_flight: _between(1, 65_536) = 512
+    # Clients reuse connections for about as long, and a close that crosses
+    # a request costs the client a second sending.
+    idle_timeout_ms: _between(1_000, 600_000) = 60_000
 
 
 class OperatorSettings(typing.NamedTuple):
--- a/tools/dist_main.py
+++ b/tools/dist_main.py
@@ -9,16 +9,16 @@
 import pathlib
 import stat
 
-# tmpfs on Linux; /run is writable to root only, /dev/shm to everyone.
+# tmpfs on Linux; /run is writable to root only, /run/user/UID to its user.
 SYSTEM_ROOT = pathlib.Path('/run/hawthornfold')
-USER_PARENT = pathlib.Path('/dev/shm')
+USER_PARENT = pathlib.Path(f'/run/user/{os.geteuid()}')
 
 
 def is_private(path):
     """Return whether only this user can change what is in `path`.
 
-    Code is loaded from there, and /dev/shm is open to everyone: a directory
-    that another user has made beforehand must not be used.
+    Code is loaded from there: a directory that another user has made
+    beforehand must not be used.
     """
     status = path.lstat()
     return (
@@ -36,7 +36,7 @@
     SystemExit
         When none can be had.
     """
-    candidates = (system_root, user_parent / f'hawthornfold-{os.geteuid()}')
+    candidates = (system_root, user_parent / 'hawthornfold')
     for path in candidates:
         try:
             path.mkdir(mode=0o700, exist_ok=True)
