Join the gateway nodes and divide the budget of repeats by service

Cause: every node assumed that it is alone, so that 7 nodes could have spent seven times the budget of repeated arrivals and of connections.

Nodes now join through the seeds with the membership protocol, which gets an open mode for networks without a list of VMs. Connections and the constant part of the budget are divided by the number of nodes.

Ruled out: one budget for all shards of a query.

--- /dev/null
+++ b/hawthornfold/gateway/fleet.py
@@ -0,0 +1,154 @@
+"""The other gateway nodes: how many there are, and what they report."""
+
+import contextlib
+import random
+import typing
+
+import eventlet
+
+from hawthornfold.audit import create_audit_trail
+from hawthornfold.gateway.settings import split_address
+from hawthornfold.membership import KnownVM
+from hawthornfold.membership.actions import Options
+from hawthornfold.membership.records import ALIVE
+from hawthornfold.membership.service import MembershipService
+from hawthornfold.membership.state import MembershipState
+from hawthornfold.peers.links import open_peer_links
+from hawthornfold.peers.messages import Update
+from hawthornfold.settings import MembershipSettings
+from hawthornfold.settings import NodeSettings
+from hawthornfold.settings import PeerSettings
+
+CLUSTER = 'gateway'
+# A node that was lost may have spent its share of the repeated arrivals, and
+# one that is only cut off goes on spending it.
+LOST_NODE_MS = 60_000.0
+# Shares are adapted at this pace.
+COUNT_MS = 1_000.0
+
+
+class PeerSetup(typing.NamedTuple):
+    """The settings that peer links read."""
+
+    cluster: str
+    node: NodeSettings
+    peers: PeerSettings
+    membership: MembershipSettings
+
+
+class NodeCounter:
+    """How many nodes share the servers' limits.
+
+    Nodes that were seen within `LOST_NODE_MS` count, unless they announced
+    that they leave.
+    """
+
+    def __init__(self, least):
+        self._least = least
+        self._seen_ms = {}
+
+    def count(self, live, departed, now_ms):
+        """Return the number of nodes, this one included.
+
+        Parameters
+        ----------
+        live : iterable of str
+            Names of the live members, this node included.
+        departed : callable
+            Tells whether the node of a name announced that it leaves.
+        now_ms : float
+            Current time.
+        """
+        for name in live:
+            self._seen_ms[name] = now_ms
+        for name, seen_ms in list(self._seen_ms.items()):
+            if now_ms - seen_ms > LOST_NODE_MS or (
+                seen_ms < now_ms and departed(name)
+            ):
+                del self._seen_ms[name]
+        return max(self._least, len(self._seen_ms))
+
+
+class Fleet:
+    """Membership of the gateway nodes and their messages to each other."""
+
+    def __init__(self, membership, links, clock, counter):
+        self._membership = membership
+        self._links = links
+        self._clock = clock
+        self._counter = counter
+
+    def node_count(self):
+        """Return how many nodes share the servers' limits."""
+        return self._counter.count(
+            [member.name for member in self._membership.members],
+            self._membership.has_left,
+            self._clock.now_ms(),
+        )
+
+    def broadcast(self, body):
+        """Send a message to all other live nodes."""
+        for member in self._membership.members[1:]:
+            self._links.send(member.name, member.address, body)
+
+    def register(self, body_type, handler):
+        """Call ``handler(sender, body)`` for each message of a type."""
+        self._links.register(body_type, handler)
+
+    def leave(self):
+        """Tell the other nodes that this one stops."""
+        self._membership.leave()
+
+
+@contextlib.contextmanager
+def open_fleet(settings, clock, metrics):
+    """Join the other nodes while the context is active.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Names the node's peer address and the seeds.
+
+    Yields
+    ------
+    Fleet
+    """
+    host, port = split_address(settings.peer_address)
+    setup = PeerSetup(
+        CLUSTER,
+        NodeSettings(settings.node_name, settings.data_centre, host),
+        PeerSettings(port),
+        MembershipSettings(),
+    )
+    incarnation = clock.wall_ms()
+    with open_peer_links(setup, incarnation, clock, metrics) as links:
+        own = Update(
+            settings.node_name,
+            settings.peer_address,
+            settings.data_centre,
+            incarnation,
+            0,
+            ALIVE,
+        )
+        # No list of VMs is published, so that any node may join.
+        options = Options(is_open=True)
+        state = MembershipState(own, options, random.Random(), clock.now_ms())
+        membership = MembershipService(
+            state, clock, links, create_audit_trail(clock), metrics
+        )
+        membership.set_known_vms(_list_seeds(settings))
+        loop = eventlet.spawn(membership.run)
+        try:
+            least = max(1, len(settings.seed_addresses))
+            yield Fleet(membership, links, clock, NodeCounter(least))
+        finally:
+            loop.kill()
+
+
+def _list_seeds(settings):
+    """Return the seeds as known VMs; their names are not known yet."""
+    return [
+        KnownVM(address, address, '')
+        for address in settings.seed_addresses
+        if address != settings.peer_address
+    ]
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -168,15 +168,16 @@
 
     def _run(self, route, incoming, watch_caller, version):
         decision = route.decision
-        window = self._state.window_of(decision, route.services[0])
-        window.record_request(route.times.arrived_ms)
+        windows = [self._state.window_of(s) for s in route.services]
+        for window in windows:
+            window.record_request(route.times.arrived_ms)
         execution = create_execution(
             decision,
             route.services,
             route.times,
             self._state.directory,
             self._state.placement,
-            window,
+            windows,
             self._state.latency_book,
         )
         outgoing = OutgoingRequest(
@@ -273,12 +274,11 @@
         self._metrics.count('retries', execution.retries)
         if answer is not None:
             self._metrics.observe_ms('request', elapsed_ms, rule=rule)
-        window = self._state.window_of(route.decision, route.services[0])
         missing = execution.missing_services
         _LOG.info(
             'event=request_ended request={} rule={} version={} verdict={} '
             'status={} ms={:.1f} answer_ms={:.0f} deadline_ms={:.0f} '
-            'parts={} missing={} hedges={} retries={} repeats={}/{:.0f} '
+            'parts={} missing={} hedges={} retries={} denied={} '
             'store_age_ms={:.0f} faults="{}"',
             route.request_id,
             rule,
@@ -292,8 +292,7 @@
             ','.join(missing[:8]) or '-',
             execution.hedges,
             execution.retries,
-            window.repeats,
-            window.allowance(now_ms),
+            execution.denied,
             self._watcher.age_ms(now_ms) or -1.0,
             ' '.join(result.faults),
         )
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -10,6 +10,8 @@
 from hawthornfold.callers.server import serve_application
 from hawthornfold.clock import create_system_clock
 from hawthornfold.directory import create_store_watcher
+from hawthornfold.gateway.fleet import COUNT_MS
+from hawthornfold.gateway.fleet import open_fleet
 from hawthornfold.gateway.handler import GatewayHandler
 from hawthornfold.gateway.ingress import GatewayApplication
 from hawthornfold.gateway.ingress import GatewayProtocol
@@ -121,12 +123,16 @@
         """
         settings = self._settings
         with contextlib.ExitStack() as stack:
+            self._fleet = stack.enter_context(
+                open_fleet(settings, self._clock, self._metrics)
+            )
             loops = [
                 eventlet.spawn(self._run_always, loop)
                 for loop in (
                     self._watcher.run,
                     self._watcher.run_expiry,
                     self._run_sweep,
+                    self._run_count,
                 )
             ]
             stack.callback(lambda: [loop.kill() for loop in loops])
@@ -190,6 +196,7 @@
             elif now_ms - quiet_since_ms >= QUIET_MS:
                 break
             self._clock.sleep_ms(POLL_MS / 2.0)
+        self._fleet.leave()
         return self._application.in_progress
 
     def _run_always(self, loop):
@@ -202,6 +209,11 @@
                 _LOG.exception('event=loop_failed loop={}', loop.__name__)
             self._clock.sleep_ms(RESTART_MS)
 
+    def _run_count(self):
+        while True:
+            self._state.set_node_count(self._fleet.node_count())
+            self._clock.sleep_ms(COUNT_MS)
+
     def _run_sweep(self):
         placement = self._state.placement
         while True:
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -38,7 +38,6 @@
         self._configuration = None
         self._node_count = 1
         self._windows = {}
-        self._groups = {}
         self._started_ms = clock.now_ms()
         self._is_stopping = False
         self.directory = create_server_directory()
@@ -94,7 +93,6 @@
         """Put a newer configuration in force."""
         before = self._configuration
         self._configuration = configuration
-        self._groups = {}
         self.latency_book.keep_only(
             rule.name for rule in configuration.rules.rules
         )
@@ -127,21 +125,12 @@
         """Return the `ServerLink` to a server."""
         return self.links.get(record, self._connection_limit(record.service))
 
-    def window_of(self, decision, service):
-        """Return the `ArrivalWindow` that a request draws on.
-
-        All shards of a gathered query share one budget.
-        """
-        group = service
-        if decision.gather is not None:
-            group = self._groups.get(decision.rule)
-            if group is None:
-                group = min(decision.gather.shards)
-                self._groups[decision.rule] = group
-        window = self._windows.get(group)
+    def window_of(self, service):
+        """Return the `ArrivalWindow` of a service."""
+        window = self._windows.get(service)
         if window is None:
             settings = self._settings
-            window = self._windows[group] = create_arrival_window(
+            window = self._windows[service] = create_arrival_window(
                 settings.repeat_ratio,
                 settings.repeat_slack / self._node_count,
                 settings.repeat_window_ms,
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -72,10 +72,12 @@
         'sent',
         'service',
         'tried',
+        'window',
     )
 
-    def __init__(self, service):
+    def __init__(self, service, window):
         self.service = service
+        self.window = window
         # Server ids by attempt.
         self.running = {}
         self.tried = set()
@@ -106,21 +108,23 @@
         Names the servers of each service.
     placement : Placement
         Chooses among them.
-    window : ArrivalWindow
-        The budget of repeated arrivals.
+    windows : sequence of ArrivalWindow
+        The budget of repeated arrivals of each part's service.
     book : LatencyBook
         How long exchanges usually take.
     """
 
     def __init__(
-        self, decision, services, times, directory, placement, window, book
+        self, decision, services, times, directory, placement, windows, book
     ):
         self._decision = decision
         self._times = times
         self._directory = directory
         self._placement = placement
-        self._window = window
-        self._parts = [_Part(service) for service in services]
+        self._parts = [
+            _Part(service, window)
+            for service, window in zip(services, windows, strict=True)
+        ]
         self._part_of = {}
         self._attempts = itertools.count()
         late_ms = book.late_ms(decision)
@@ -130,6 +134,7 @@
         self._needed = _count_needed(decision, len(services))
         self._hedges = 0
         self._retries = 0
+        self._denied = 0
 
     @property
     def hedges(self):
@@ -141,6 +146,11 @@
         """Parts that were sent again after a failure."""
         return self._retries
 
+    @property
+    def denied(self):
+        """Hedges and retries that the budget did not allow."""
+        return self._denied
+
     @property
     def answers(self):
         """The `ServerResponse` of each answered part, in order."""
@@ -291,7 +301,7 @@
         if self._may_send_again(part) and now_ms < self._times.deadline_ms:
             record = self._choose(part, now_ms)
         if record is None or (
-            self._has_arrived(part, kind) and not self._take(now_ms)
+            self._has_arrived(part, kind) and not self._take(part, now_ms)
         ):
             part.is_given_up = True
             return []
@@ -302,7 +312,7 @@
         if not self._may_send_again(part):
             return []
         record = self._choose(part, now_ms)
-        if record is None or not self._take(now_ms):
+        if record is None or not self._take(part, now_ms):
             return []
         self._hedges += 1
         return [self._send(index, record, now_ms)]
@@ -318,9 +328,12 @@
         # Of several attempts, any may have reached its server.
         return kind.has_arrived or part.sent > 1
 
-    def _take(self, now_ms):
+    def _take(self, part, now_ms):
         is_urgent = self._decision.urgency == 0
-        return self._window.take(now_ms, is_urgent)
+        is_allowed = part.window.take(now_ms, is_urgent)
+        if not is_allowed:
+            self._denied += 1
+        return is_allowed
 
     def _is_blocked(self, part):
         return any(
@@ -355,7 +368,7 @@
 
 
 def create_execution(
-    decision, services, times, directory, placement, window, book
+    decision, services, times, directory, placement, windows, book
 ):
     """Create the machine of a request that has not been sent yet.
 
@@ -367,5 +380,5 @@
     if not services:
         raise ValueError('a request has at least one part')
     return Execution(
-        decision, services, times, directory, placement, window, book
+        decision, services, times, directory, placement, windows, book
     )
--- a/hawthornfold/limits/arrivals.py
+++ b/hawthornfold/limits/arrivals.py
@@ -1,9 +1,9 @@
 """The budget of repeated arrivals within a sliding window.
 
-Servers bear a bounded number of requests that reach them a second time. All
-nodes draw on the one bound without knowing each other's spending: the part
-that grows with the requests adds up over nodes by itself, and each node takes
-its share of the constant part.
+The servers of a service bear a bounded number of requests that reach them a
+second time: a share of the requests, and a constant besides. The part that
+grows with the requests adds up over the nodes by itself; each node takes an
+equal part of the constant. Nodes need not know each other's spending.
 """
 
 import collections
@@ -15,14 +15,14 @@
 
 
 class ArrivalWindow:
-    """Requests and repeated arrivals of one group of services.
+    """Requests and repeated arrivals of one service at one node.
 
     Parameters
     ----------
     ratio : float
         Repeated arrivals allowed for each request.
     slack : float
-        Repeated arrivals allowed besides, on this node.
+        Repeated arrivals allowed besides, by this node.
     window_ms : float
         Length of the window.
     started_ms : float
@@ -52,17 +52,13 @@
         )
 
     def set_slack(self, slack):
-        """Change the node's share of the constant part."""
+        """Change the node's part of the constant."""
         self._slack = slack
 
     def record_request(self, now_ms):
         """Count a request of a caller."""
         self._requests.append(now_ms)
 
-    def record_repeat(self, now_ms):
-        """Count a repeated arrival whatever the budget says."""
-        self._repeats.append(now_ms)
-
     def take(self, now_ms, is_urgent=True):
         """Count a repeated arrival if the budget allows it.
 
--- a/hawthornfold/membership/actions.py
+++ b/hawthornfold/membership/actions.py
@@ -25,7 +25,8 @@
     """Settings of the state machine; times in milliseconds.
 
     `is_authenticated` says that the links admit only holders of a cluster
-    key; without it only listed VMs may be members.
+    key; without it only listed VMs may be members. `is_open` admits any
+    node, where no list of VMs is published and the network is trusted.
     """
 
     probe_interval_ms: float = 1000
@@ -33,3 +34,4 @@
     suspect_timeout_ms: float = 2000
     sync_interval_ms: float = 30_000
     is_authenticated: bool = False
+    is_open: bool = False
--- a/hawthornfold/membership/service.py
+++ b/hawthornfold/membership/service.py
@@ -2,8 +2,6 @@
 
 import random
 
-import logbook
-
 from hawthornfold.membership.actions import Options
 from hawthornfold.membership.actions import Send
 from hawthornfold.membership.records import ALIVE
@@ -11,8 +9,6 @@
 from hawthornfold.membership.state import MembershipState
 from hawthornfold.peers import messages
 
-LOG = logbook.Logger('membership')
-
 # A third of the default probe timeout; each tick costs a wake-up of the loop.
 _TICK_MS = 100
 
@@ -108,7 +104,6 @@
             else:
                 self._audit.record(*action)
                 self._metrics.count('member_changes', kind=action.kind)
-                LOG.info('{} {}: {}', action.kind, action.subject, action)
 
     def _notify(self):
         """Call subscribers once for all changes since the last tick."""
--- a/hawthornfold/membership/state.py
+++ b/hawthornfold/membership/state.py
@@ -269,7 +269,7 @@
         The platform's list lags, so a node that is not listed is admitted
         when its links are authenticated or when it is a member already.
         """
-        if self._options.is_authenticated:
+        if self._options.is_authenticated or self._options.is_open:
             return True
         record = self._table.get(subject.name)
         if record is not None and record.address == subject.address:
