--- a/hawthornfold/backends/connection.py
+++ b/hawthornfold/backends/connection.py
@@ -5,7 +5,6 @@
 never used again, and urllib3's own retries and redirects never run.
 """
 
-import errno
 import socket
 import typing
 
@@ -17,12 +16,12 @@
 
 from hawthornfold.backends import codec
 from hawthornfold.codes import ResultCode
+from hawthornfold.sockets import is_readable
+from hawthornfold.sockets import read_body
 
 SEARCH_PATH = '/v1/search'
 HEALTH_PATH = '/v1/health'
 CONNECT_TIMEOUT_S = 1.0
-# Combined once: the flags are enum members and slow to combine.
-_PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 _HEADERS = {'Content-Type': 'application/json', 'Accept-Encoding': 'identity'}
 
 
@@ -114,16 +113,10 @@
     def is_idle_and_open(self):
         """Whether the server has left the idle connection as it was.
 
-        Looks at the socket without blocking: a readable idle connection was
-        closed by the server or carries bytes that nobody asked for.
+        A readable idle connection was closed by the server or carries bytes
+        that nobody asked for.
         """
-        sock = self._connection.sock
-        raw = getattr(sock, 'fd', sock)
-        try:
-            raw.recv(1, _PEEK_FLAGS)
-        except OSError as error:
-            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
-        return False
+        return not is_readable(self._connection.sock)
 
     def open(self):
         """Connect; Err with an `ExchangeFailure` when that fails."""
@@ -234,8 +227,8 @@
             self._connection.sock.settimeout(timeout_s)
             self._connection.request_at_once(method, path, body)
             response = self._connection.getresponse()
-            data = response.read(codec.MAX_REPLY_BYTES + 1)
-            if len(data) > codec.MAX_REPLY_BYTES:
+            data = read_body(response, codec.MAX_REPLY_BYTES)
+            if data is None:
                 self.close()
                 return self._fail(
                     ResultCode.BACKEND_BAD_REPLY, 'reply is too large'
--- a/hawthornfold/callers/server.py
+++ b/hawthornfold/callers/server.py
@@ -6,11 +6,11 @@
 import functools
 
 import eventlet
-from eventlet import patcher
 from eventlet import wsgi
 
 from hawthornfold.callers.protocol import CallerProtocol
 from hawthornfold.clock import create_system_clock
+from hawthornfold.sockets import is_readable
 
 # Callers' connections in progress at one node; the limit for each caller
 # address is lower and comes from the settings.
@@ -31,14 +31,6 @@
 )
 _ACCEPT_PAUSE_MS = 50.0
 
-_select = patcher.original('select')
-
-
-def _is_readable(socket):
-    poll = _select.poll()
-    poll.register(socket.fileno(), _select.POLLIN)
-    return bool(poll.poll(0))
-
 
 class _Listener:
     """A listening socket that outlives passing errors of accept()."""
@@ -144,7 +136,7 @@
         """Keep the connections on which a request has begun to arrive."""
         self._is_stopping = True
         for connection in list(self._connections):
-            if connection.is_idle and _is_readable(connection.connection):
+            if connection.is_idle and is_readable(connection.connection):
                 connection.begin_request()
 
 
@@ -194,7 +186,7 @@
             return
         # Connections that the kernel has accepted may carry requests.
         for _ in range(MAX_CONNECTIONS):
-            if not _is_readable(listener):
+            if not is_readable(listener):
                 break
             eventlet.sleep(0)
         shared.begin_stop()
--- /dev/null
+++ b/hawthornfold/directory/tests/test_directory.py
@@ -0,0 +1,140 @@
+import unittest
+
+from hawthornfold.directory import ServerChange
+from hawthornfold.directory import ServerRecord
+from hawthornfold.directory import create_server_directory
+from hawthornfold.directory.directory import LAPSE_GRACE_MS
+from hawthornfold.directory.directory import LAST_RESORT_MS
+
+
+def create_record(server_id='s1', **fields):
+    record = ServerRecord(server_id, 'portal', '127.0.0.1:80', 'dc-a', 2)
+    return record._replace(**fields)
+
+
+def write(directory, record, now_ms=0.0):
+    return directory.apply([ServerChange(record.server_id, record)], now_ms)
+
+
+def remove(directory, server_id, now_ms=0.0):
+    return directory.apply([ServerChange(server_id, None)], now_ms)
+
+
+def find_ids(directory, now_ms):
+    return [r.server_id for r in directory.servers_of('portal', now_ms)]
+
+
+class DrainingTest(unittest.TestCase):
+    def test_draining_server_gets_no_work_beside_a_ready_one(self):
+        # Guards against work for a server that has announced its leave.
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        write(directory, create_record('s2'))
+        events = write(directory, create_record('s1', is_draining=True), 5.0)
+        self.assertEqual([event.kind for event in events], ['draining'])
+        self.assertEqual(find_ids(directory, 5.0), ['s2'])
+
+    def test_last_server_is_used_for_a_moment_after_its_announcement(self):
+        # Guards against an outage between the leave of the last server and
+        # the start of the next, and against use beyond the drain time.
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        write(directory, create_record('s1', is_draining=True), 100.0)
+        before_ms = 100.0 + LAST_RESORT_MS - 1.0
+        self.assertEqual(find_ids(directory, before_ms), ['s1'])
+        self.assertEqual(find_ids(directory, before_ms + 1.0), [])
+
+    def test_repeated_announcements_do_not_extend_the_last_resort(self):
+        # Guards against check-ins of a draining server that keep it in use.
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        for now_ms in (100.0, 800.0, 1500.0):
+            write(directory, create_record('s1', is_draining=True), now_ms)
+        self.assertEqual(find_ids(directory, 100.0 + LAST_RESORT_MS), [])
+
+    def test_server_found_draining_is_no_last_resort_for_ever(self):
+        # Guards against a node that starts while a server drains.
+        directory = create_server_directory()
+        write(directory, create_record('s1', is_draining=True), 0.0)
+        self.assertEqual(find_ids(directory, LAST_RESORT_MS), [])
+
+
+class RemovalTest(unittest.TestCase):
+    def test_removal_takes_effect_at_once(self):
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        write(directory, create_record('s2'))
+        events = remove(directory, 's1', 10.0)
+        self.assertEqual([event.kind for event in events], ['removed'])
+        self.assertEqual(find_ids(directory, 10.0), ['s2'])
+
+    def test_records_that_lapsed_in_an_outage_are_kept_for_their_return(self):
+        # Guards against losing all servers when the store comes back empty.
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        directory.note_outage(1000.0)
+        self.assertEqual(remove(directory, 's1', 1100.0), [])
+        self.assertEqual(find_ids(directory, 1100.0), ['s1'])
+        write(directory, create_record('s1'), 2000.0)
+        self.assertEqual(directory.expire(1000.0 + LAPSE_GRACE_MS), [])
+        self.assertEqual(find_ids(directory, 9000.0), ['s1'])
+
+    def test_record_that_does_not_return_after_an_outage_is_removed(self):
+        # Guards against servers that ended during the outage.
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        directory.note_outage(1000.0)
+        remove(directory, 's1', 1100.0)
+        due_ms = 1000.0 + LAPSE_GRACE_MS
+        self.assertEqual(directory.expire(due_ms - 1.0), [])
+        events = directory.expire(due_ms)
+        self.assertEqual([event.kind for event in events], ['removed'])
+
+    def test_removals_wait_again_when_the_store_is_lost_again(self):
+        # Guards against two outages in a row.
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        directory.note_outage(1000.0)
+        remove(directory, 's1', 1100.0)
+        directory.note_outage(3000.0)
+        self.assertEqual(directory.expire(1000.0 + LAPSE_GRACE_MS), [])
+        self.assertEqual(find_ids(directory, 4000.0), ['s1'])
+
+    def test_complete_list_removes_what_it_does_not_name(self):
+        directory = create_server_directory()
+        write(directory, create_record('s1'))
+        kept = ServerChange('s2', create_record('s2'))
+        kinds = [e.kind for e in directory.replace_all([kept], 5.0)]
+        self.assertEqual(kinds, ['removed', 'added'])
+        self.assertEqual(find_ids(directory, 5.0), ['s2'])
+
+
+class RestartTest(unittest.TestCase):
+    def test_restart_under_the_same_id_is_told_apart(self):
+        # Guards against old connections to a server that started again.
+        directory = create_server_directory()
+        write(directory, create_record(born_ms=100))
+        events = write(directory, create_record(born_ms=200))
+        self.assertEqual([event.kind for event in events], ['restarted'])
+
+    def test_record_of_an_earlier_process_is_ignored(self):
+        # Guards against a late write of the process that has ended.
+        directory = create_server_directory()
+        write(directory, create_record(born_ms=200))
+        late = create_record(born_ms=100, address='127.0.0.1:81')
+        self.assertEqual(write(directory, late), [])
+        self.assertEqual(directory.get('s1').address, '127.0.0.1:80')
+
+    def test_unchanged_record_is_no_event(self):
+        # Guards against a log line for each check-in.
+        directory = create_server_directory()
+        write(directory, create_record(warmup_ms=500.0))
+        self.assertEqual(write(directory, create_record()), [])
+
+    def test_server_that_changes_its_service_serves_the_new_one_only(self):
+        directory = create_server_directory()
+        write(directory, create_record())
+        events = write(directory, create_record(service='board'))
+        self.assertEqual([event.kind for event in events], ['moved'])
+        self.assertEqual(find_ids(directory, 0.0), [])
+        self.assertEqual(len(directory.servers_of('board', 0.0)), 1)
--- /dev/null
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -0,0 +1,135 @@
+import types
+import unittest
+
+import logbook
+import result
+
+from hawthornfold.clock import create_manual_clock
+from hawthornfold.directory import ItemFailure
+from hawthornfold.directory import PublishedStore
+from hawthornfold.directory import ReadFailure
+from hawthornfold.directory import ServerChange
+from hawthornfold.directory import ServerRecord
+from hawthornfold.directory import StoreChanges
+from hawthornfold.directory import create_server_directory
+from hawthornfold.directory import create_store_watcher
+from hawthornfold.directory.directory import LAPSE_GRACE_MS
+from hawthornfold.metrics import create_metrics
+
+RECORD = ServerRecord('s1', 'portal', '127.0.0.1:80', 'dc-a', 2)
+WRITTEN = ServerChange('s1', RECORD)
+REMOVED = ServerChange('s1', None)
+
+
+def configuration(version):
+    return types.SimpleNamespace(version=version)
+
+
+class ScriptedStore(PublishedStore):
+    """Gives the replies of a list and notes what was asked."""
+
+    def __init__(self, replies):
+        self._replies = list(replies)
+        self.asked = []
+
+    def read_all(self):
+        self.asked.append('all')
+        return self._replies.pop(0)
+
+    def wait_for_changes(self, revision, wait_ms):
+        self.asked.append(revision)
+        return self._replies.pop(0)
+
+
+class WatcherTestCase(unittest.TestCase):
+    def watch(self, *replies):
+        self.clock = create_manual_clock(1_000)
+        self.store = ScriptedStore(replies)
+        self.directory = create_server_directory()
+        self.metrics = create_metrics()
+        self.events, self.versions = [], []
+        self.watcher = create_store_watcher(
+            self.store,
+            self.directory,
+            self.clock,
+            self.metrics,
+            self.events.extend,
+            lambda found: self.versions.append(found.version),
+        )
+        with logbook.NullHandler().applicationbound():
+            return [self.watcher.step() for _ in replies]
+
+
+class FollowingTest(WatcherTestCase):
+    def test_changes_are_asked_for_from_the_revision_that_is_known(self):
+        self.watch(
+            result.Ok(StoreChanges(10, (WRITTEN,), configuration(3))),
+            result.Ok(StoreChanges(12, (REMOVED,))),
+            result.Ok(StoreChanges(12)),
+        )
+        self.assertEqual(self.store.asked, ['all', 10, 12])
+        self.assertEqual([e.kind for e in self.events], ['added', 'removed'])
+        self.assertEqual(self.versions, [3])
+
+    def test_configuration_never_reverts(self):
+        # Guards against a reply from a replica that lags.
+        self.watch(
+            result.Ok(StoreChanges(10, (), configuration(5))),
+            result.Ok(StoreChanges(9, (), configuration(4))),
+            result.Ok(StoreChanges(11, (), configuration(5))),
+        )
+        self.assertEqual(self.versions, [5])
+        self.assertEqual(self.store.asked, ['all', 10, 10])
+
+    def test_lost_history_is_read_anew_at_once(self):
+        # Guards against changes that are missed after a compaction.
+        pauses = self.watch(
+            result.Ok(StoreChanges(10, (WRITTEN,))),
+            result.Err(ReadFailure('status 410', is_history_lost=True)),
+            result.Ok(StoreChanges(90)),
+            result.Ok(StoreChanges(90)),
+        )
+        self.assertEqual(pauses, [0.0] * 4)
+        self.assertEqual(self.store.asked, ['all', 10, 'all', 90])
+        self.assertEqual([e.kind for e in self.events], ['added', 'removed'])
+
+    def test_refused_items_are_counted(self):
+        # Guards against an item that is swallowed without a trace.
+        failure = ItemFailure('servers/x', 'not JSON')
+        self.watch(result.Ok(StoreChanges(10, (WRITTEN,), None, (failure,))))
+        self.assertEqual(self.metrics.value('store_items_refused'), 1)
+        self.assertEqual([e.kind for e in self.events], ['added'])
+
+
+class OutageTest(WatcherTestCase):
+    def test_beliefs_outlive_an_outage(self):
+        # Guards against records that lapsed while the store was away.
+        self.watch(
+            result.Ok(StoreChanges(10, (WRITTEN,))),
+            result.Err(ReadFailure('refused')),
+            result.Ok(StoreChanges(20, (REMOVED,))),
+        )
+        now_ms = self.clock.now_ms()
+        self.assertEqual(len(self.directory.servers_of('portal', now_ms)), 1)
+        self.directory.expire(now_ms + LAPSE_GRACE_MS)
+        late_ms = now_ms + LAPSE_GRACE_MS + 2_000.0
+        self.assertEqual(self.directory.servers_of('portal', late_ms), [])
+
+    def test_failed_reads_are_paced(self):
+        # Guards against a node that floods a store in trouble.
+        pauses = self.watch(
+            result.Err(ReadFailure('refused')),
+            result.Ok(StoreChanges(10)),
+            result.Err(ReadFailure('silent')),
+        )
+        self.assertEqual(
+            [pause > 0.0 for pause in pauses], [True, False, True]
+        )
+
+    def test_age_grows_while_the_store_is_away(self):
+        # Guards against stale beliefs that look fresh.
+        self.watch(
+            result.Ok(StoreChanges(10)), result.Err(ReadFailure('silent'))
+        )
+        self.clock.advance(700)
+        self.assertEqual(self.watcher.age_ms(self.clock.now_ms()), 700.0)
--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -1,6 +1,5 @@
 """Passes one request to one backend server and checks the response."""
 
-import errno
 import http.client
 import socket
 import typing
@@ -13,6 +12,8 @@
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import ServerResponse
+from hawthornfold.sockets import is_readable
+from hawthornfold.sockets import read_body
 
 # A new connection takes 1 to 6 ms; a server that pauses may take 120 ms
 # longer.
@@ -28,7 +29,6 @@
 # after its last answer; a reset would leave open whether they ran.
 UNSAFE_IDLE_MS = 300.0
 
-_PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 _HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -124,12 +124,7 @@
             limit_ms = min(limit_ms, UNSAFE_IDLE_MS)
         if idle_ms >= limit_ms or self._connection.sock is None:
             return False
-        raw = getattr(self._connection.sock, 'fd', self._connection.sock)
-        try:
-            raw.recv(1, _PEEK_FLAGS)
-        except OSError as error:
-            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
-        return False
+        return not is_readable(self._connection.sock)
 
     def open(self, timeout_ms):
         """Connect; return an error text, or None."""
@@ -173,7 +168,7 @@
                 self._create_headers(request, server_id, left_ms),
             )
             response = self._connection.getresponse()
-            body = response.read(MAX_RESPONSE_BYTES + 1)
+            body = read_body(response, MAX_RESPONSE_BYTES)
         except (
             OSError,
             ValueError,
@@ -183,7 +178,7 @@
             return self._fail(
                 OutcomeKind.LOST, f'{type(error).__name__}: {error}'
             )
-        if len(body) > MAX_RESPONSE_BYTES:
+        if body is None:
             return self._fail(OutcomeKind.LOST, 'the response is too large')
         self._answered_ms = self._clock.now_ms()
         self._note_connection_headers(response.headers)
--- /dev/null
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -0,0 +1,256 @@
+import time
+import unittest
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.gateway import exchange as exchanges
+from hawthornfold.gateway.names import HeaderNames
+from hawthornfold.gateway.tests import support
+from hawthornfold.gathering import OutcomeKind
+
+BODY = b'0123456789abcdef' * 4
+
+
+class ExchangeTestCase(unittest.TestCase):
+    def open(self, script=support.answer_properly):
+        self.server = support.ScriptedServer(script)
+        self.addCleanup(self.server.close)
+        self.clock = create_system_clock()
+        self.connection = exchanges.ServerConnection(
+            self.server.address, HeaderNames(), self.clock
+        )
+        self.addCleanup(self.connection.close)
+        self.assertIsNone(self.connection.open(1000.0))
+        return self.connection
+
+    def send(self, request_id='r1', method='GET', body=b'', **headers):
+        """Exchange one request; return its outcome."""
+        fields = (('Host', 'a.example'), ('X-Request-Id', request_id))
+        fields += tuple((k.replace('_', '-'), v) for k, v in headers.items())
+        request = exchanges.OutgoingRequest(
+            method, '/a/b?c=%20d', fields, body, request_id
+        )
+        outcome, self.waiting = self.connection.exchange(
+            request, 'i-1', self.clock.now_ms() + 1500.0
+        )
+        return outcome
+
+
+class RequestTest(ExchangeTestCase):
+    def test_request_is_passed_on_unchanged(self):
+        # Guards against changes of method, target, body or headers.
+        self.open()
+        outcome = self.send(method='POST', body=b'abc', X_Other='1')
+        self.assertIs(outcome.kind, OutcomeKind.ANSWERED)
+        (received,) = self.server.requests
+        self.assertEqual(received[:2], ('POST', '/a/b?c=%20d'))
+        self.assertEqual(received.body, b'abc')
+        deadline = int(received.headers.pop('x-deadline-ms'))
+        self.assertTrue(1000 < deadline <= 1500, deadline)
+        self.assertEqual(
+            received.headers,
+            {
+                'host': 'a.example',
+                'x-request-id': 'r1',
+                'x-other': '1',
+                'x-target-server': 'i-1',
+                'content-length': '3',
+            },
+        )
+
+    def test_deadline_of_the_caller_is_replaced(self):
+        # Guards against servers that work longer than the caller waits.
+        self.open()
+        self.send(X_Deadline_Ms='90000', X_Target_Server='i-9')
+        headers = self.server.requests[0].headers
+        self.assertLessEqual(int(headers['x-deadline-ms']), 1500)
+        self.assertEqual(headers['x-target-server'], 'i-1')
+
+    def test_request_without_time_left_is_not_sent(self):
+        self.open()
+        request = exchanges.OutgoingRequest('GET', '/', (), b'', 'r1')
+        outcome, _ = self.connection.exchange(
+            request, 'i-1', self.clock.now_ms()
+        )
+        self.assertIs(outcome.kind, OutcomeKind.UNREACHABLE)
+        self.assertEqual(self.server.requests, [])
+
+
+class ResponseTest(ExchangeTestCase):
+    def answer(self, create, goes_on=True):
+        """Return the outcome of an answer whose bytes `create` returns."""
+
+        def script(connection, request, number):
+            connection.sendall(create(request))
+            return goes_on
+
+        self.open(script)
+        return self.send()
+
+    def assert_lost(self, outcome):
+        self.assertIs(outcome.kind, OutcomeKind.LOST)
+        self.assertFalse(self.connection.is_reusable)
+
+    def test_whole_answer(self):
+        outcome = self.answer(
+            lambda r: support.create_answer(r, BODY, X_Load='3,1,8')
+        )
+        self.assertIs(outcome.kind, OutcomeKind.ANSWERED)
+        self.assertEqual(outcome.response.body, BODY)
+        self.assertEqual(outcome.response.seal, 'seal-i-1')
+        self.assertEqual(self.waiting, 1)
+        self.assertTrue(self.connection.is_reusable)
+
+    def test_answer_without_length_ends_with_the_connection(self):
+        outcome = self.answer(
+            lambda r: support.create_answer(r, BODY, Content_Length=None),
+            goes_on=False,
+        )
+        self.assertIs(outcome.kind, OutcomeKind.ANSWERED)
+        self.assertEqual(outcome.response.body, BODY)
+        self.assertFalse(self.connection.is_reusable)
+
+    def test_answer_without_length_that_is_reset_is_incomplete(self):
+        # Guards against half an answer that looks complete.
+        def script(connection, request, number):
+            connection.sendall(
+                support.create_answer(request, BODY, Content_Length=None)
+            )
+            time.sleep(0.05)
+            support.reset(connection)
+            return False
+
+        self.open(script)
+        self.assert_lost(self.send())
+
+    def test_answer_that_ends_early_is_incomplete(self):
+        self.assert_lost(
+            self.answer(
+                lambda r: support.create_answer(r, BODY)[:-5], goes_on=False
+            )
+        )
+
+    def test_chunked_answer(self):
+        def create(request):
+            head = support.create_answer(
+                request, b'', Content_Length=None, Transfer_Encoding='chunked'
+            )
+            return head + b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+
+        outcome = self.answer(create)
+        self.assertEqual(outcome.response.body, b'abcde')
+        names = {name.lower() for name, _ in outcome.response.headers}
+        self.assertNotIn('transfer-encoding', names)
+
+    def test_chunked_answer_without_its_end_is_incomplete(self):
+        def create(request):
+            head = support.create_answer(
+                request, b'', Content_Length=None, Transfer_Encoding='chunked'
+            )
+            return head + b'3\r\nabc\r\n'
+
+        self.assert_lost(self.answer(create, goes_on=False))
+
+    def test_bytes_that_are_no_answer(self):
+        self.assert_lost(self.answer(lambda r: b'\x00\xff garbage\r\n\r\n'))
+
+    def test_answer_to_another_request_is_refused(self):
+        # Guards against a late answer that is taken for the next one.
+        self.assert_lost(
+            self.answer(
+                lambda r: support.create_answer(r, X_Request_Id='other')
+            )
+        )
+
+    def test_encoded_body_is_refused(self):
+        self.assert_lost(
+            self.answer(
+                lambda r: support.create_answer(r, Content_Encoding='gzip')
+            )
+        )
+
+    def test_success_without_proof_of_origin_is_refused(self):
+        self.assert_lost(
+            self.answer(lambda r: support.create_answer(r, X_Seal=None))
+        )
+
+    def test_failure_of_the_server_has_run(self):
+        outcome = self.answer(
+            lambda r: support.create_answer(r, b'no', status=500)
+        )
+        self.assertIs(outcome.kind, OutcomeKind.FAILED)
+        self.assertTrue(outcome.kind.may_have_run)
+
+    def test_only_the_marker_says_that_a_request_did_not_run(self):
+        # Guards against a second run after an unmarked 503.
+        outcome = self.answer(
+            lambda r: support.create_answer(r, status=503, X_Not_Executed='1')
+        )
+        self.assertIs(outcome.kind, OutcomeKind.NOT_EXECUTED)
+        self.assertTrue(self.connection.is_reusable)
+        outcome = self.answer(lambda r: support.create_answer(r, status=503))
+        self.assertIs(outcome.kind, OutcomeKind.FAILED)
+
+    def test_wrong_server_did_not_run_it(self):
+        outcome = self.answer(lambda r: support.create_answer(r, status=421))
+        self.assertIs(outcome.kind, OutcomeKind.WRONG_SERVER)
+        self.assertFalse(outcome.kind.may_have_run)
+
+
+class ReuseTest(ExchangeTestCase):
+    def test_bytes_after_an_answer_end_the_connection(self):
+        # Guards against a second answer that is read as the next one.
+        def script(connection, request, number):
+            answer = support.create_answer(request)
+            connection.sendall(answer)
+            time.sleep(0.02)
+            connection.sendall(answer)
+            return True
+
+        connection = self.open(script)
+        self.assertIs(self.send().kind, OutcomeKind.ANSWERED)
+        time.sleep(0.1)
+        self.assertFalse(connection.is_fresh_enough(True))
+
+    def test_closed_connection_is_not_used_again(self):
+        def script(connection, request, number):
+            connection.sendall(support.create_answer(request))
+            return False
+
+        connection = self.open(script)
+        self.send()
+        time.sleep(0.1)
+        self.assertFalse(connection.is_fresh_enough(True))
+
+    def test_close_header_ends_reuse(self):
+        def script(connection, request, number):
+            connection.sendall(
+                support.create_answer(request, Connection='close')
+            )
+            return True
+
+        connection = self.open(script)
+        self.assertIs(self.send().kind, OutcomeKind.ANSWERED)
+        self.assertFalse(connection.is_reusable)
+
+    def test_non_idempotent_request_wants_a_recent_connection(self):
+        # Guards against a reset that leaves open whether it ran.
+        connection = self.open()
+        self.send()
+        self.assertTrue(connection.is_fresh_enough(False))
+        time.sleep(exchanges.UNSAFE_IDLE_MS / 1000.0 + 0.05)
+        self.assertFalse(connection.is_fresh_enough(False))
+        self.assertTrue(connection.is_fresh_enough(True))
+
+    def test_connection_is_given_up_before_the_server_closes_it(self):
+        # Guards against requests that cross the server's close.
+        def script(connection, request, number):
+            connection.sendall(
+                support.create_answer(request, Keep_Alive='timeout=1, max=9')
+            )
+            return True
+
+        connection = self.open(script)
+        self.send()
+        self.assertTrue(connection.is_fresh_enough(True))
+        time.sleep(exchanges.UNSAFE_IDLE_MS / 1000.0 + 0.05)
+        self.assertFalse(connection.is_fresh_enough(True))
--- /dev/null
+++ b/hawthornfold/limits/tests/test_arrivals.py
@@ -0,0 +1,53 @@
+import random
+import unittest
+
+from hawthornfold.limits import create_arrival_window
+
+WINDOW_MS = 10_000.0
+RATIO = 0.2
+SLACK = 54.0
+
+
+class ArrivalWindowTest(unittest.TestCase):
+    def test_any_window_of_all_nodes_stays_within_the_bound(self):
+        # Guards against nodes that overspend together, in any window.
+        rng = random.Random(5)
+        nodes = [
+            create_arrival_window(RATIO, SLACK / 7, WINDOW_MS, -WINDOW_MS)
+            for _ in range(7)
+        ]
+        requests, repeats = [], []
+        now_ms = 0.0
+        for _ in range(5_000):
+            now_ms += rng.expovariate(1 / 20.0)
+            node = rng.choice(nodes[: rng.randint(1, 7)])
+            node.record_request(now_ms)
+            requests.append(now_ms)
+            for _ in range(rng.randint(0, 3)):
+                if node.take(now_ms):
+                    repeats.append(now_ms)
+        for end_ms in repeats[::7]:
+            start_ms = end_ms - WINDOW_MS
+            spent = sum(1 for t in repeats if start_ms < t <= end_ms)
+            asked = sum(1 for t in requests if start_ms < t <= end_ms)
+            self.assertLessEqual(spent, RATIO * asked + SLACK)
+
+    def test_new_process_does_not_spend_the_constant_again(self):
+        # Guards against a process that is killed and restarted repeatedly.
+        window = create_arrival_window(0.0, SLACK, WINDOW_MS, 0.0)
+        self.assertFalse(window.take(1.0))
+        taken = sum(window.take(WINDOW_MS / 2) for _ in range(100))
+        self.assertLessEqual(taken, SLACK / 2)
+
+    def test_less_urgent_work_leaves_a_reserve(self):
+        # Guards against hedges of ordinary work that use up the budget.
+        window = create_arrival_window(0.0, 20.0, WINDOW_MS, -WINDOW_MS)
+        ordinary = sum(window.take(0.0, is_urgent=False) for _ in range(50))
+        urgent = sum(window.take(0.0, is_urgent=True) for _ in range(50))
+        self.assertGreater(ordinary, 0)
+        self.assertGreater(urgent, 0)
+
+    def test_spending_is_forgotten_after_the_window(self):
+        window = create_arrival_window(0.0, 2.0 / 0.85, WINDOW_MS, -WINDOW_MS)
+        self.assertEqual([window.take(0.0) for _ in range(3)], [1, 1, 0])
+        self.assertTrue(window.take(WINDOW_MS + 1.0))
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -13,6 +13,7 @@
 from hawthornfold.platform.documents import decode_items
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import SERVERS_PREFIX
+from hawthornfold.sockets import read_body
 
 # Answers take 4 ms, and 50 times as long while the store is slow.
 TIMEOUT_MS = 700.0
@@ -121,8 +122,8 @@
     def _decode(self, response, decoder):
         is_complete = False
         try:
-            data = response.read(MAX_REPLY_BYTES + 1)
-            is_complete = len(data) <= MAX_REPLY_BYTES
+            data = read_body(response, MAX_REPLY_BYTES)
+            is_complete = data is not None
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise _ReadError(f'{type(error).__name__}: {error}')
         finally:
@@ -131,6 +132,8 @@
                 response.release_conn()
             else:
                 response.close()
+        if data is None:
+            raise _ReadError('the reply is too large')
         if response.status != 200:
             raise _ReadError(f'status {response.status}', response.status)
         try:
--- /dev/null
+++ b/hawthornfold/platform/tests/support.py
@@ -0,0 +1,283 @@
+"""Stand-ins of the platform: its store, a settings file, a node's process."""
+
+import base64
+import contextlib
+import http.server
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.parse
+
+from hawthornfold.gateway.tests.support import HANG_S
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+SETTINGS = """
+NodeName = "{name}"
+Zone = "hall-a"
+SeedNodes = [{seeds}]
+[Listen]
+Front = "{ip}:{front}"
+ReadyAddr = "{ip}:{ready}"
+Control = "{ip}:{control}"
+[Bounds]
+GraceS = 6
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetSlack = {slack}
+[platform]
+Address = "{store}"
+"""
+LIMITS = {
+    'MaxHeaderBytes': 16384,
+    'MaxBodyBytes': 262144,
+    'HeaderTimeoutMs': 3000,
+    'IdleTimeoutMs': 15000,
+}
+
+
+class MetadataStore:
+    """A stand-in of the platform's store, over HTTP."""
+
+    def __init__(self):
+        self._changed = threading.Condition()
+        self._revision = 100
+        self._items = {}
+        self._events = []
+        self._oldest = 0
+        # 'ok', 'busy' (503) or 'silent'.
+        self.mode = 'ok'
+        self.calls = []
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = 'HTTP/1.1'
+
+            def do_GET(self):
+                store._answer(self)
+
+            def log_message(self, *arguments):
+                """Keep the test's output clean."""
+
+        self._server = http.server.ThreadingHTTPServer(
+            ('127.0.0.1', 0), Handler
+        )
+        self._server.daemon_threads = True
+        self.address = f'127.0.0.1:{self._server.server_port}'
+        threading.Thread(target=self._server.serve_forever).start()
+
+    def close(self):
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, key, value):
+        """Write an item; `value` is bytes or becomes JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value)
+        data = data if isinstance(data, bytes) else data.encode()
+        with self._changed:
+            self._revision += 1
+            item = {
+                'Key': key,
+                'Value': base64.b64encode(data).decode(),
+                'Revision': self._revision,
+                'Created': self._revision,
+                'LeaseId': 0,
+            }
+            self._items[key] = item
+            self._events.append(item)
+            self._changed.notify_all()
+
+    def delete(self, key):
+        """Remove an item."""
+        with self._changed:
+            self._revision += 1
+            del self._items[key]
+            self._events.append(
+                {'Key': key, 'Revision': self._revision, 'Deleted': True}
+            )
+            self._changed.notify_all()
+
+    def forget_history(self):
+        """Answer watches of older revisions with 410."""
+        with self._changed:
+            self._oldest = self._revision
+            self._events = []
+            self._changed.notify_all()
+
+    def _answer(self, handler):
+        url = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(url.query, True))
+        self.calls.append(url.path)
+        if self.mode == 'silent':
+            time.sleep(HANG_S)
+            return
+        status, document = 503, {}
+        if self.mode == 'ok':
+            call = self._range if url.path.endswith('range') else self._watch
+            status, document = call(query)
+        body = json.dumps(document).encode()
+        with contextlib.suppress(OSError):
+            handler.send_response(status)
+            handler.send_header('Content-Type', 'application/json')
+            handler.send_header('Content-Length', str(len(body)))
+            handler.end_headers()
+            handler.wfile.write(body)
+
+    def _range(self, query):
+        with self._changed:
+            after = query.get('after', '')
+            keys = sorted(
+                key
+                for key in self._items
+                if key.startswith(query['Prefix']) and key > after
+            )
+            # Small pages, so that every test reads several.
+            page = [self._items[key] for key in keys[:3]]
+            return 200, {
+                'items': page,
+                'HasMore': len(keys) > 3,
+                'CurrentRev': self._revision,
+            }
+
+    def _watch(self, query):
+        after = int(query['after'])
+        end = time.monotonic() + int(query['WaitMs']) / 1000.0
+        with self._changed:
+            while True:
+                if after < self._oldest:
+                    return 410, {}
+                events = [e for e in self._events if e['Revision'] > after]
+                left = end - time.monotonic()
+                if events or left <= 0 or self.mode != 'ok':
+                    return 200, {
+                        'events': events,
+                        'CurrentRev': self._revision,
+                    }
+                self._changed.wait(left)
+
+
+def reserve_port(ip):
+    """Return a port that is free on an address."""
+    with socket.create_server((ip, 0)) as probe:
+        return probe.getsockname()[1]
+
+
+class Node:
+    """A gateway node in a process of its own."""
+
+    def __init__(self, store, number=1, seeds=(), slack=54):
+        self.ip = f'127.0.0.{number}'
+        self.ports = {
+            name: reserve_port(self.ip)
+            for name in ('front', 'ready', 'control')
+        }
+        self.control = f'{self.ip}:{self.ports["control"]}'
+        self._directory = tempfile.TemporaryDirectory()
+        self.settings = pathlib.Path(self._directory.name, 'node.toml')
+        self._fields = {
+            'name': f'node-{number}',
+            'ip': self.ip,
+            'store': store.address,
+            'slack': slack,
+            'seeds': ', '.join(f'"{seed}"' for seed in seeds),
+        }
+        self.write_settings()
+        self.log = pathlib.Path(self._directory.name, 'log')
+        self._process = None
+        self.start()
+
+    def write_settings(self, **fields):
+        """Write the settings file anew with some fields changed."""
+        self._fields.update(fields)
+        self.settings.write_text(SETTINGS.format(**self._fields, **self.ports))
+
+    def start(self):
+        """Start the process."""
+        environment = {
+            **os.environ,
+            'HAWTHORNFOLD_NODE_FILE': str(self.settings),
+            'EVENTLET_NO_GREENDNS': 'yes',
+        }
+        with self.log.open('ab') as log:
+            self._process = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-W',
+                    'ignore',
+                    '-m',
+                    'hawthornfold.platform',
+                ],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number):
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    def wait(self):
+        """Return the exit status of the process."""
+        return self._process.wait(HANG_S)
+
+    def kill(self):
+        """End the process without a chance to act."""
+        if self._process.poll() is None:
+            self._process.kill()
+            self._process.wait(HANG_S)
+
+    def close(self):
+        """Stop the process and remove its files."""
+        self.kill()
+        self._directory.cleanup()
+
+    def read_log(self):
+        """Return what the process has written."""
+        return self.log.read_text(errors='replace')
+
+    def ask(self, path, headers=(), method='GET', body=b'', port='front'):
+        """Send a request on a new connection; return the answer."""
+        connection = http.client.HTTPConnection(
+            self.ip, self.ports[port], timeout=HANG_S
+        )
+        with contextlib.closing(connection):
+            connection.request(method, path, body or None, dict(headers))
+            response = connection.getresponse()
+            response.data = response.read()
+            return response
+
+    def query(self, path, request_id, deadline_ms=2000, **options):
+        """Send a request as the platform's clients do."""
+        headers = {
+            'Host': 'a.example',
+            'X-Request-Id': request_id,
+            'X-Deadline-Ms': str(deadline_ms),
+        }
+        return self.ask(path, headers, **options)
+
+    def is_ready(self):
+        """Return whether the balancer would send callers here."""
+        try:
+            return self.ask('/api/ready', port='ready').status == 200
+        except OSError:
+            return False
+
+    def wait_until(self, condition):
+        """Wait for a condition; fail after a time that shows a hang."""
+        end = time.monotonic() + HANG_S
+        while not condition():
+            if time.monotonic() > end:
+                raise AssertionError(f'no change; log:\n{self.read_log()}')
+            time.sleep(0.02)
+
+    def terminate(self):
+        """Send the platform's stop signal."""
+        self.send_signal(signal.SIGTERM)
--- /dev/null
+++ b/hawthornfold/platform/tests/test_documents.py
@@ -0,0 +1,176 @@
+import base64
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+
+from hawthornfold.platform import documents
+from hawthornfold.rules import RequestFacts
+
+ENTRY = {
+    'Backend': 'huvo11a',
+    'Address': '10.128.0.9:8080',
+    'Zone': 'hall-a',
+    'Version': 'v1',
+    'MaxConcurrency': 2,
+    'State': 'ready',
+    'WarmupLeftMs': 0,
+    'Seq': 4,
+    'born': 1_700_000_000_000,
+}
+GATHERED = {
+    'Name': 'r-1',
+    'Host': 'pupu.example',
+    'Prefix': '/a/b/',
+    'RouteType': 'idempotent',
+    'TimeoutMs': 600,
+    'TargetLatencyMs': 118,
+    'Priority': 1,
+    'FanoutServices': ['x', 'y'],
+    'MaxAttempts': 2,
+    'TopK': 20,
+    'MinSuccessShare': 0.89,
+}
+SINGLE = {
+    'Name': 'r-2',
+    'Host': 'pupu.example',
+    'Prefix': '/a/',
+    'RouteType': 'non_idempotent',
+    'TimeoutMs': 2000,
+    'TargetLatencyMs': 544,
+    'Priority': 2,
+    'Split': [
+        {'Backend': 'x', 'Weight': 3},
+        {'Backend': 'y', 'Weight': 1},
+    ],
+    'MaxAttempts': 2,
+}
+CONFIGURATION = {
+    'Version': 7,
+    'Routes': [SINGLE, GATHERED],
+    'Services': [
+        {'Name': 'x', 'HealthPath': '/health', 'MaxConns': 26},
+    ],
+    'Limits': {
+        'MaxHeaderBytes': 16384,
+        'MaxBodyBytes': 262144,
+        'HeaderTimeoutMs': 3000,
+        'IdleTimeoutMs': 15000,
+    },
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def create_item(key, value, **fields):
+    text = base64.b64encode(value).decode()
+    raw = {'Key': key, 'Revision': 3, 'Value': text, 'LeaseId': 0, **fields}
+    return msgspec.convert(raw, documents.Item)
+
+
+class EntryTest(unittest.TestCase):
+    def decode(self, **fields):
+        return documents.decode_entry('i-1', encode({**ENTRY, **fields}))
+
+    def test_fields(self):
+        record = self.decode(State='draining', WarmupLeftMs=1500)
+        self.assertEqual(
+            record,
+            (
+                'i-1',
+                'huvo11a',
+                '10.128.0.9:8080',
+                'hall-a',
+                2,
+                True,
+                1500.0,
+                1_700_000_000_000,
+            ),
+        )
+
+    def test_entries_of_other_writers_are_refused(self):
+        # Guards against work for what is no server.
+        for fields in (
+            {'State': 'resting'},
+            {'Address': 'nowhere'},
+            {'Address': '10.0.0.1:0'},
+            {'Backend': 4},
+            {'MaxConcurrency': 'two'},
+            {'born': 'yesterday'},
+        ):
+            with self.subTest(fields), self.assertRaises(ValueError):
+                self.decode(**fields)
+        for name in ('Backend', 'Address', 'Zone', 'State'):
+            entry = {k: v for k, v in ENTRY.items() if k != name}
+            with self.subTest(name), self.assertRaises(ValueError):
+                documents.decode_entry('i-1', encode(entry))
+
+    @given(strategies.binary(max_size=200))
+    def test_any_bytes_are_refused_item_by_item(self, data):
+        # Guards against one unreadable entry that hides the others.
+        good = create_item('servers/good', encode(ENTRY))
+        bad = create_item('servers/bad', data)
+        changes = documents.decode_items([bad, good], 9)
+        self.assertEqual(changes.servers[-1].record.server_id, 'good')
+        self.assertEqual(changes.servers[0], ('bad', None))
+        self.assertEqual([f.key for f in changes.failures], ['servers/bad'])
+
+    def test_deletion_and_foreign_keys(self):
+        deleted = msgspec.convert(
+            {'Key': 'servers/i-1', 'Revision': 4, 'Deleted': True},
+            documents.Item,
+        )
+        foreign = create_item('other/thing', b'anything')
+        changes = documents.decode_items([deleted, foreign], 9)
+        self.assertEqual(changes.servers, (('i-1', None),))
+        self.assertEqual(changes.failures, ())
+
+
+class ConfigurationTest(unittest.TestCase):
+    def decode(self, **fields):
+        return documents.decode_configuration(
+            encode({**CONFIGURATION, **fields})
+        )
+
+    def match(self, path, host='pupu.example'):
+        rules = self.decode().rules
+        return rules.match(
+            RequestFacts('', '', '', 'GET', path, {'host': host})
+        )
+
+    def test_longest_prefix_of_the_host_decides(self):
+        self.assertEqual(self.match('/a/b/2f').rule, 'r-1')
+        self.assertEqual(self.match('/a/c').rule, 'r-2')
+        self.assertIsNone(self.match('/b/'))
+        self.assertIsNone(self.match('/a/b/2f', 'other.example'))
+
+    def test_gathered_route(self):
+        decision = self.match('/a/b/')
+        self.assertEqual(decision.gather, (('x', 'y'), 20))
+        self.assertEqual(decision.coverage_percent, 89)
+        self.assertEqual(decision.objective_ms, 118.0)
+        self.assertEqual(decision.deadline_ms, 600.0)
+        self.assertTrue(decision.idempotent)
+        self.assertEqual(decision.urgency, 0)
+
+    def test_split_route(self):
+        decision = self.match('/a/')
+        self.assertEqual(decision.forward, (('x', 3.0), ('y', 1.0)))
+        self.assertFalse(decision.idempotent)
+        self.assertFalse(decision.hedge)
+        self.assertEqual(decision.urgency, 1)
+        self.assertEqual(decision.max_servers, 2)
+
+    def test_unreadable_configuration_is_a_failure(self):
+        # Guards against a node without rules after a bad write.
+        bad = create_item('op/config', encode({**CONFIGURATION, 'Routes': 1}))
+        changes = documents.decode_items([bad], 9)
+        self.assertIsNone(changes.configuration)
+        self.assertEqual([f.key for f in changes.failures], ['op/config'])
+        route = {k: v for k, v in SINGLE.items() if k != 'Split'}
+        with self.assertRaises(ValueError):
+            self.decode(Routes=[route])
