Hedge as soon as an exchange is late

Cause: half of the searches waited for a hedge that was sent only when the objective came near. The budget of repeats holds for each shard and is hardly used.

--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -128,9 +128,7 @@
         self._part_of = {}
         self._attempts = itertools.count()
         late_ms = book.late_ms(decision)
-        self._hedge_ms = max(
-            times.answer_ms - late_ms, times.arrived_ms + late_ms
-        )
+        self._hedge_ms = times.arrived_ms + late_ms
         self._needed = _count_needed(decision, len(services))
         self._hedges = 0
         self._retries = 0
