Read the store less often; count queues at servers beyond their slots

After changes of servers the next are left to collect for 150 ms. Waits last 3 s; the kernel's probes find silent connections within 2 s.

--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -4,9 +4,12 @@
 
 _LOG = logbook.Logger('directory')
 
-# A silent connection to the store shows only when a wait ends late, so the
-# waits are short: a change has to be in force within 3 s.
-WAIT_MS = 1_900.0
+# A wait that outlasts an outage of the store may never end, and a change has
+# to be in force 4 s after the end of an outage.
+WAIT_MS = 3_000.0
+# Changes come in groups, and each read is counted: after some have come, the
+# next are left to collect for this long.
+COLLECT_MS = 150.0
 # After a failure the store is asked for at this pace; each refused call
 # counts as one.
 RETRY_MS = 400.0
@@ -86,7 +89,7 @@
         now_ms = self._clock.now_ms()
         events = self._directory.apply(changes.servers, now_ms)
         self._take_over(changes, events)
-        return 0.0
+        return COLLECT_MS if changes.servers else 0.0
 
     def _reload(self):
         outcome = self._store.read_all()
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -5,7 +5,7 @@
 # Observations lose their weight with this time constant, so that a server
 # that was slow or failed is tried again.
 FORGET_MS = 4_000.0
-SLOWNESS_WEIGHT = 0.2
+SLOWNESS_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.3
 # Bounds on one sample of slowness.
 MIN_SLOWNESS = 0.3
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -9,7 +9,9 @@
 FAILURE_COST_MS = 250.0
 # A server in another data centre is chosen where it is better by this much:
 # the way there, and the price of the bytes.
-REMOTE_COST_MS = 2.0
+REMOTE_COST_MS = 3.0
+# A request in a free slot delays the next by about this part of its time.
+UNSEEN_SHARE = 0.25
 # A server that has just started takes longer by about this factor.
 COLD_FACTOR = 1.6
 # Exchanges that have waited this multiple of the usual time show a pause.
@@ -74,8 +76,12 @@
 
     def _cost(self, record, health, usual_ms, now_ms):
         slots = max(record.slots, 1)
-        ahead = max(health.in_flight, health.reported_waiting)
-        cost = usual_ms * health.slowness(now_ms) * (1.0 + ahead / slots)
+        # Requests beyond the slots wait; other nodes' requests take slots
+        # that this node does not see.
+        queued = max(0, health.in_flight + 1 - slots)
+        queued = max(queued, health.reported_waiting)
+        ahead = (queued + UNSEEN_SHARE * health.in_flight) / slots
+        cost = usual_ms * health.slowness(now_ms) * (1.0 + ahead)
         if record.warmup_ms > 0:
             cost *= COLD_FACTOR
         cost += FAILURE_COST_MS * health.failure_share(now_ms)
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -1,5 +1,6 @@
 """The platform's metadata store over HTTP; it can only be read."""
 
+import socket
 import urllib.parse
 
 import msgspec
@@ -17,6 +18,15 @@
 
 # Answers take 4 ms, and 50 times as long while the store is slow.
 TIMEOUT_MS = 700.0
+# Probes of the kernel end a connection that has gone silent within 2 s,
+# which a waiting watch would show only at its end.
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1),
+)
 # A page holds up to 1 MB.
 MAX_REPLY_BYTES = 4 << 20
 
@@ -62,7 +72,9 @@
     def __init__(self, find_address, clock):
         self._find_address = find_address
         self._clock = clock
-        self._pool = urllib3.PoolManager(num_pools=2, retries=False)
+        self._pool = urllib3.PoolManager(
+            num_pools=2, retries=False, socket_options=_SOCKET_OPTIONS
+        )
 
     def read_all(self):
         """Read all servers and the configuration."""
