Tell a reset from the end of a stream; place by open connections

The new test of a node as a process answered 200 before the change and 502 after it.

Ruled out: late and crossed responses (ids matched), lengths (covered before).

--- a/hawthornfold/audit/trail.py
+++ b/hawthornfold/audit/trail.py
@@ -70,7 +70,7 @@
             cause,
         )
         self._entries.append(entry)
-        _LOG.info(
+        _LOG.notice(
             'kind={} subject={} before={} after={} cause="{}"',
             kind,
             subject,
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -126,7 +126,7 @@
             return
         for event in events:
             self._metrics.count('server_changes', kind=event.kind)
-            _LOG.info(
+            _LOG.notice(
                 'event=server_{} server={} service={} address={} '
                 'revision={} born_ms={}',
                 event.kind,
@@ -142,7 +142,7 @@
         self._read_ms = self._clock.now_ms()
         self._metrics.count('store_reads', outcome='ok')
         if self._is_reachable is False:
-            _LOG.info('event=store_regained revision={}', self._revision)
+            _LOG.notice('event=store_regained revision={}', self._revision)
             # Records may have lapsed meanwhile.
             self._directory.note_outage(self._read_ms)
         self._is_reachable = True
@@ -151,7 +151,7 @@
         now_ms = self._clock.now_ms()
         if failure.is_history_lost:
             self._metrics.count('store_reads', outcome='history_lost')
-            _LOG.info('event=store_history_lost revision={}', self._revision)
+            _LOG.notice('event=store_history_lost revision={}', self._revision)
             self._revision = None
             return 0.0
         self._metrics.count('store_reads', outcome='failed')
--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -14,6 +14,7 @@
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import ServerResponse
 from hawthornfold.sockets import is_readable
+from hawthornfold.sockets import receive
 
 # A new connection takes 1 to 6 ms; a server that pauses may take 120 ms
 # longer.
@@ -325,7 +326,7 @@
 
     def _read(self, reader):
         while not reader.is_complete:
-            data = self._socket.recv(_RECEIVE_BYTES)
+            data = receive(self._socket, _RECEIVE_BYTES)
             if not data:
                 self._is_reusable = False
                 reader.feed_end()
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -13,6 +13,7 @@
 from hawthornfold.gathering import Verdict
 from hawthornfold.gathering import create_execution
 from hawthornfold.gathering import merge_records
+from hawthornfold.gathering.margin import MAX_OWN_MS
 from hawthornfold.rules import RequestFacts
 
 _LOG = logbook.Logger('request')
@@ -50,6 +51,10 @@
         All headers as sent.
     body : bytes
         The whole body.
+    arrived_ms : float
+        When its first byte was seen, on the node's clock.
+    travel_ms : float
+        How long the request and its answer travel.
     """
 
     method: str
@@ -57,6 +62,8 @@
     host: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    arrived_ms: float
+    travel_ms: float
 
 
 class GatewayAnswer(typing.NamedTuple):
@@ -95,15 +102,13 @@
         self._clock = clock
         self._metrics = metrics
 
-    def handle(self, incoming, arrived_ms, watch_caller):
+    def handle(self, incoming, watch_caller):
         """Answer a request.
 
         Parameters
         ----------
         incoming : IncomingRequest
             The request, complete.
-        arrived_ms : float
-            When its first byte arrived, on the node's clock.
         watch_caller : callable
             Takes a function to call when the caller leaves, and returns a
             context manager that watches meanwhile.
@@ -133,7 +138,7 @@
             request_id,
             decision,
             self._choose_services(decision),
-            self._time(decision, headers, arrived_ms),
+            self._time(decision, headers, incoming),
         )
         return self._run(route, incoming, watch_caller, configuration.version)
 
@@ -153,7 +158,8 @@
             return decision.gather.shards
         return (self._state.turns.choose(decision),)
 
-    def _time(self, decision, headers, arrived_ms):
+    def _time(self, decision, headers, incoming):
+        arrived_ms = incoming.arrived_ms
         left_ms = float(decision.deadline_ms)
         text = headers.get(self._names.deadline.lower(), '')
         if text.isdecimal():
@@ -161,7 +167,7 @@
         deadline_ms = arrived_ms + left_ms - DEADLINE_MARGIN_MS
         answer_ms = deadline_ms
         if decision.objective_ms is not None:
-            margin_ms = self._state.settings.answer_margin_ms
+            margin_ms = self._state.margin.margin_ms(incoming.travel_ms)
             answer_ms = arrived_ms + decision.objective_ms - margin_ms
         return ExecutionTimes(
             arrived_ms, min(answer_ms, deadline_ms), deadline_ms
@@ -200,6 +206,11 @@
         with watch_caller(relay.notify_caller_left):
             result = relay.run(route.times.deadline_ms)
         answer = self._create_answer(route, execution, result.verdict)
+        if result.verdict is Verdict.PARTIAL:
+            late_ms = self._clock.now_ms() - route.times.answer_ms
+            if late_ms < MAX_OWN_MS:
+                # Later answers have waited for the least share of shards.
+                self._state.margin.record(late_ms)
         self._log(route, execution, result, answer, version)
         return answer
 
--- a/hawthornfold/gateway/ingress.py
+++ b/hawthornfold/gateway/ingress.py
@@ -10,11 +10,15 @@
 from hawthornfold.callers.protocol import CallerProtocol
 from hawthornfold.codes import ResultCode
 from hawthornfold.gateway.handler import IncomingRequest
+from hawthornfold.gathering import estimate_travel_ms
+from hawthornfold.sockets import read_round_trip_ms
 
 # Keys of the WSGI environment.
 HEADERS_KEY = 'hawthornfold.headers'
 TARGET_KEY = 'hawthornfold.target'
 SOCKET_KEY = 'hawthornfold.socket'
+ARRIVED_KEY = 'hawthornfold.arrived_ms'
+IS_NEW_KEY = 'hawthornfold.is_new_connection'
 
 # Until the operators' limits are known.
 _DEFAULT_HEAD_BYTES = 16_384
@@ -64,6 +68,15 @@
 class GatewayProtocol(CallerProtocol):
     """A caller's connection whose requests are passed on unchanged."""
 
+    _request_count = 0
+    _arrived_ms = 0.0
+
+    def begin_request(self):
+        """Count a request as in progress and keep it through a stop."""
+        self._request_count += 1
+        self._arrived_ms = self._port.clock.now_ms()
+        super().begin_request()
+
     def _check_transfer_encoding(self):
         encodings = self.headers.get_all('Transfer-Encoding', [])
         is_chunked = [e.strip().lower() for e in encodings] == ['chunked']
@@ -90,6 +103,8 @@
         environ[HEADERS_KEY] = tuple(self.headers.items())
         environ[TARGET_KEY] = self.path
         environ[SOCKET_KEY] = self.connection
+        environ[ARRIVED_KEY] = self._arrived_ms
+        environ[IS_NEW_KEY] = self._request_count == 1
         return environ
 
 
@@ -124,7 +139,6 @@
 
     def __call__(self, environ, start_response):
         """Answer one request, as WSGI defines it."""
-        arrived_ms = self._clock.now_ms()
         body = self._read_body(environ)
         if body is None:
             environ[CLOSE_KEY]()
@@ -138,10 +152,11 @@
             host.partition(':')[0],
             headers,
             body,
+            environ[ARRIVED_KEY],
+            self._estimate_travel(environ),
         )
         answer = self._handler.handle(
             incoming,
-            arrived_ms,
             lambda notify: _watch(environ[SOCKET_KEY], notify),
         )
         if answer is None:
@@ -153,6 +168,12 @@
         start_response(answer.status_line, list(answer.headers) + length)
         return [answer.body]
 
+    def _estimate_travel(self, environ):
+        round_trip_ms = read_round_trip_ms(environ[SOCKET_KEY])
+        if round_trip_ms is None:
+            return self._state.settings.travel_ms
+        return estimate_travel_ms(round_trip_ms, environ[IS_NEW_KEY])
+
     def _read_body(self, environ):
         """Return the whole body, or None when it is too large.
 
--- a/hawthornfold/gateway/links.py
+++ b/hawthornfold/gateway/links.py
@@ -27,12 +27,13 @@
 class ServerLink:
     """Idle and busy connections to one server process."""
 
-    def __init__(self, address, limit, names, clock, metrics):
+    def __init__(self, address, limit, names, clock, metrics, on_connect):
         self._address = address
         self._limit = limit
         self._names = names
         self._clock = clock
         self._metrics = metrics
+        self._on_connect = on_connect
         self._slots = eventlet.semaphore.Semaphore(limit)
         self._idle = collections.deque()
         self._busy = set()
@@ -48,6 +49,11 @@
         """Connections open, idle and busy together."""
         return len(self._idle) + len(self._busy)
 
+    @property
+    def has_idle(self):
+        """Whether a connection is idle."""
+        return bool(self._idle)
+
     def set_limit(self, limit):
         """Change how many connections the node may open."""
         for _ in range(self._limit, limit):
@@ -76,10 +82,12 @@
         connection = ServerConnection(self._address, self._names, self._clock)
         self._busy.add(connection)
         self._metrics.count('server_connections_opened')
+        started_ms = self._clock.now_ms()
         error = connection.open(min(timeout_ms, CONNECT_TIMEOUT_MS))
         if error is not None:
             self.release(connection)
             return None, error
+        self._on_connect(self._clock.now_ms() - started_ms)
         return connection, ''
 
     def release(self, connection):
@@ -122,10 +130,11 @@
 class ServerLinks:
     """The links to all servers, by server id."""
 
-    def __init__(self, names, clock, metrics):
+    def __init__(self, names, clock, metrics, on_connect):
         self._names = names
         self._clock = clock
         self._metrics = metrics
+        self._on_connect = on_connect
         self._links = {}
 
     def get(self, record, limit):
@@ -135,10 +144,20 @@
             if link is not None:
                 link.close()
             link = self._links[record.server_id] = ServerLink(
-                record.address, limit, self._names, self._clock, self._metrics
+                record.address,
+                limit,
+                self._names,
+                self._clock,
+                self._metrics,
+                self._on_connect,
             )
         return link
 
+    def has_idle(self, server_id):
+        """Return whether an idle connection to a server is open."""
+        link = self._links.get(server_id)
+        return link is not None and link.has_idle
+
     def find(self, server_id):
         """Return the link to a server, or None."""
         return self._links.get(server_id)
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -170,7 +170,7 @@
         if settings != self._settings:
             self._settings = settings
             self._state.set_settings(settings)
-        _LOG.info('event=settings_loaded cause={}', cause)
+        _LOG.notice('event=settings_loaded cause={}', cause)
 
     def stop(self, stop_accepting):
         """Finish what is in flight.
@@ -183,7 +183,7 @@
         started_ms = self._clock.now_ms()
         limit_ms = self._settings.stop_grace_ms - KILL_MARGIN_MS
         self._state.begin_stop()
-        _LOG.info(
+        _LOG.notice(
             'event=stopping in_progress={}', self._application.in_progress
         )
         self._clock.sleep_ms(min(LINGER_MS, limit_ms / 2.0))
@@ -245,7 +245,7 @@
         )
         health.record_probe(has_succeeded, self._clock.now_ms())
         if has_succeeded:
-            _LOG.info(
+            _LOG.notice(
                 'event=server_unblocked server={} cause=probe',
                 record.server_id,
             )
@@ -270,10 +270,12 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda number, _: signals.append(number))
         with node.open() as stop_accepting:
-            _LOG.info('event=started callers={}', node.settings.caller_address)
+            _LOG.notice(
+                'event=started callers={}', node.settings.caller_address
+            )
             _wait_for_stop(node, signals, settings_path)
             cut = node.stop(stop_accepting)
-        _LOG.info('event=stopped cut_requests={}', cut)
+        _LOG.notice('event=stopped cut_requests={}', cut)
     return 1 if cut else 0
 
 
--- a/hawthornfold/gateway/settings.py
+++ b/hawthornfold/gateway/settings.py
@@ -30,8 +30,9 @@
         The window in which both are counted.
     stop_grace_ms : float
         Time from the stop signal until the process is killed.
-    answer_margin_ms : float
-        How long an answer travels to the caller, connection included.
+    travel_ms : float
+        How long a request and its answer travel, where the kernel does not
+        tell the round-trip time.
     """
 
     node_name: str
@@ -46,7 +47,7 @@
     repeat_slack: float
     repeat_window_ms: float
     stop_grace_ms: float
-    answer_margin_ms: float = 12.0
+    travel_ms: float = 12.0
 
 
 def split_address(address):
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -5,6 +5,7 @@
 from hawthornfold.directory import create_server_directory
 from hawthornfold.gateway.links import ServerLinks
 from hawthornfold.gateway.links import share_connections
+from hawthornfold.gathering import create_answer_margin
 from hawthornfold.limits import create_arrival_window
 from hawthornfold.placement import create_latency_book
 from hawthornfold.placement import create_placement
@@ -42,11 +43,12 @@
         self._is_stopping = False
         self.directory = create_server_directory()
         self.latency_book = create_latency_book()
+        self.links = ServerLinks(names, clock, metrics, self._record_connect)
         self.placement = create_placement(
-            settings.data_centre, self.latency_book
+            settings.data_centre, self.latency_book, self.links.has_idle
         )
         self.turns = create_weighted_turns()
-        self.links = ServerLinks(names, clock, metrics)
+        self.margin = create_answer_margin()
 
     @property
     def settings(self):
@@ -81,7 +83,7 @@
         """Divide the servers' limits among `count` nodes."""
         if count == self._node_count:
             return
-        _LOG.info(
+        _LOG.notice(
             'event=node_count_changed before={} after={}',
             self._node_count,
             count,
@@ -98,7 +100,7 @@
         )
         self._apply_shares()
         self._metrics.count('configurations_applied')
-        _LOG.info(
+        _LOG.notice(
             'event=configuration_applied before={} after={} rules={}',
             None if before is None else before.version,
             configuration.version,
@@ -138,6 +140,9 @@
             )
         return window
 
+    def _record_connect(self, elapsed_ms):
+        self.placement.record_connect(elapsed_ms)
+
     def _connection_limit(self, service):
         services = self._configuration.services if self._configuration else {}
         known = services.get(service)
--- a/hawthornfold/gathering/tests/test_execution.py
+++ b/hawthornfold/gathering/tests/test_execution.py
@@ -56,7 +56,7 @@
             for _ in services
         ]
         book = create_latency_book()
-        self.placement = create_placement('dc-a', book, random.Random(1))
+        self.placement = create_placement('dc-a', book, rng=random.Random(1))
         self.execution = create_execution(
             create_decision(**fields),
             services,
--- a/hawthornfold/logs/writer.py
+++ b/hawthornfold/logs/writer.py
@@ -4,7 +4,7 @@
 
 from eventlet import patcher
 import logbook
-from logbook.base import WARNING
+from logbook.base import NOTICE
 
 # eventlet's versions would suspend the green thread that logs.
 _os = patcher.original('os')
@@ -13,8 +13,9 @@
 # Lines in any second. A node in trouble logs each request and each change of
 # a server; beyond this the counters tell how many there were.
 LINES_PER_SECOND = 300
-# Lines below a warning leave this part of the bound to warnings.
-WARNING_SHARE = 0.2
+# Lines of single requests leave this part of the bound to the others, which
+# have the level notice or above.
+NOTICE_SHARE = 0.2
 # Lines kept while the reader of the descriptor is behind.
 MAX_PENDING = 1_000
 # A pipe that polls as writable takes this many bytes without blocking.
@@ -25,8 +26,8 @@
     """A log handler that drops lines rather than wait.
 
     Lines are dropped when more than `LINES_PER_SECOND` come in a second, or
-    when the reader is more than `MAX_PENDING` lines behind; those below a
-    warning go first. The next line that is written tells how many.
+    when the reader is more than `MAX_PENDING` lines behind; those below the
+    level notice go first. The next line that is written tells how many.
 
     Parameters
     ----------
@@ -87,7 +88,7 @@
         second = int(self._clock.now_ms() // 1000.0)
         if second != self._second:
             self._second, self._lines = second, 0
-        share = 1.0 if level >= WARNING else 1.0 - WARNING_SHARE
+        share = 1.0 if level >= NOTICE else 1.0 - NOTICE_SHARE
         is_admitted = (
             self._lines < LINES_PER_SECOND * share
             and len(self._pending) < MAX_PENDING * share
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -14,6 +14,9 @@
 UNSEEN_SHARE = 0.25
 # A server that has just started takes longer by about this factor.
 COLD_FACTOR = 1.6
+# Until the time of a new connection is measured.
+INITIAL_CONNECT_MS = 6.0
+_CONNECT_WEIGHT = 0.05
 # Exchanges that have waited this multiple of the usual time show a pause.
 STALL_FACTOR = 2.0
 # Added to the multiple; queueing for a slot is no pause.
@@ -23,10 +26,12 @@
 class Placement:
     """The observations of all servers, and the choice among them."""
 
-    def __init__(self, data_centre, latency_book, rng):
+    def __init__(self, data_centre, latency_book, has_connection, rng):
         self._data_centre = data_centre
         self._latency_book = latency_book
+        self._has_connection = has_connection
         self._rng = rng
+        self._connect_ms = INITIAL_CONNECT_MS
         self._health = {}
 
     def health(self, server_id):
@@ -90,8 +95,16 @@
             cost += stall_ms
         if record.data_centre != self._data_centre:
             cost += REMOTE_COST_MS
+        if not self._has_connection(record.server_id):
+            # Where there are more nodes than connections, each node settles
+            # on some of the servers.
+            cost += self._connect_ms
         return cost
 
+    def record_connect(self, elapsed_ms):
+        """Take over the time that a new connection took."""
+        self._connect_ms += _CONNECT_WEIGHT * (elapsed_ms - self._connect_ms)
+
     def begin(self, server_id, attempt, decision, now_ms):
         """Count an exchange that starts."""
         usual_ms = self._latency_book.usual_ms(decision)
@@ -125,7 +138,9 @@
         )
 
 
-def create_placement(data_centre, latency_book, rng=None):
+def create_placement(
+    data_centre, latency_book, has_connection=lambda server_id: True, rng=None
+):
     """Create the placement of a node.
 
     Parameters
@@ -134,7 +149,11 @@
         Where the node runs.
     latency_book : LatencyBook
         Usual times of exchanges.
+    has_connection : callable
+        Tells whether an idle connection to a server is open.
     rng : random.Random, optional
         Breaks ties.
     """
-    return Placement(data_centre, latency_book, rng or random.Random())
+    return Placement(
+        data_centre, latency_book, has_connection, rng or random.Random()
+    )
--- a/hawthornfold/placement/tests/test_placement.py
+++ b/hawthornfold/placement/tests/test_placement.py
@@ -20,7 +20,7 @@
 class PlacementTestCase(unittest.TestCase):
     def setUp(self):
         self.placement = create_placement(
-            'dc-a', create_latency_book(), random.Random(3)
+            'dc-a', create_latency_book(), rng=random.Random(3)
         )
 
     def choose(self, now_ms, candidates=BOTH):
@@ -77,6 +77,20 @@
             self.placement.health('local').record_failure(number, False, 1.0)
         self.assertEqual(self.choose(2.0), 'remote')
 
+    def test_server_with_an_open_connection_comes_first(self):
+        # Guards against a connection for each request where a fleet has
+        # more nodes than a server has connections.
+        placement = create_placement(
+            'dc-a', create_latency_book(), 'remote'.__eq__, random.Random(3)
+        )
+        chosen = placement.choose(BOTH, DECISION, 0.0)
+        self.assertEqual(chosen.server_id, 'remote')
+        placement.record_connect(0.0)
+        for _ in range(100):
+            placement.record_connect(0.0)
+        chosen = placement.choose(BOTH, DECISION, 0.0)
+        self.assertEqual(chosen.server_id, 'local')
+
     def test_nothing_is_chosen_from_nothing(self):
         self.assertIsNone(self.choose(0.0, []))
 
--- a/hawthornfold/platform/tests/test_node.py
+++ b/hawthornfold/platform/tests/test_node.py
@@ -252,6 +252,25 @@
         self.assertEqual(response.status, 502)
         self.assertEqual(sum(len(s.requests) for s in both), 1)
 
+    def test_answer_that_is_reset_on_the_way_is_not_complete(self):
+        # Guards against half an answer without a length: eventlet reports a
+        # reset as the end of the stream.
+        def break_off(connection, request, number):
+            connection.sendall(
+                servers.create_answer(
+                    request, X_Server_Seal='s', Content_Length=None
+                )
+            )
+            time.sleep(0.05)
+            servers.reset(connection)
+            return False
+
+        self.publish()
+        self.add_server('i-1', 'z', break_off)
+        node = self.start()
+        response = node.query('/p/', 'r1', method='POST', body=b'pay')
+        self.assertEqual(response.status, 502)
+
     def test_idempotent_request_moves_to_another_server(self):
         def lose(connection, request, number):
             servers.reset(connection)
