Hand queries of small nodes to nodes with more room

Cause: on the grown deployments 57 of 63 nodes have 0.5 core and a link of 7 Mbit/s. A query to 90 shards moves 58 KB in and 27 KB out, 67 ms of an objective of 120, and takes 45 ms of processor time. In a trace of 10 s such nodes answered 17 of 125 queries in full, the six larger ones 11 of 13.

A node estimates what a query takes of its link and processor. Above a quarter of the objective it hands the whole request to a node that is faster by the hop and more; nodes in need ask a few others for such nodes, which pass on what they know. One that does not answer is left alone for 3 s, and the query is run by its own node.

--- /dev/null
+++ b/hawthornfold/delegation/__init__.py
@@ -0,0 +1,23 @@
+"""Queries that a small node hands to a node with more room."""
+
+from hawthornfold.delegation.messages import Delegate
+from hawthornfold.delegation.messages import DelegateCancel
+from hawthornfold.delegation.messages import Delegated
+from hawthornfold.delegation.messages import Room
+from hawthornfold.delegation.messages import RoomQuery
+from hawthornfold.delegation.messages import RoomReply
+from hawthornfold.delegation.policy import Capacity
+from hawthornfold.delegation.policy import DelegationPolicy
+from hawthornfold.delegation.policy import create_delegation_policy
+
+__all__ = [
+    'Capacity',
+    'Delegate',
+    'DelegateCancel',
+    'Delegated',
+    'DelegationPolicy',
+    'Room',
+    'RoomQuery',
+    'RoomReply',
+    'create_delegation_policy',
+]
--- /dev/null
+++ b/hawthornfold/delegation/messages.py
@@ -0,0 +1,77 @@
+"""Bodies of the messages between a small node and one with room."""
+
+import typing
+
+
+class Room(typing.NamedTuple):
+    """A node that takes queries of others.
+
+    Parameters
+    ----------
+    name, address, data_centre : str
+        As in the membership.
+    link_mbps : float
+        Speed of its link, in megabits a second.
+    cores : float
+        Its processor share, in cores.
+    age_ms : float
+        Time since the node said so itself.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    link_mbps: float
+    cores: float
+    age_ms: float
+
+
+class RoomQuery(typing.NamedTuple):
+    """Asks for nodes with more room than the sender has."""
+
+    link_mbps: float
+    cores: float
+
+
+class RoomReply(typing.NamedTuple):
+    """Nodes with room that the sender knows, itself included."""
+
+    rooms: tuple[Room, ...]
+
+
+class Delegate(typing.NamedTuple):
+    """A caller's request, handed over whole.
+
+    Parameters
+    ----------
+    call : int
+        Identifies the delegation at its sender.
+    objective_left_ms : float
+        Time within which the answer is of full use to the sender.
+    deadline_left_ms : float
+        Time after which the caller has given up.
+    """
+
+    call: int
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    objective_left_ms: float
+    deadline_left_ms: float
+
+
+class DelegateCancel(typing.NamedTuple):
+    """The caller of a delegated request has left."""
+
+    call: int
+
+
+class Delegated(typing.NamedTuple):
+    """The answer to a delegated request; status 0 when it was declined."""
+
+    call: int
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
--- /dev/null
+++ b/hawthornfold/gateway/delegations.py
@@ -0,0 +1,211 @@
+"""Hands queries to nodes with more room, and answers those of others."""
+
+import contextlib
+import itertools
+import random
+
+import eventlet
+import eventlet.event
+import logbook
+
+from hawthornfold.delegation import Delegate
+from hawthornfold.delegation import DelegateCancel
+from hawthornfold.delegation import Delegated
+from hawthornfold.delegation import Room
+from hawthornfold.delegation import RoomQuery
+from hawthornfold.delegation import RoomReply
+
+_LOG = logbook.Logger('delegation')
+
+# Nodes in need of room ask others for it at this pace until they know enough
+# nodes with room, and then at the other.
+SEARCH_MS = 500.0
+REFRESH_MS = 3_000.0
+ENOUGH_ROOMS = 3
+# Random nodes that are asked each time, and one that is known to have room:
+# its reply names the others that it has heard of.
+QUERY_COUNT = 3
+# Requests of others in progress; beyond this they are declined.
+MAX_ACCEPTED = 64
+CALLER_LEFT = 'caller-left'
+# An answer that is not here this long after the objective is not waited for.
+LATE_MS = 40.0
+
+
+class Delegations:
+    """The delegations of one node, both ways.
+
+    Parameters
+    ----------
+    policy : DelegationPolicy
+        Decides.
+    fleet : Fleet
+        Carries the messages.
+    answer : callable
+        Takes a `Delegate` and a ``watch_caller`` as the handler does, and
+        returns the `GatewayAnswer`, or None when it was declined.
+    """
+
+    def __init__(self, policy, fleet, settings, clock, metrics, answer):
+        self._policy = policy
+        self._fleet = fleet
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._answer = answer
+        self._calls = itertools.count()
+        self._waiting = {}
+        self._accepted = {}
+        for body_type, handler in (
+            (RoomQuery, self._on_room_query),
+            (RoomReply, self._on_room_reply),
+            (Delegate, self._on_delegate),
+            (DelegateCancel, self._on_cancel),
+            (Delegated, self._on_delegated),
+        ):
+            fleet.register(body_type, handler)
+
+    @property
+    def policy(self):
+        """The node's `DelegationPolicy`."""
+        return self._policy
+
+    @property
+    def accepted(self):
+        """Requests of other nodes in progress."""
+        return len(self._accepted)
+
+    def run_queries(self, find_rules, rng=random):
+        """Ask for room while a rule needs it; to be spawned.
+
+        Parameters
+        ----------
+        find_rules : callable
+            Returns the decisions of the rules in force.
+        """
+        while True:
+            rooms = self._policy.rooms(self._clock.now_ms())
+            is_enough = len(rooms) >= ENOUGH_ROOMS
+            self._clock.sleep_ms(REFRESH_MS if is_enough else SEARCH_MS)
+            if not any(map(self._policy.needs_room, find_rules())):
+                continue
+            members = self._fleet.others()
+            asked = rng.sample(members, min(QUERY_COUNT, len(members)))
+            if rooms:
+                asked.append(rng.choice(rooms))
+            query = RoomQuery(*self._policy.capacity)
+            for member in asked:
+                self._fleet.send(member.name, member.address, query)
+
+    def run(self, room, delegate, objective_left_ms, watch_caller):
+        """Hand a request to a node and wait for its answer.
+
+        Returns
+        -------
+        Delegated or None
+            None when the node declined or did not answer in time.
+        """
+        call = next(self._calls)
+        event = self._waiting[call] = eventlet.event.Event()
+        delegate = delegate._replace(call=call)
+        self._policy.begin(room.name)
+        reply = None
+        try:
+            self._fleet.send(room.name, room.address, delegate)
+            with watch_caller(lambda: _settle(event, CALLER_LEFT)):
+                reply = event.wait(
+                    max(objective_left_ms + LATE_MS, 1.0) / 1000.0
+                )
+        finally:
+            del self._waiting[call]
+            self._policy.end(
+                room.name, reply is not None, self._clock.now_ms()
+            )
+        if reply is None or reply == CALLER_LEFT:
+            cancel = DelegateCancel(call)
+            self._fleet.send(room.name, room.address, cancel)
+        self._metrics.count('delegations', outcome=name_reply(reply))
+        return reply
+
+    def _on_room_query(self, sender, query):
+        rooms = self._policy.rooms(self._clock.now_ms())
+        own = self._policy.capacity
+        settings = self._settings
+        rooms.append(
+            Room(
+                settings.node_name,
+                settings.peer_address,
+                settings.data_centre,
+                own.link_mbps,
+                own.cores,
+                0.0,
+            )
+        )
+        if len(rooms) > 1 or (
+            own.link_mbps > query.link_mbps or own.cores > query.cores
+        ):
+            reply = RoomReply(tuple(rooms))
+            self._fleet.send(sender.name, sender.address, reply)
+
+    def _on_room_reply(self, sender, reply):
+        self._policy.learn(reply.rooms, self._clock.now_ms())
+
+    def _on_delegate(self, sender, delegate):
+        key = (sender.name, sender.incarnation, delegate.call)
+        if len(self._accepted) >= MAX_ACCEPTED:
+            self._send_answer(sender, delegate.call, None)
+            return
+        self._accepted[key] = notify = []
+        eventlet.spawn_n(self._serve, sender, delegate, key, notify)
+
+    def _serve(self, sender, delegate, key, notify):
+        answer = None
+        try:
+            answer = self._answer(delegate, _watch_list(notify))
+        finally:
+            del self._accepted[key]
+            self._send_answer(sender, delegate.call, answer)
+
+    def _send_answer(self, sender, call, answer):
+        body = Delegated(call, 0, (), b'')
+        if answer is not None:
+            body = Delegated(call, answer.status, answer.headers, answer.body)
+        self._fleet.send(sender.name, sender.address, body)
+
+    def _on_cancel(self, sender, cancel):
+        key = (sender.name, sender.incarnation, cancel.call)
+        for notify in self._accepted.get(key, ()):
+            notify()
+
+    def _on_delegated(self, sender, reply):
+        event = self._waiting.get(reply.call)
+        if event is not None:
+            _settle(event, reply)
+
+
+def _settle(event, value):
+    if not event.ready():
+        event.send(value)
+
+
+def name_reply(reply):
+    """Return the outcome of a delegation for logs and counters."""
+    if reply is None:
+        return 'silent'
+    if reply == CALLER_LEFT:
+        return CALLER_LEFT
+    return 'answered' if reply.status else 'declined'
+
+
+def _watch_list(notify):
+    """Return a ``watch_caller`` that notes whom to notify in a list."""
+
+    @contextlib.contextmanager
+    def watch(function):
+        notify.append(function)
+        try:
+            yield
+        finally:
+            notify.clear()
+
+    return watch
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -86,10 +86,13 @@
             self._clock.now_ms(),
         )
 
-    def broadcast(self, body):
-        """Send a message to all other live nodes."""
-        for member in self._membership.members[1:]:
-            self._links.send(member.name, member.address, body)
+    def others(self):
+        """Return the other live nodes as `Member` tuples."""
+        return list(self._membership.members[1:])
+
+    def send(self, name, address, body):
+        """Send a message to a node without blocking."""
+        self._links.send(name, address, body)
 
     def register(self, body_type, handler):
         """Call ``handler(sender, body)`` for each message of a type."""
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -6,6 +6,13 @@
 import logbook
 
 from hawthornfold.codes import ResultCode
+from hawthornfold.delegation import Capacity
+from hawthornfold.delegation import Delegate
+from hawthornfold.delegation import Delegated
+from hawthornfold.delegation.policy import HOP_MS
+from hawthornfold.delegation.policy import estimate_answer_ms
+from hawthornfold.gateway.delegations import CALLER_LEFT
+from hawthornfold.gateway.delegations import name_reply
 from hawthornfold.gateway.exchange import create_outgoing
 from hawthornfold.gateway.exchange import strip_connection_headers
 from hawthornfold.gateway.relay import Relay
@@ -55,6 +62,9 @@
         When its first byte was seen, on the node's clock.
     travel_ms : float
         How long the request and its answer travel.
+    objective_left_ms : float or None
+        For a request of another node: time within which the answer is of
+        full use to it.
     """
 
     method: str
@@ -64,6 +74,7 @@
     body: bytes
     arrived_ms: float
     travel_ms: float
+    objective_left_ms: float | None = None
 
 
 class GatewayAnswer(typing.NamedTuple):
@@ -101,6 +112,9 @@
         self._watcher = watcher
         self._clock = clock
         self._metrics = metrics
+        self._delegations = None
+        settings = state.settings
+        self._capacity = Capacity(settings.link_mbps, settings.cores)
 
     def handle(self, incoming, watch_caller):
         """Answer a request.
@@ -140,8 +154,91 @@
             self._choose_services(decision),
             self._time(decision, headers, incoming),
         )
+        if incoming.objective_left_ms is None and self._delegations:
+            answer, is_settled = self._delegate(route, incoming, watch_caller)
+            if is_settled:
+                return answer
         return self._run(route, incoming, watch_caller, configuration.version)
 
+    def set_delegations(self, delegations):
+        """Use `delegations` for queries that are too much for the node."""
+        self._delegations = delegations
+
+    def handle_delegated(self, delegate, watch_caller):
+        """Answer a `Delegate` of another node, or return None to decline."""
+        if self._state.is_stopping:
+            return None
+        incoming = IncomingRequest(
+            delegate.method,
+            delegate.target,
+            delegate.host,
+            delegate.headers,
+            delegate.body,
+            self._clock.now_ms(),
+            0.0,
+            delegate.objective_left_ms,
+        )
+        answer = self.handle(incoming, watch_caller)
+        # The sender may hold another configuration; it decides on its own
+        # what it refuses.
+        if answer is None or answer.status != 200:
+            return None
+        return answer
+
+    def _delegate(self, route, incoming, watch_caller):
+        """Hand a query to a node with more room.
+
+        Returns
+        -------
+        tuple of (GatewayAnswer or None, bool)
+            The answer, and whether the request is settled with it.
+        """
+        now_ms = self._clock.now_ms()
+        policy = self._delegations.policy
+        room = policy.choose(route.decision, now_ms)
+        if room is None:
+            return None, False
+        # The answer comes over the same link as it leaves by.
+        objective_left_ms = route.times.answer_ms - now_ms - HOP_MS
+        objective_left_ms -= estimate_answer_ms(self._capacity, route.decision)
+        delegate = Delegate(
+            0,
+            incoming.method,
+            incoming.target,
+            incoming.host,
+            incoming.headers,
+            incoming.body,
+            objective_left_ms,
+            route.times.deadline_ms - now_ms,
+        )
+        reply = self._delegations.run(
+            room, delegate, objective_left_ms, watch_caller
+        )
+        done_ms = self._clock.now_ms()
+        elapsed_ms = done_ms - incoming.arrived_ms
+        is_answered = isinstance(reply, Delegated) and reply.status != 0
+        _LOG.info(
+            'event=request_delegated request={} rule={} node={} '
+            'room_age_ms={:.0f} objective_left_ms={:.0f} ms={:.1f} '
+            'outcome={}',
+            route.request_id,
+            route.decision.rule,
+            room.name,
+            room.age_ms,
+            objective_left_ms,
+            elapsed_ms,
+            name_reply(reply),
+        )
+        if not is_answered:
+            return None, reply == CALLER_LEFT
+        if (self._names.missing_parts, '0') not in reply.headers:
+            self._record_lateness(done_ms - route.times.answer_ms)
+        self._metrics.count('requests', outcome='delegated')
+        self._metrics.observe_ms(
+            'request', elapsed_ms, rule=route.decision.rule
+        )
+        return GatewayAnswer(reply.status, reply.headers, reply.body), True
+
     def _describe(self, incoming):
         return RequestFacts(
             '',
@@ -168,7 +265,12 @@
         answer_ms = deadline_ms
         if decision.objective_ms is not None:
             margin_ms = self._state.margin.margin_ms(incoming.travel_ms)
-            answer_ms = arrived_ms + decision.objective_ms - margin_ms
+            objective_ms = decision.objective_ms
+            if incoming.objective_left_ms is not None:
+                objective_ms = incoming.objective_left_ms
+            answer_ms = arrived_ms + objective_ms - margin_ms
+            # The answer takes a while on a slow link.
+            answer_ms -= estimate_answer_ms(self._capacity, decision)
         return ExecutionTimes(
             arrived_ms, min(answer_ms, deadline_ms), deadline_ms
         )
@@ -206,14 +308,20 @@
         with watch_caller(relay.notify_caller_left):
             result = relay.run(route.times.deadline_ms)
         answer = self._create_answer(route, execution, result.verdict)
+        if decision.gather is not None and self._delegations:
+            for part in execution.answers[:4]:
+                self._delegations.policy.record_size(decision, len(part.body))
         if result.verdict is Verdict.PARTIAL:
-            late_ms = self._clock.now_ms() - route.times.answer_ms
-            if late_ms < MAX_OWN_MS:
-                # Later answers have waited for the least share of shards.
-                self._state.margin.record(late_ms)
+            now_ms = self._clock.now_ms()
+            self._record_lateness(now_ms - route.times.answer_ms)
         self._log(route, execution, result, answer, version)
         return answer
 
+    def _record_lateness(self, late_ms):
+        # Later answers have waited for the least share of shards.
+        if late_ms < MAX_OWN_MS:
+            self._state.margin.record(late_ms)
+
     def _create_answer(self, route, execution, verdict):
         if verdict is None:
             return None
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -9,7 +9,10 @@
 
 from hawthornfold.callers.server import serve_application
 from hawthornfold.clock import create_system_clock
+from hawthornfold.delegation import Capacity
+from hawthornfold.delegation import create_delegation_policy
 from hawthornfold.directory import create_store_watcher
+from hawthornfold.gateway.delegations import Delegations
 from hawthornfold.gateway.fleet import COUNT_MS
 from hawthornfold.gateway.fleet import open_fleet
 from hawthornfold.gateway.handler import GatewayHandler
@@ -74,12 +77,16 @@
             self._state.handle_server_events,
             self._state.set_configuration,
         )
-        handler = GatewayHandler(
+        self._handler = GatewayHandler(
             self._state, names, self._watcher, self._clock, self._metrics
         )
         self._limits = IngressLimits(self._state)
         self._application = GatewayApplication(
-            handler, self._state, self._clock, self._metrics, self._limits
+            self._handler,
+            self._state,
+            self._clock,
+            self._metrics,
+            self._limits,
         )
 
     @property
@@ -126,6 +133,8 @@
             self._fleet = stack.enter_context(
                 open_fleet(settings, self._clock, self._metrics)
             )
+            self._delegations = self._create_delegations()
+            self._handler.set_delegations(self._delegations)
             loops = [
                 eventlet.spawn(self._run_always, loop)
                 for loop in (
@@ -133,6 +142,7 @@
                     self._watcher.run_expiry,
                     self._run_sweep,
                     self._run_count,
+                    self._run_room_queries,
                 )
             ]
             stack.callback(lambda: [loop.kill() for loop in loops])
@@ -191,13 +201,13 @@
         quiet_since_ms = self._clock.now_ms()
         while self._clock.now_ms() - started_ms < limit_ms:
             now_ms = self._clock.now_ms()
-            if self._application.in_progress:
+            if self._count_in_progress():
                 quiet_since_ms = now_ms
             elif now_ms - quiet_since_ms >= QUIET_MS:
                 break
             self._clock.sleep_ms(POLL_MS / 2.0)
         self._fleet.leave()
-        return self._application.in_progress
+        return self._count_in_progress()
 
     def _run_always(self, loop):
         """Run a loop; start it again when an internal error ends it."""
@@ -209,6 +219,33 @@
                 _LOG.exception('event=loop_failed loop={}', loop.__name__)
             self._clock.sleep_ms(RESTART_MS)
 
+    def _create_delegations(self):
+        settings = self._settings
+        policy = create_delegation_policy(
+            settings.node_name,
+            settings.data_centre,
+            Capacity(settings.link_mbps, settings.cores),
+        )
+        return Delegations(
+            policy,
+            self._fleet,
+            settings,
+            self._clock,
+            self._metrics,
+            self._handler.handle_delegated,
+        )
+
+    def _run_room_queries(self):
+        self._delegations.run_queries(self._list_decisions)
+
+    def _list_decisions(self):
+        configuration = self._state.configuration
+        rules = configuration.rules.rules if configuration else ()
+        return [rule.decision for rule in rules]
+
+    def _count_in_progress(self):
+        return self._application.in_progress + self._delegations.accepted
+
     def _run_count(self):
         while True:
             self._state.set_node_count(self._fleet.node_count())
--- a/hawthornfold/gateway/settings.py
+++ b/hawthornfold/gateway/settings.py
@@ -30,6 +30,10 @@
         The window in which both are counted.
     stop_grace_ms : float
         Time from the stop signal until the process is killed.
+    link_mbps : float
+        Speed of the VM's link, in megabits a second.
+    cores : float
+        Processor share of the VM, in cores.
     travel_ms : float
         How long a request and its answer travel, where the kernel does not
         tell the round-trip time.
@@ -47,6 +51,8 @@
     repeat_slack: float
     repeat_window_ms: float
     stop_grace_ms: float
+    link_mbps: float = 1_000.0
+    cores: float = 1.0
     travel_ms: float = 12.0
 
 
--- a/hawthornfold/platform/settings.py
+++ b/hawthornfold/platform/settings.py
@@ -25,6 +25,13 @@
     GraceS: float
 
 
+class _Limits(msgspec.Struct):
+    # The VM has CpuShare of a core that is CpuCores times as fast.
+    CpuShare: float = 1.0
+    CpuCores: float = 1.0
+    LinkMbps: float = 1_000.0
+
+
 class _Platform(msgspec.Struct):
     # The store's address.
     Address: str
@@ -37,6 +44,7 @@
     Bounds: _Bounds
     platform: _Platform
     SeedNodes: list[str] = []
+    Limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load_settings(path):
@@ -75,4 +83,6 @@
         repeat_slack=node.Bounds.BudgetSlack,
         repeat_window_ms=node.Bounds.BudgetWindowS * 1000.0,
         stop_grace_ms=node.Bounds.GraceS * 1000.0,
+        link_mbps=node.Limits.LinkMbps,
+        cores=node.Limits.CpuShare * node.Limits.CpuCores,
     )
