Read the store at a pace that the fleet's size allows; tell of new revisions

Waits and the collection of changes grow with the number of nodes, up to 12 s and 750 ms. A node that reads a newer revision tells two others; one whose wait has missed it gives the wait up, as its connection may be dead.

--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -1,6 +1,7 @@
 import types
 import unittest
 
+import eventlet
 import logbook
 import result
 
@@ -14,6 +15,8 @@
 from hawthornfold.directory import create_server_directory
 from hawthornfold.directory import create_store_watcher
 from hawthornfold.directory.directory import LAPSE_GRACE_MS
+from hawthornfold.directory.watcher import HINT_GRACE_MS
+from hawthornfold.directory.watcher import WAIT_MS
 from hawthornfold.metrics import create_metrics
 
 RECORD = ServerRecord('s1', 'portal', '127.0.0.1:80', 'dc-a', 2)
@@ -101,6 +104,64 @@
         self.assertEqual([e.kind for e in self.events], ['added'])
 
 
+class BlockedStore(PublishedStore):
+    """Gives one reply to each kind of read, then never answers a wait."""
+
+    def __init__(self, revision):
+        self.revision = revision
+        self.waits = []
+
+    def read_all(self):
+        return result.Ok(StoreChanges(self.revision))
+
+    def wait_for_changes(self, revision, wait_ms):
+        self.waits.append((revision, wait_ms))
+        eventlet.sleep(3_600)
+
+
+class HintTest(unittest.TestCase):
+    def start(self, count=1):
+        self.store = BlockedStore(10)
+        self.clock = create_manual_clock(1_000)
+        self.watcher = create_store_watcher(
+            self.store,
+            create_server_directory(),
+            self.clock,
+            create_metrics(),
+            list,
+            list,
+        )
+        self.watcher.set_node_count(count)
+        thread = eventlet.spawn(self.watcher.run)
+        self.addCleanup(thread.kill)
+        while not self.store.waits:
+            eventlet.sleep(0)
+
+    def test_wait_that_missed_a_revision_is_given_up(self):
+        # Guards against a watch whose connection died without a sign.
+        self.start()
+        self.clock.advance(HINT_GRACE_MS + 1)
+        self.watcher.hint(11)
+        for _ in range(5):
+            eventlet.sleep(0)
+        self.assertEqual([wait[0] for wait in self.store.waits], [10, 10])
+
+    def test_known_revisions_and_fresh_waits_are_left_alone(self):
+        # Guards against reads that are repeated for each change.
+        self.start()
+        self.watcher.hint(11)
+        self.clock.advance(HINT_GRACE_MS + 1)
+        self.watcher.hint(10)
+        for _ in range(5):
+            eventlet.sleep(0)
+        self.assertEqual(len(self.store.waits), 1)
+
+    def test_larger_fleets_wait_longer(self):
+        # Guards against reads that grow with the fleet.
+        self.start(count=20)
+        self.assertEqual(self.store.waits[0][1], 2 * WAIT_MS)
+
+
 class OutageTest(WatcherTestCase):
     def test_beliefs_outlive_an_outage(self):
         # Guards against records that lapsed while the store was away.
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -1,15 +1,24 @@
 """Keeps a directory and a configuration up to date from a store."""
 
+import eventlet
+import greenlet
 import logbook
 
 _LOG = logbook.Logger('directory')
 
 # A wait that outlasts an outage of the store may never end, and a change has
-# to be in force 4 s after the end of an outage.
+# to be in force 4 s after the end of an outage. In larger fleets some node
+# learns of a change in any case and tells others, which then read anew.
 WAIT_MS = 3_000.0
+MAX_WAIT_MS = 12_000.0
 # Changes come in groups, and each read is counted: after some have come, the
 # next are left to collect for this long.
 COLLECT_MS = 150.0
+MAX_COLLECT_MS = 750.0
+# Fleets up to this size read at the full pace.
+FULL_PACE_NODES = 10
+# A read that is under way may bring what another node tells of.
+HINT_GRACE_MS = 400.0
 # After a failure the store is asked for at this pace; each refused call
 # counts as one.
 RETRY_MS = 400.0
@@ -28,10 +37,19 @@
         Called with a list of `DirectoryEvent` after a change of servers.
     on_configuration : callable
         Called with each newer `RoutingConfiguration`.
+    on_revision : callable
+        Called with each newer revision of the store.
     """
 
     def __init__(
-        self, store, directory, clock, metrics, on_servers, on_configuration
+        self,
+        store,
+        directory,
+        clock,
+        metrics,
+        on_servers,
+        on_configuration,
+        on_revision,
     ):
         self._store = store
         self._directory = directory
@@ -39,10 +57,14 @@
         self._metrics = metrics
         self._on_servers = on_servers
         self._on_configuration = on_configuration
+        self._on_revision = on_revision
         self._revision = None
         self._version = -1
         self._is_reachable = None
         self._read_ms = None
+        self._pace = 1.0
+        self._reading = None
+        self._waiting_since_ms = None
 
     @property
     def is_loaded(self):
@@ -58,10 +80,36 @@
         """Return the time since the store last answered, or None."""
         return None if self._read_ms is None else now_ms - self._read_ms
 
+    def set_node_count(self, count):
+        """Read at the pace of a fleet of `count` nodes."""
+        self._pace = max(1.0, count / FULL_PACE_NODES)
+
+    def hint(self, revision):
+        """Take note that the store has reached `revision`.
+
+        A wait that has missed it is given up, since its connection may be
+        dead.
+        """
+        if self._revision is None or revision <= self._revision:
+            return
+        now_ms = self._clock.now_ms()
+        if (
+            self._waiting_since_ms is not None
+            and now_ms - self._waiting_since_ms > HINT_GRACE_MS
+        ):
+            self._metrics.count('store_waits_given_up')
+            self._reading.kill()
+
     def run(self):
         """Follow the store for ever; to be spawned as a green thread."""
         while True:
-            pause_ms = self.step()
+            self._reading = eventlet.spawn(self.step)
+            try:
+                pause_ms = self._reading.wait()
+            except greenlet.GreenletExit:
+                # `hint` has given up the wait.
+                self._waiting_since_ms = None
+                continue
             if pause_ms:
                 self._clock.sleep_ms(pause_ms)
 
@@ -81,7 +129,11 @@
         """
         if self._revision is None:
             return self._reload()
-        outcome = self._store.wait_for_changes(self._revision, WAIT_MS)
+        self._waiting_since_ms = self._clock.now_ms()
+        outcome = self._store.wait_for_changes(
+            self._revision, min(self._pace * WAIT_MS, MAX_WAIT_MS)
+        )
+        self._waiting_since_ms = None
         if outcome.is_err():
             return self._fail(outcome.err_value, RETRY_MS)
         changes = outcome.ok_value
@@ -89,7 +141,9 @@
         now_ms = self._clock.now_ms()
         events = self._directory.apply(changes.servers, now_ms)
         self._take_over(changes, events)
-        return COLLECT_MS if changes.servers else 0.0
+        if not changes.servers:
+            return 0.0
+        return min(self._pace * COLLECT_MS, MAX_COLLECT_MS)
 
     def _reload(self):
         outcome = self._store.read_all()
@@ -110,6 +164,8 @@
                 failure.key,
                 failure.detail,
             )
+        if self._revision is not None and changes.revision > self._revision:
+            self._on_revision(changes.revision)
         # A reply from a replica that lags must not take the watch back.
         self._revision = max(self._revision or 0, changes.revision)
         configuration = changes.configuration
@@ -168,9 +224,21 @@
 
 
 def create_store_watcher(
-    store, directory, clock, metrics, on_servers, on_configuration
+    store,
+    directory,
+    clock,
+    metrics,
+    on_servers,
+    on_configuration,
+    on_revision=lambda revision: None,
 ):
     """Create a watcher that has not read anything yet."""
     return StoreWatcher(
-        store, directory, clock, metrics, on_servers, on_configuration
+        store,
+        directory,
+        clock,
+        metrics,
+        on_servers,
+        on_configuration,
+        on_revision,
     )
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -23,6 +23,10 @@
 # A node that was lost may have spent its share of the repeated arrivals, and
 # one that is only cut off goes on spending it.
 LOST_NODE_MS = 60_000.0
+# Nodes that are told of a newer revision of the store. Every node that reads
+# it tells as many, so that one that has missed it hears of it with near
+# certainty.
+HINT_COUNT = 2
 # Shares are adapted at this pace.
 COUNT_MS = 1_000.0
 
@@ -36,6 +40,12 @@
     membership: MembershipSettings
 
 
+class StoreRevision(typing.NamedTuple):
+    """The revision of the published store that the sender has read."""
+
+    revision: int
+
+
 class NodeCounter:
     """How many nodes share the servers' limits.
 
@@ -98,6 +108,12 @@
         """Call ``handler(sender, body)`` for each message of a type."""
         self._links.register(body_type, handler)
 
+    def tell_some(self, body):
+        """Send a message to a few random nodes."""
+        others = self.others()
+        for member in random.sample(others, min(HINT_COUNT, len(others))):
+            self.send(member.name, member.address, body)
+
     def leave(self):
         """Tell the other nodes that this one stops."""
         self._membership.leave()
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -14,6 +14,7 @@
 from hawthornfold.directory import create_store_watcher
 from hawthornfold.gateway.delegations import Delegations
 from hawthornfold.gateway.fleet import COUNT_MS
+from hawthornfold.gateway.fleet import StoreRevision
 from hawthornfold.gateway.fleet import open_fleet
 from hawthornfold.gateway.handler import GatewayHandler
 from hawthornfold.gateway.ingress import GatewayApplication
@@ -76,6 +77,7 @@
             self._metrics,
             self._state.handle_server_events,
             self._state.set_configuration,
+            self._tell_revision,
         )
         self._handler = GatewayHandler(
             self._state, names, self._watcher, self._clock, self._metrics
@@ -133,6 +135,7 @@
             self._fleet = stack.enter_context(
                 open_fleet(settings, self._clock, self._metrics)
             )
+            self._fleet.register(StoreRevision, self._on_store_revision)
             self._delegations = self._create_delegations()
             self._handler.set_delegations(self._delegations)
             loops = [
@@ -219,6 +222,12 @@
                 _LOG.exception('event=loop_failed loop={}', loop.__name__)
             self._clock.sleep_ms(RESTART_MS)
 
+    def _tell_revision(self, revision):
+        self._fleet.tell_some(StoreRevision(revision))
+
+    def _on_store_revision(self, sender, told):
+        self._watcher.hint(told.revision)
+
     def _create_delegations(self):
         settings = self._settings
         policy = create_delegation_policy(
@@ -248,7 +257,9 @@
 
     def _run_count(self):
         while True:
-            self._state.set_node_count(self._fleet.node_count())
+            count = self._fleet.node_count()
+            self._state.set_node_count(count)
+            self._watcher.set_node_count(count)
             self._clock.sleep_ms(COUNT_MS)
 
     def _run_sweep(self):
