--- a/hawthornfold/audit/trail.py
+++ b/hawthornfold/audit/trail.py
@@ -25,7 +25,7 @@
         Wall-clock time, milliseconds since the Unix epoch.
     kind : str
         What changed: ``configuration``, ``membership``, ``drain``,
-        ``snapshot``, ``breaker`` or ``lifecycle``.
+        ``server``, ``snapshot``, ``breaker`` or ``lifecycle``.
     subject : str
         The key, member or server concerned.
     before, after : str
--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from hawthornfold.rules import RulesDocument
 from hawthornfold.rules import RuleSet
 
 
@@ -69,12 +70,15 @@
         By name.
     limits : CallerLimits
         Limits for callers.
+    document : RulesDocument
+        The rules as written, for operators.
     """
 
     version: int
     rules: RuleSet
     services: dict[str, ServiceRecord]
     limits: CallerLimits
+    document: RulesDocument
 
 
 class ServerChange(typing.NamedTuple):
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -182,16 +182,6 @@
             return
         for event in events:
             self._metrics.count('server_changes', kind=event.kind)
-            _LOG.notice(
-                'event=server_{} server={} service={} address={} '
-                'revision={} born_ms={}',
-                event.kind,
-                event.record.server_id,
-                event.record.service,
-                event.record.address,
-                self._revision,
-                event.record.born_ms,
-            )
         self._on_servers(events)
 
     def _succeed(self):
--- /dev/null
+++ b/hawthornfold/gateway/answers.py
@@ -0,0 +1,106 @@
+"""The answers of gateway nodes: merged, passed on, or of their own."""
+
+import http
+import typing
+
+from hawthornfold.codes import ResultCode
+from hawthornfold.gateway.exchange import strip_connection_headers
+from hawthornfold.gathering import Verdict
+from hawthornfold.gathering import merge_records
+
+# When callers may come back after a refusal, in milliseconds: a node without
+# configuration needs a read of the store, a service without a server the
+# time in which a server restarts or a probe succeeds.
+RETRY_AFTER_MS = {
+    ResultCode.NOT_READY: 500.0,
+    ResultCode.BELIEFS_STALE: 1_000.0,
+    ResultCode.BACKEND_UNREACHABLE: 300.0,
+    ResultCode.DEADLINE_EXCEEDED: 300.0,
+}
+# Statuses that promise that a request has not run.
+_PROMISES = frozenset((408, 421, 429, 503))
+# The answer gets a length of its own.
+_DROPPED = frozenset(('content-length',))
+
+
+class GatewayAnswer(typing.NamedTuple):
+    """The answer to a caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def status_line(self):
+        """Status and reason, as WSGI wants them."""
+        try:
+            reason = http.HTTPStatus(self.status).phrase
+        except ValueError:
+            reason = 'Unknown'
+        return f'{self.status} {reason}'
+
+
+def create_answer(decision, execution, verdict, names):
+    """Return the `GatewayAnswer` of a request that has ended, or None.
+
+    Parameters
+    ----------
+    decision : Decision
+        The rule of the request.
+    execution : Execution
+        Its answers and failures.
+    verdict : Verdict or None
+        How it ended; None when the caller has left.
+    names : HeaderNames
+        The deployment's header names.
+    """
+    if verdict is None:
+        return None
+    if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
+        if decision.gather is None:
+            return _pass_on(execution.answers[0])
+        return _merge(decision, execution, names)
+    failure = execution.failure
+    if verdict is Verdict.PASSED_FAILURE and failure.status not in _PROMISES:
+        return _pass_on(failure)
+    if verdict is Verdict.NOT_RUN:
+        return create_refusal(
+            ResultCode.BACKEND_UNREACHABLE, 503, 'no server can run it'
+        )
+    if verdict is Verdict.TIMED_OUT:
+        return create_refusal(
+            ResultCode.DEADLINE_EXCEEDED, 504, 'no answer in time'
+        )
+    return create_refusal(
+        ResultCode.BACKEND_CONNECTION_LOST, 502, 'it may have run'
+    )
+
+
+def _merge(decision, execution, names):
+    answers = execution.answers
+    headers = (
+        (names.part_seals, ', '.join(a.seal for a in answers)),
+        (names.missing_parts, str(execution.missing)),
+        ('Content-Type', 'application/octet-stream'),
+    )
+    body = merge_records((a.body for a in answers), decision.gather.limit)
+    return GatewayAnswer(200, headers, body)
+
+
+def _pass_on(response):
+    headers = tuple(
+        (name, value)
+        for name, value in strip_connection_headers(response.headers)
+        if name.lower() not in _DROPPED
+    )
+    return GatewayAnswer(response.status, headers, response.body)
+
+
+def create_refusal(code, status, detail):
+    """Return an answer of the node's own; 503 says when to come back."""
+    headers = [('Content-Type', 'text/plain')]
+    retry_after_ms = RETRY_AFTER_MS.get(code)
+    if status == 503 and retry_after_ms is not None:
+        headers.append(('Retry-After', f'{retry_after_ms / 1000.0:.2f}'))
+    body = f'{int(code)} {code.name}: {detail}\n'.encode()
+    return GatewayAnswer(status, tuple(headers), body)
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -6,7 +6,6 @@
 
 import eventlet
 
-from hawthornfold.audit import create_audit_trail
 from hawthornfold.gateway.settings import split_address
 from hawthornfold.membership import KnownVM
 from hawthornfold.membership.actions import Options
@@ -120,13 +119,15 @@
 
 
 @contextlib.contextmanager
-def open_fleet(settings, clock, metrics):
+def open_fleet(settings, clock, metrics, audit):
     """Join the other nodes while the context is active.
 
     Parameters
     ----------
     settings : GatewaySettings
         Names the node's peer address and the seeds.
+    audit : AuditTrail
+        Records changes of members.
 
     Yields
     ------
@@ -152,9 +153,7 @@
         # No list of VMs is published, so that any node may join.
         options = Options(is_open=True)
         state = MembershipState(own, options, random.Random(), clock.now_ms())
-        membership = MembershipService(
-            state, clock, links, create_audit_trail(clock), metrics
-        )
+        membership = MembershipService(state, clock, links, audit, metrics)
         membership.set_known_vms(_list_seeds(settings))
         loop = eventlet.spawn(membership.run)
         try:
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -1,6 +1,5 @@
 """Handles one request: rule, execution, answer."""
 
-import http
 import typing
 
 import logbook
@@ -11,15 +10,17 @@
 from hawthornfold.delegation import Delegated
 from hawthornfold.delegation.policy import HOP_MS
 from hawthornfold.delegation.policy import estimate_answer_ms
+from hawthornfold.gateway.answers import RETRY_AFTER_MS
+from hawthornfold.gateway.answers import GatewayAnswer
+from hawthornfold.gateway.answers import create_answer
+from hawthornfold.gateway.answers import create_refusal
 from hawthornfold.gateway.delegations import CALLER_LEFT
 from hawthornfold.gateway.delegations import name_reply
 from hawthornfold.gateway.exchange import create_outgoing
-from hawthornfold.gateway.exchange import strip_connection_headers
 from hawthornfold.gateway.relay import Relay
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import Verdict
 from hawthornfold.gathering import create_execution
-from hawthornfold.gathering import merge_records
 from hawthornfold.gathering.margin import MAX_OWN_MS
 from hawthornfold.rules import RequestFacts
 
@@ -30,19 +31,6 @@
 # A configuration older than this may lack a route that was just added, so
 # the node does not say that there is no such path.
 STALE_MS = 5_000.0
-# When callers may come back after a refusal, in milliseconds: a node without
-# configuration needs a read of the store, a service without a server the
-# time in which a server restarts or a probe succeeds.
-_RETRY_AFTER_MS = {
-    ResultCode.NOT_READY: 500.0,
-    ResultCode.BELIEFS_STALE: 1_000.0,
-    ResultCode.BACKEND_UNREACHABLE: 300.0,
-    ResultCode.DEADLINE_EXCEEDED: 300.0,
-}
-# Statuses that promise that a request has not run.
-_PROMISES = frozenset((408, 421, 429, 503))
-# The answer gets a length of its own.
-_DROPPED = frozenset(('content-length',))
 
 
 class IncomingRequest(typing.NamedTuple):
@@ -77,23 +65,6 @@
     objective_left_ms: float | None = None
 
 
-class GatewayAnswer(typing.NamedTuple):
-    """The answer to a caller."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-    @property
-    def status_line(self):
-        """Status and reason, as WSGI wants them."""
-        try:
-            reason = http.HTTPStatus(self.status).phrase
-        except ValueError:
-            reason = 'Unknown'
-        return f'{self.status} {reason}'
-
-
 class _Route(typing.NamedTuple):
     """What is known of a request before it is sent."""
 
@@ -307,7 +278,9 @@
         )
         with watch_caller(relay.notify_caller_left):
             result = relay.run(route.times.deadline_ms)
-        answer = self._create_answer(route, execution, result.verdict)
+        answer = create_answer(
+            decision, execution, result.verdict, self._names
+        )
         if decision.gather is not None and self._delegations:
             for part in execution.answers[:4]:
                 self._delegations.policy.record_size(decision, len(part.body))
@@ -322,40 +295,6 @@
         if late_ms < MAX_OWN_MS:
             self._state.margin.record(late_ms)
 
-    def _create_answer(self, route, execution, verdict):
-        if verdict is None:
-            return None
-        if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
-            if route.decision.gather is None:
-                return _pass_on(execution.answers[0])
-            return self._merge(route.decision, execution)
-        failure = execution.failure
-        if verdict is Verdict.PASSED_FAILURE and (
-            failure.status not in _PROMISES
-        ):
-            return _pass_on(failure)
-        if verdict is Verdict.NOT_RUN:
-            return _create_refusal(
-                ResultCode.BACKEND_UNREACHABLE, 503, 'no server can run it'
-            )
-        if verdict is Verdict.TIMED_OUT:
-            return _create_refusal(
-                ResultCode.DEADLINE_EXCEEDED, 504, 'no answer in time'
-            )
-        return _create_refusal(
-            ResultCode.BACKEND_CONNECTION_LOST, 502, 'it may have run'
-        )
-
-    def _merge(self, decision, execution):
-        answers = execution.answers
-        headers = [
-            (self._names.part_seals, ', '.join(a.seal for a in answers)),
-            (self._names.missing_parts, str(execution.missing)),
-            ('Content-Type', 'application/octet-stream'),
-        ]
-        body = merge_records((a.body for a in answers), decision.gather.limit)
-        return GatewayAnswer(200, tuple(headers), body)
-
     def _refuse_unmatched(self, request_id, configuration):
         age_ms = self._watcher.age_ms(self._clock.now_ms())
         if age_ms is None or age_ms > STALE_MS:
@@ -372,7 +311,7 @@
     def _refuse(self, request_id, code, detail, status=None):
         """Refuse a request of which nothing was sent."""
         if status is None:
-            status = 503 if code in _RETRY_AFTER_MS else 400
+            status = 503 if code in RETRY_AFTER_MS else 400
         self._metrics.count('requests', outcome='refused', code=str(int(code)))
         _LOG.info(
             'event=request_refused request={} code={} status={} detail="{}"',
@@ -381,7 +320,7 @@
             status,
             detail,
         )
-        return _create_refusal(code, status, detail)
+        return create_refusal(code, status, detail)
 
     def _log(self, route, execution, result, answer, version):
         now_ms = self._clock.now_ms()
@@ -417,21 +356,3 @@
             self._watcher.age_ms(now_ms) or -1.0,
             ' '.join(result.faults),
         )
-
-
-def _pass_on(response):
-    headers = tuple(
-        (name, value)
-        for name, value in strip_connection_headers(response.headers)
-        if name.lower() not in _DROPPED
-    )
-    return GatewayAnswer(response.status, headers, response.body)
-
-
-def _create_refusal(code, status, detail):
-    headers = [('Content-Type', 'text/plain')]
-    retry_after_ms = _RETRY_AFTER_MS.get(code)
-    if status == 503 and retry_after_ms is not None:
-        headers.append(('Retry-After', f'{retry_after_ms / 1000.0:.2f}'))
-    body = f'{int(code)} {code.name}: {detail}\n'.encode()
-    return GatewayAnswer(status, tuple(headers), body)
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -26,6 +26,7 @@
 from hawthornfold.gateway.state import GatewayState
 from hawthornfold.logs import setup_logs
 from hawthornfold.metrics import create_metrics
+from hawthornfold.rules import describe_rules
 
 _LOG = logbook.Logger('gateway')
 
@@ -121,6 +122,17 @@
             'requests_in_progress': self._application.in_progress,
         }
 
+    def describe_rules(self):
+        """Return the rules in force, as a document for ``check``."""
+        configuration = self._state.configuration
+        if configuration is None:
+            return {'rules': [], 'default': None}
+        return describe_rules(configuration.document)
+
+    def describe_changes(self):
+        """Return the audit trail, oldest change first."""
+        return [entry._asdict() for entry in self._state.audit.entries()]
+
     @contextlib.contextmanager
     def open(self):
         """Serve while the context is active.
@@ -133,7 +145,9 @@
         settings = self._settings
         with contextlib.ExitStack() as stack:
             self._fleet = stack.enter_context(
-                open_fleet(settings, self._clock, self._metrics)
+                open_fleet(
+                    settings, self._clock, self._metrics, self._state.audit
+                )
             )
             self._fleet.register(StoreRevision, self._on_store_revision)
             self._delegations = self._create_delegations()
@@ -150,8 +164,13 @@
             ]
             stack.callback(lambda: [loop.kill() for loop in loops])
             stack.callback(self._state.links.close)
+            pages = {
+                '/status': self.describe,
+                '/rules': self.describe_rules,
+                '/audit': self.describe_changes,
+            }
             ready = ReadyApplication(
-                self._ready_path, self.is_ready, self.describe, self._metrics
+                self._ready_path, self.is_ready, pages, self._metrics
             )
             addresses = [split_address(settings.ready_address)]
             if settings.metrics_port:
--- a/hawthornfold/gateway/readiness.py
+++ b/hawthornfold/gateway/readiness.py
@@ -17,7 +17,7 @@
 
 
 class ReadyApplication:
-    """Answers ``/api/ready``, ``/metrics`` and ``/status``.
+    """Answers the balancer and operators.
 
     Parameters
     ----------
@@ -25,14 +25,14 @@
         Path of the readiness check.
     is_ready : callable
         Returns whether callers should be sent here.
-    describe : callable
-        Returns the status as a dictionary.
+    pages : dict of str to callable
+        By path, what returns the built-in values of a page.
     """
 
-    def __init__(self, ready_path, is_ready, describe, metrics):
+    def __init__(self, ready_path, is_ready, pages, metrics):
         self._ready_path = ready_path
         self._is_ready = is_ready
-        self._describe = describe
+        self._pages = pages
         self._metrics = metrics
 
     @contextlib.contextmanager
@@ -54,9 +54,9 @@
         elif path == '/metrics':
             body, headers = self._metrics.render([])
             status, kind = '200 OK', headers.get('Content-Type', 'text/plain')
-        elif path == '/status':
+        elif path in self._pages:
             status, kind = '200 OK', 'application/json'
-            body = msgspec.json.encode(self._describe())
+            body = msgspec.json.encode(self._pages[path]())
         headers = [('Content-Type', kind), ('Content-Length', str(len(body)))]
         start_response(status, headers)
         return [body]
--- /dev/null
+++ b/hawthornfold/gateway/responses.py
@@ -0,0 +1,126 @@
+"""Reads one response of a server, by httptools."""
+
+import httptools
+
+# Larger responses are refused, as the node's memory is small.
+MAX_RESPONSE_BYTES = 16 << 20
+
+
+class ResponseReader:
+    """Collects one response from the bytes of a connection.
+
+    Parameters
+    ----------
+    method : str
+        Of the request; a response to HEAD has no body.
+    """
+
+    def __init__(self, method):
+        self._has_no_body = method == 'HEAD'
+        self._parser = httptools.HttpResponseParser(self)
+        self._begin()
+
+    def _begin(self):
+        self.headers = []
+        self._fields = {}
+        self._chunks = []
+        self._size = 0
+        self._has_head = False
+        self._is_complete = False
+        self._has_extra = False
+        self._keeps_open = False
+
+    @property
+    def is_complete(self):
+        """Whether the whole response was read."""
+        return self._is_complete
+
+    @property
+    def has_extra(self):
+        """Whether bytes came after the response; they belong to none."""
+        return self._has_extra
+
+    @property
+    def status(self):
+        """The HTTP status."""
+        return self._parser.get_status_code()
+
+    @property
+    def body(self):
+        """The body."""
+        return b''.join(self._chunks)
+
+    @property
+    def keeps_open(self):
+        """Whether the server keeps the connection open."""
+        return self._keeps_open
+
+    def get(self, name):
+        """Return a header by its lowercase name, or ''."""
+        return self._fields.get(name, '')
+
+    def feed(self, data):
+        """Read bytes.
+
+        Raises
+        ------
+        ValueError
+            If they are not a response, or the body is too large.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self._is_complete:
+                raise ValueError(f'{type(error).__name__}: {error}')
+            self._has_extra = True
+        if self._size > MAX_RESPONSE_BYTES:
+            raise ValueError('the response is too large')
+
+    def feed_end(self):
+        """Take note of the end of the connection.
+
+        A response without a length ends with it; any other is incomplete.
+        """
+        is_framed = (
+            'content-length' in self._fields
+            or 'transfer-encoding' in self._fields
+        )
+        if self._has_head and not is_framed:
+            self._is_complete = True
+
+    # Called by httptools.
+
+    def on_message_begin(self):
+        """Start a response, or note that another one follows."""
+        if self._is_complete:
+            self._has_extra = True
+        else:
+            self._begin()
+
+    def on_header(self, name, value):
+        """Take a header."""
+        if not self._is_complete:
+            name, value = name.decode('latin-1'), value.decode('latin-1')
+            self.headers.append((name, value))
+            lowercase = name.lower()
+            if lowercase in self._fields:
+                value = f'{self._fields[lowercase]}, {value}'
+            self._fields[lowercase] = value
+
+    def on_headers_complete(self):
+        """Note the end of the head."""
+        self._has_head = True
+        if self._has_no_body and self.status >= 200:
+            self._is_complete = True
+
+    def on_body(self, data):
+        """Take a part of the body."""
+        if not self._is_complete:
+            self._chunks.append(data)
+            self._size += len(data)
+
+    def on_message_complete(self):
+        """Note the end of a response; interim ones do not count."""
+        if self.status >= 200 and not self._is_complete:
+            self._is_complete = True
+            self._keeps_open = self._parser.should_keep_alive()
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -2,6 +2,7 @@
 
 import logbook
 
+from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
 from hawthornfold.gateway.links import ServerLinks
 from hawthornfold.gateway.links import share_connections
@@ -41,6 +42,7 @@
         self._windows = {}
         self._started_ms = clock.now_ms()
         self._is_stopping = False
+        self.audit = create_audit_trail(clock)
         self.directory = create_server_directory()
         self.latency_book = create_latency_book()
         self.links = ServerLinks(names, clock, metrics, self._record_connect)
@@ -100,17 +102,21 @@
         )
         self._apply_shares()
         self._metrics.count('configurations_applied')
-        _LOG.notice(
-            'event=configuration_applied before={} after={} rules={}',
+        self.audit.record(
+            'configuration',
+            'version',
             None if before is None else before.version,
             configuration.version,
-            len(configuration.rules.rules),
+            f'{len(configuration.rules.rules)} rules published',
         )
 
     def handle_server_events(self, events):
         """Act on a list of `DirectoryEvent`."""
         for event in events:
             server_id = event.record.server_id
+            self.audit.record(
+                'server', server_id, '', event.kind, event.record.service
+            )
             if event.kind in ('restarted', 'moved'):
                 # The process behind the id is another one.
                 self.links.drop(server_id)
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -184,6 +184,7 @@
             limits.HeaderTimeoutMs,
             limits.IdleTimeoutMs,
         ),
+        rules,
     )
 
 
@@ -205,7 +206,7 @@
         When(path=route.Prefix + '*', headers={'host': route.Host.lower()}),
         Then(
             urgency=urgency,
-            deadline_ms=route.TimeoutMs,
+            deadline_ms=round(route.TimeoutMs),
             idempotent=is_idempotent,
             # Rounded up; the slack covers the error of a binary fraction.
             coverage_percent=math.ceil(100.0 * route.MinSuccessShare - 1e-6),
--- a/hawthornfold/platform/tests/test_node.py
+++ b/hawthornfold/platform/tests/test_node.py
@@ -1,5 +1,6 @@
 """A gateway node as a process, between stand-ins of platform and servers."""
 
+import json
 import signal
 import socket
 import threading
@@ -8,6 +9,8 @@
 
 from hawthornfold.gateway.tests import support as servers
 from hawthornfold.platform.tests import support
+from hawthornfold.rules import RequestFacts
+from hawthornfold.rules import compile_rules
 
 
 def create_route(name, prefix, **fields):
@@ -197,6 +200,25 @@
         self.assertIn('version=1', lines[0])
 
 
+class OperatorsTest(NodeTestCase):
+    def test_rules_in_force_are_an_ordinary_document(self):
+        # Guards against routes that operators cannot check or explain.
+        node = self.start_all()
+        document = node.ask('/rules', port='ready').data
+        rule_set = compile_rules(document).ok()
+        self.assertEqual(
+            [rule.name for rule in rule_set.rules], ['search', 'fetch', 'pay']
+        )
+        facts = RequestFacts('', '', '', 'GET', '/s/2f', {'host': 'a.example'})
+        self.assertEqual(rule_set.match(facts).gather.shards, ('x', 'y'))
+
+    def test_audit_trail_names_changes(self):
+        node = self.start_all()
+        changes = json.loads(node.ask('/audit', port='ready').data)
+        kinds = {change['kind'] for change in changes}
+        self.assertEqual(kinds, {'configuration', 'server'})
+
+
 class FaultTest(NodeTestCase):
     def hold(self, connection, request, number):
         """Keep a request until the connection closes."""
@@ -308,13 +330,13 @@
         first = self.servers['z']
         second = self.add_server('i-z2', 'z')
         self.register(first, 'i-z', 'z', State='draining', Seq=2)
-        node.wait_until(lambda: 'server_draining' in node.read_log())
+        node.wait_until(lambda: 'after=draining' in node.read_log())
         for number in range(5):
             node.query('/f/', f'r{number}')
         self.assertEqual(len(first.requests), 0)
         self.assertEqual(len(second.requests), 5)
         self.store.delete('servers/i-z2')
-        node.wait_until(lambda: 'server_removed' in node.read_log())
+        node.wait_until(lambda: 'after=removed' in node.read_log())
         time.sleep(1.1)
         self.assertEqual(node.query('/f/', 'r9').status, 503)
 
--- a/hawthornfold/rules/__init__.py
+++ b/hawthornfold/rules/__init__.py
@@ -2,6 +2,7 @@
 
 from hawthornfold.rules.compiling import compile_rules
 from hawthornfold.rules.compiling import create_rules
+from hawthornfold.rules.compiling import describe_rules
 from hawthornfold.rules.decisions import URGENCIES
 from hawthornfold.rules.decisions import Decision
 from hawthornfold.rules.decisions import RequestFacts
@@ -30,4 +31,5 @@
     'When',
     'compile_rules',
     'create_rules',
+    'describe_rules',
 ]
--- a/hawthornfold/rules/compiling.py
+++ b/hawthornfold/rules/compiling.py
@@ -226,3 +226,48 @@
     if document.default is not None:
         default = _create_decision(DEFAULT_NAME, document.default)
     return create_rule_set(rules, default, revision)
+
+
+def describe_rules(document):
+    """Return a `RulesDocument` as built-in values, for JSON.
+
+    ``hawthornfold check`` accepts the result, and `compile_rules` gives the
+    same rules.
+
+    Examples
+    --------
+    >>> from hawthornfold.rules.schema import Rule, Then, When
+    >>> rule = Rule('r', When(path='/a/*'), Then(objective_ms=80.0))
+    >>> described = describe_rules(schema.RulesDocument((rule,)))
+    >>> described['rules'][0]['when']
+    {'path': '/a/*'}
+    """
+    return {
+        'rules': [
+            {
+                'name': rule.name,
+                'when': _describe_fields(rule.when),
+                'then': _describe_fields(rule.then),
+            }
+            for rule in document.rules
+        ],
+        'default': document.default and _describe_fields(document.default),
+    }
+
+
+def _describe_fields(part):
+    """Return the fields of a NamedTuple that differ from their defaults."""
+    defaults = part._field_defaults
+    return {
+        name: _describe_value(value)
+        for name, value in part._asdict().items()
+        if name not in defaults or value != defaults[name]
+    }
+
+
+def _describe_value(value):
+    if hasattr(value, '_asdict'):
+        return {k: _describe_value(v) for k, v in value._asdict().items()}
+    if isinstance(value, tuple):
+        return [_describe_value(item) for item in value]
+    return value
