--- a/hawthornfold/commands/explaining.py
+++ b/hawthornfold/commands/explaining.py
@@ -4,6 +4,7 @@
 
 from hawthornfold.codes import Failure
 from hawthornfold.codes import ResultCode
+from hawthornfold.commands import log_story
 from hawthornfold.commands import output
 from hawthornfold.documents import read_file
 from hawthornfold.rules import URGENCIES
@@ -91,3 +92,37 @@
         output.print_error(output.format_failure(failure))
         return output.EXIT_FAILED
     return output.EXIT_DONE
+
+
+def explain_logs(paths, request_id):
+    """Print what log files say of a request; return the exit status.
+
+    Parameters
+    ----------
+    paths : list of str
+        Log files of any nodes.
+    request_id : str
+        The request.
+    """
+    try:
+        story = log_story.find_story(_read_lines(paths), request_id)
+    except OSError as error:
+        detail = f'{error.filename}: {error.strerror}'
+        failure = Failure(ResultCode.FILE_UNREADABLE, detail)
+        output.print_error(output.format_failure(failure))
+        return output.EXIT_INVALID
+    if not story:
+        failure = Failure(
+            ResultCode.REQUEST_ID_UNKNOWN, f'no line names {request_id}'
+        )
+        output.print_error(output.format_failure(failure))
+        return output.EXIT_FAILED
+    print(log_story.format_story(story))
+    return output.EXIT_DONE
+
+
+def _read_lines(paths):
+    """Yield the lines of log files, which may be larger than memory."""
+    for path in paths:
+        with open(path, errors='replace') as file:
+            yield from file
--- a/hawthornfold/commands/line.py
+++ b/hawthornfold/commands/line.py
@@ -139,6 +139,11 @@
     of the answer.
 
     Example: hawthornfold explain --node 10.0.0.5:8081 REQUEST_ID
+
+    From log files of any nodes: prints what they say of a request, and the
+    changes of belief just before it.
+
+    Example: hawthornfold explain --log node-1.log --log node-2.log REQUEST_ID
     """
 
     request_id: typing.Annotated[
@@ -146,7 +151,7 @@
         cappa.Arg(
             value_name='REQUEST_ID',
             required=False,
-            help='A request the node has handled; with --node.',
+            help='A request the node has handled; with --node or --log.',
         ),
     ] = None
     node: typing.Annotated[
@@ -158,6 +163,12 @@
             help="The node's operators' port.",
         ),
     ] = None
+    log: typing.Annotated[
+        list[str],
+        cappa.Arg(
+            long=True, value_name='FILE', help='Log file; may be repeated.'
+        ),
+    ] = dataclasses.field(default_factory=list)
     rules: typing.Annotated[
         str | None,
         cappa.Arg(long=True, value_name='FILE', help='Rules file.'),
@@ -195,6 +206,8 @@
 
     def __call__(self):
         """Run the command; return the exit status."""
+        if self.log and self.request_id and not (self.node or self.rules):
+            return explaining.explain_logs(self.log, self.request_id)
         if self.node and self.request_id and not self.rules:
             return operators.print_request(
                 self.node, self.request_id, self.json
--- /dev/null
+++ b/hawthornfold/commands/log_story.py
@@ -0,0 +1,110 @@
+"""Tells what the logs of nodes say of one request."""
+
+import re
+import shlex
+import typing
+
+# Attributes that name a request; a line of a server's or store's change has
+# none and is told when it lies within the request.
+_REQUEST = re.compile(r'\brequest=(\S+)')
+_TIME = re.compile(r'\btime=(\S+)')
+# Changes of belief this long before a request may have decided it.
+CONTEXT_LINES = 5
+
+
+class LogLine(typing.NamedTuple):
+    """One line of a node's log.
+
+    Parameters
+    ----------
+    time : str
+        As written, in UTC.
+    fields : dict of str to str
+        All fields of the line.
+    """
+
+    time: str
+    fields: dict[str, str]
+
+
+def parse_line(text):
+    """Return a `LogLine`, or None when the text is no log line.
+
+    Examples
+    --------
+    >>> parse_line('time=12:00 node=a event=stopped detail="a b"').fields
+    {'time': '12:00', 'node': 'a', 'event': 'stopped', 'detail': 'a b'}
+    """
+    time = _TIME.search(text)
+    if time is None:
+        return None
+    try:
+        words = shlex.split(text[time.start() :])
+    except ValueError:
+        # A quote in a detail; the plain words still tell the fields.
+        words = text[time.start() :].split()
+    pairs = [word.partition('=') for word in words if '=' in word]
+    return LogLine(time.group(1), {name: value for name, _, value in pairs})
+
+
+def find_story(lines, request_id):
+    """Return the lines of a request and the changes just before them.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Lines of the logs of any nodes, in any order.
+    request_id : str
+        The request.
+
+    Returns
+    -------
+    list of LogLine
+        In order of time.
+
+    Examples
+    --------
+    >>> found = find_story(
+    ...     [
+    ...         'time=2 node=a event=request_ended request=r1 status=200',
+    ...         'time=1 node=a kind=server subject=s1 after=removed',
+    ...         'time=1 node=b kind=server subject=s1 after=removed',
+    ...     ],
+    ...     'r1',
+    ... )
+    >>> [line.fields.get('event') for line in found]
+    [None, 'request_ended']
+    """
+    own, changes = [], []
+    for text in lines:
+        named = _REQUEST.search(text)
+        if named is not None and named.group(1) != request_id:
+            continue
+        line = parse_line(text)
+        if line is not None:
+            (changes if named is None else own).append(line)
+    if not own:
+        return []
+    nodes = {line.fields.get('node') for line in own}
+    last = max(line.time for line in own)
+    before = [
+        line
+        for line in changes
+        if line.time <= last and line.fields.get('node') in nodes
+    ]
+    before.sort(key=lambda line: line.time)
+    return sorted(own + before[-CONTEXT_LINES:], key=lambda line: line.time)
+
+
+def format_story(story):
+    """Return the lines of a story as text, one line each."""
+    hidden = ('time', 'level', 'logger', 'node')
+    rows = []
+    for line in story:
+        fields = ' '.join(
+            f'{name}={value}'
+            for name, value in line.fields.items()
+            if name not in hidden
+        )
+        rows.append(f'{line.time} {line.fields.get("node", "-")} {fields}')
+    return '\n'.join(rows)
--- a/hawthornfold/commands/tests/test_commands.py
+++ b/hawthornfold/commands/tests/test_commands.py
@@ -307,3 +307,39 @@
         self.assertEqual(
             zmq.curve_public(pair['secret'].encode()).decode(), pair['public']
         )
+
+
+class LogStoryTest(unittest.TestCase):
+    LINES = (
+        'time=2026-12-03T10:00:01 level=NOTICE node=n1 logger=audit '
+        'kind=server subject=s1 before= after=removed cause="portal"\n'
+        'time=2026-12-03T10:00:02 level=INFO node=n1 logger=request '
+        'event=request_ended request=r1 verdict=not-run status=503\n'
+        'time=2026-12-03T10:00:02 level=INFO node=n1 logger=request '
+        'event=request_ended request=r2 verdict=complete status=200\n'
+    )
+
+    def write(self, data):
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(directory, 'log')
+        path.write_bytes(data)
+        return path
+
+    def test_story_has_the_request_and_the_change_before_it(self):
+        # Guards against a cause that only the change of a server shows.
+        path = self.write(self.LINES.encode())
+        status, out, _ = run('explain', '--log', path, 'r1')
+        self.assertEqual(status, 0)
+        lines = out.splitlines()
+        self.assertEqual(len(lines), 2)
+        self.assertIn('after=removed', lines[0])
+        self.assertIn('verdict=not-run', lines[1])
+
+    def test_unknown_request_and_any_bytes(self):
+        path = self.write(b'\xff\x00 time=" request=r1\n' * 3)
+        status, _, error = run('explain', '--log', path, 'r9')
+        self.assertEqual(status, 1)
+        self.assertIn('312', error)
+        status, _, error = run('explain', '--log', path.parent / 'no', 'r9')
+        self.assertEqual(status, 2)
+        self.assertIn('208', error)
