Decline delegated queries of a newer configuration

Cause: found by reading. A node that hands a query to one whose configuration is older lets its caller see the configuration go back, which the platform's rules forbid within one process. The delegation carries the sender's version; a node with an older one declines, and the sender runs the query itself.

Tests: delegations over a network in memory, versions, cancelled callers, full and silent nodes.

--- a/hawthornfold/delegation/messages.py
+++ b/hawthornfold/delegation/messages.py
@@ -46,6 +46,9 @@
     ----------
     call : int
         Identifies the delegation at its sender.
+    version : int
+        The sender's configuration. A node with an older one declines, or a
+        caller would see the configuration go back.
     objective_left_ms : float
         Time within which the answer is of full use to the sender.
     deadline_left_ms : float
@@ -53,6 +56,7 @@
     """
 
     call: int
+    version: int
     method: str
     target: str
     host: str
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -126,7 +126,9 @@
             self._time(decision, headers, incoming),
         )
         if incoming.objective_left_ms is None and self._delegations:
-            answer, is_settled = self._delegate(route, incoming, watch_caller)
+            answer, is_settled = self._delegate(
+                route, incoming, watch_caller, configuration.version
+            )
             if is_settled:
                 return answer
         return self._run(route, incoming, watch_caller, configuration.version)
@@ -137,7 +139,12 @@
 
     def handle_delegated(self, delegate, watch_caller):
         """Answer a `Delegate` of another node, or return None to decline."""
-        if self._state.is_stopping:
+        configuration = self._state.configuration
+        if (
+            self._state.is_stopping
+            or configuration is None
+            or configuration.version < delegate.version
+        ):
             return None
         incoming = IncomingRequest(
             delegate.method,
@@ -156,7 +163,7 @@
             return None
         return answer
 
-    def _delegate(self, route, incoming, watch_caller):
+    def _delegate(self, route, incoming, watch_caller, version):
         """Hand a query to a node with more room.
 
         Returns
@@ -174,6 +181,7 @@
         objective_left_ms -= estimate_answer_ms(self._capacity, route.decision)
         delegate = Delegate(
             0,
+            version,
             incoming.method,
             incoming.target,
             incoming.host,
--- /dev/null
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -0,0 +1,158 @@
+import contextlib
+import types
+import unittest
+
+import eventlet
+import logbook
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.delegation import Capacity
+from hawthornfold.delegation import Delegate
+from hawthornfold.delegation import Room
+from hawthornfold.delegation import RoomQuery
+from hawthornfold.delegation import create_delegation_policy
+from hawthornfold.gateway.answers import GatewayAnswer
+from hawthornfold.gateway.delegations import CALLER_LEFT
+from hawthornfold.gateway.delegations import MAX_ACCEPTED
+from hawthornfold.gateway.delegations import Delegations
+from hawthornfold.gateway.handler import GatewayHandler
+from hawthornfold.metrics import create_metrics
+
+SMALL = Capacity(7.0, 0.5)
+LARGE = Capacity(70.0, 2.0)
+REQUEST = Delegate(
+    0, 5, 'GET', '/a/', 'a.example', (('X-Id', '1'),), b'', 80.0, 500.0
+)
+
+
+class Network:
+    """Carries messages between fleets in memory; nodes may be cut off."""
+
+    def __init__(self):
+        self.fleets = {}
+        self.cut = set()
+
+    def create(self, name):
+        return StubFleet(self, name)
+
+
+class StubFleet:
+    def __init__(self, network, name):
+        self._network = network
+        self.name = name
+        self._handlers = {}
+        network.fleets[name] = self
+
+    def register(self, body_type, handler):
+        self._handlers[body_type] = handler
+
+    def send(self, name, address, body):
+        if not {name, self.name} & self._network.cut:
+            receiver = self._network.fleets[name]
+            sender = types.SimpleNamespace(
+                name=self.name, incarnation=1, address=self.name
+            )
+            eventlet.spawn_n(receiver._handlers[type(body)], sender, body)
+
+
+@contextlib.contextmanager
+def no_caller(notify):
+    yield
+
+
+class DelegationsTest(unittest.TestCase):
+    def setUp(self):
+        self.network = Network()
+        self.held = eventlet.event.Event()
+        self.seen = []
+        self.small = self.create('small', SMALL, lambda *_: None)
+        self.large = self.create('large', LARGE, self.answer)
+        self.room = Room('large', 'large', 'dc', *LARGE, 0.0)
+
+    def create(self, name, capacity, answer):
+        settings = types.SimpleNamespace(
+            node_name=name, peer_address=name, data_centre='dc'
+        )
+        return Delegations(
+            create_delegation_policy(name, 'dc', capacity),
+            self.network.create(name),
+            settings,
+            create_system_clock(),
+            create_metrics(),
+            answer,
+        )
+
+    def answer(self, delegate, watch_caller):
+        self.seen.append(delegate)
+        if delegate.target == '/hold/':
+            left = eventlet.event.Event()
+            with watch_caller(lambda: left.send(None)):
+                left.wait()
+            self.held.send('cancelled')
+            return None
+        return GatewayAnswer(200, (('X-A', 'b'),), b'body')
+
+    def run_one(self, request=REQUEST, watch=no_caller, left_ms=80.0):
+        return self.small.run(self.room, request, left_ms, watch)
+
+    def test_answer_comes_back_whole(self):
+        reply = self.run_one()
+        self.assertEqual(reply[1:], (200, (('X-A', 'b'),), b'body'))
+        self.assertEqual(self.seen[0].version, 5)
+        self.assertEqual(self.large.accepted, 0)
+
+    def test_silent_node_is_not_waited_for_beyond_the_objective(self):
+        # Guards against callers that wait for a node that has died.
+        self.network.cut.add('large')
+        self.assertIsNone(self.run_one(left_ms=5.0))
+        now_ms = create_system_clock().now_ms()
+        self.small.policy.learn([self.room], now_ms)
+        self.assertEqual(len(self.small.policy.rooms(now_ms)), 1)
+
+    def test_caller_that_leaves_cancels_the_work_of_the_other_node(self):
+        # Guards against servers that work on for nobody.
+        @contextlib.contextmanager
+        def leave_soon(notify):
+            eventlet.spawn_after(0.01, notify)
+            yield
+
+        held = REQUEST._replace(target='/hold/')
+        reply = self.run_one(held, leave_soon, left_ms=5_000.0)
+        self.assertEqual(reply, CALLER_LEFT)
+        self.assertEqual(self.held.wait(), 'cancelled')
+
+    def test_full_node_declines(self):
+        for number in range(MAX_ACCEPTED):
+            self.large._accepted[number] = []
+        reply = self.run_one()
+        self.assertEqual(reply.status, 0)
+        self.assertEqual(self.seen, [])
+
+    def test_nodes_pass_on_who_has_room(self):
+        # Guards against small nodes that never hear of a large one.
+        other = self.create('other', SMALL, lambda *_: None)
+        fleet = self.network.fleets['small']
+        fleet.send('large', 'large', RoomQuery(*SMALL))
+        eventlet.sleep(0.01)
+        fleet = self.network.fleets['other']
+        fleet.send('small', 'small', RoomQuery(*SMALL))
+        eventlet.sleep(0.01)
+        now_ms = create_system_clock().now_ms()
+        names = [room.name for room in other.policy.rooms(now_ms)]
+        self.assertEqual(names, ['large'])
+
+
+class VersionTest(unittest.TestCase):
+    def test_node_with_an_older_configuration_declines(self):
+        # Guards against a configuration that goes back for a caller whose
+        # node has the newer one.
+        state = types.SimpleNamespace(
+            settings=types.SimpleNamespace(link_mbps=1.0, cores=1.0),
+            is_stopping=False,
+            configuration=types.SimpleNamespace(version=4),
+        )
+        handler = GatewayHandler(
+            state, None, None, create_system_clock(), create_metrics()
+        )
+        with logbook.NullHandler().applicationbound():
+            self.assertIsNone(handler.handle_delegated(REQUEST, no_caller))
