Trust servers less that accept connections and stay silent; add a soak

A server blocked for silence now counts a failure, and is probed half as often each time until it answers. The new test failed before: the server was chosen before its sound equal after each probe.

The soak runs three gateway processes with stand-ins of store and servers behind the emulator's fault proxy: link faults, server faults, store outages, pauses, kills, stops, configurations and drains, seeded and overlapping.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 VENV ?= .venv
 PYTHON ?= python3
 SECONDS ?= 50
+MINUTES ?= 5
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench dist check-dist
+.PHONY: demo test lint format bench dist check-dist soak
 
 # The stamp is rebuilt whenever the declared libraries change.
 $(VENV)/.installed: pyproject.toml
@@ -34,3 +35,7 @@
 
 check-dist: dist
 	$(BIN)/python -m unittest tools.tests.test_dist
+
+# Faults play for 20 s a seed; with start and recovery a seed takes about 35 s.
+soak: $(VENV)/.installed
+	$(BIN)/python -W ignore -m hawthornfold.platform.tests.soak $(if $(SEED),--seed $(SEED)) --seeds $$(( $(MINUTES) * 60 / 35 + 1 )) --seconds 20
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -16,8 +16,10 @@
 MIN_SILENCE_MS = 300.0
 # Consecutive exchanges without a trace of the server before it gets no work.
 FAILURE_LIMIT = 2
-# While a server gets no work, it is probed at this pace.
+# While a server gets no work, it is probed at this pace. One that accepts
+# connections and stays silent is probed half as often each time.
 PROBE_INTERVAL_MS = 350.0
+MAX_PROBE_INTERVAL_MS = 2_800.0
 
 
 class ServerHealth:
@@ -34,6 +36,7 @@
         self._is_blocked = False
         self._is_expelled = False
         self._last_probe_ms = -math.inf
+        self._probe_interval_ms = PROBE_INTERVAL_MS
         self._reported_waiting = 0
 
     @property
@@ -77,7 +80,7 @@
         """Return whether a blocked server is due for a probe."""
         return (
             self._is_blocked
-            and now_ms - self._last_probe_ms >= PROBE_INTERVAL_MS
+            and now_ms - self._last_probe_ms >= self._probe_interval_ms
         )
 
     def begin(self, attempt, silence_limit_ms, now_ms):
@@ -110,6 +113,7 @@
         self._last_answer_ms = now_ms
         self._failures = 0
         self._is_blocked = False
+        self._probe_interval_ms = PROBE_INTERVAL_MS
         self._reported_waiting = waiting or 0
 
     def record_failure(self, attempt, is_absent, now_ms):
@@ -141,6 +145,19 @@
             self._is_blocked = True
             self._last_probe_ms = now_ms
 
+    def block_for_silence(self, now_ms):
+        """Block a server that answers nothing, which counts as a failure.
+
+        A connection shows little of such a server. The next probe comes
+        later each time until an answer has come.
+        """
+        self._age(now_ms)
+        self._failure_share += FAILURE_WEIGHT * (1.0 - self._failure_share)
+        self.block(now_ms)
+        self._probe_interval_ms = min(
+            2.0 * self._probe_interval_ms, MAX_PROBE_INTERVAL_MS
+        )
+
     def expel(self, attempt):
         """Give the server no more work: another one has its address."""
         self._running.pop(attempt, None)
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -124,7 +124,7 @@
             if not health.is_blocked and health.is_silent(now_ms)
         ]
         for server_id in silent:
-            self._health[server_id].block(now_ms)
+            self._health[server_id].block_for_silence(now_ms)
         return silent
 
     def record_answer(
--- a/hawthornfold/placement/tests/test_placement.py
+++ b/hawthornfold/placement/tests/test_placement.py
@@ -126,6 +126,25 @@
         self.assertEqual(self.placement.block_silent(limit_ms), ['local'])
         self.assertEqual(self.placement.block_silent(limit_ms), [])
 
+    def test_server_that_only_accepts_connections_is_trusted_less(self):
+        # Guards against a silent server that each probe brings back: on a
+        # recorded day such servers made half of the answers incomplete.
+        health = self.placement.health('local')
+        now_ms, probes = 0.0, 0
+        while now_ms < 20_000.0:
+            self.placement.begin('local', now_ms, DECISION, now_ms)
+            now_ms += silence_ms(20.0)
+            self.placement.block_silent(now_ms)
+            while not health.needs_probe(now_ms):
+                now_ms += 50.0
+            health.record_probe(True, now_ms)
+            probes += 1
+            self.assertEqual(self.choose(now_ms), 'remote')
+        self.assertLess(probes, 10)
+        self.answer('local', 20.0, now_ms)
+        health.block(now_ms)
+        self.assertTrue(health.needs_probe(now_ms + PROBE_INTERVAL_MS))
+
     def test_answers_to_others_show_that_a_server_lives(self):
         # Guards against blocking a server for one request that hangs.
         self.placement.begin('local', 'hung', DECISION, 0.0)
--- /dev/null
+++ b/hawthornfold/platform/tests/soak_world.py
@@ -0,0 +1,278 @@
+"""The world of the soak: store, servers, proxy and gateway processes."""
+
+import contextlib
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import urllib3
+
+from hawthornfold.gateway.tests import support as servers
+from hawthornfold.platform.tests import support
+
+SHARDS = ('x1', 'x2', 'x3', 'x4')
+SINGLE = 'z'
+TOP = 8
+RECORD_BYTES = 16
+
+
+class Ledger:
+    """What servers have executed, as they saw it."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._runs = {}
+        self._parts = {}
+
+    def record(self, request_id, server, body, seal):
+        """Note that a server has begun to execute a request."""
+        with self._lock:
+            self._runs.setdefault(request_id, []).append(server.server_id)
+            self._parts[seal] = (request_id, server.service, body)
+
+    def runs(self, request_id):
+        """Return the servers that executed a request."""
+        with self._lock:
+            return list(self._runs.get(request_id, ()))
+
+    def part(self, seal):
+        """Return request id, service and body of a seal, or None."""
+        with self._lock:
+            return self._parts.get(seal)
+
+
+class Server:
+    """A stand-in of a backend server whose faults can be changed."""
+
+    def __init__(self, server_id, service, ledger, seed):
+        self.server_id = server_id
+        self.service = service
+        self.fault = None
+        self.drained_at = None
+        self.late_arrivals = []
+        self._ledger = ledger
+        self._rng = random.Random(seed)
+        self._scripted = servers.ScriptedServer(self._answer)
+        self.address = self._scripted.address
+
+    def close(self):
+        """Stop accepting connections."""
+        self._scripted.close()
+
+    def _answer(self, connection, request, number):
+        fault = self.fault if self._rng.random() < 0.5 else None
+        if request.headers.get('x-target-instance') != self.server_id:
+            return self._send(connection, request, 421, b'', '')
+        if self.drained_at is not None:
+            self.late_arrivals.append(time.monotonic() - self.drained_at)
+        if fault == 'full':
+            return self._send(
+                connection, request, 503, b'', '', X_Not_Executed='1'
+            )
+        if fault == 'reset before':
+            servers.reset(connection)
+            return False
+        request_id = request.headers['x-request-id']
+        seal = f'{self.server_id}.{request_id}.{self._rng.getrandbits(32):x}'
+        body = self._rng.randbytes(RECORD_BYTES * self._rng.randint(1, 6))
+        self._ledger.record(request_id, self, body, seal)
+        time.sleep(self._rng.uniform(0.002, 0.015))
+        if fault == 'slow':
+            time.sleep(self._rng.uniform(0.1, 0.5))
+        elif fault == 'hang':
+            time.sleep(3.0)
+        elif fault == 'reset after':
+            servers.reset(connection)
+            return False
+        elif fault == 'truncate':
+            self._send(connection, request, 200, body, seal, cut=5)
+            return False
+        elif fault == 'twice':
+            self._send(connection, request, 200, body, seal)
+            connection.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+            return True
+        elif fault == 'fail':
+            return self._send(connection, request, 500, b'failed', seal)
+        return self._send(connection, request, 200, body, seal)
+
+    def _send(self, connection, request, status, body, seal, cut=0, **fields):
+        answer = servers.create_answer(
+            request,
+            body,
+            status,
+            X_Server_Seal=seal or None,
+            X_Seal=None,
+            **fields,
+        )
+        connection.sendall(answer[: len(answer) - cut])
+        return True
+
+
+SERVER_FAULTS = (
+    'full',
+    'reset before',
+    'slow',
+    'hang',
+    'reset after',
+    'truncate',
+    'twice',
+    'fail',
+)
+
+
+class Proxy:
+    """The emulator's fault proxy in a process of its own."""
+
+    def __init__(self, targets):
+        self._directory = tempfile.TemporaryDirectory()
+        self.ports = {
+            name: support.reserve_port('127.0.0.1') for name in targets
+        }
+        self._control = support.reserve_port('127.0.0.1')
+        spec = pathlib.Path(self._directory.name, 'spec.json')
+        spec.write_text(
+            json.dumps(
+                [
+                    {'name': name, 'listen': self.ports[name], 'target': to}
+                    for name, to in targets.items()
+                ]
+            )
+        )
+        command = ['-m', 'hawthornfold.emulator', 'proxy', '--spec', str(spec)]
+        self._process = subprocess.Popen(
+            [sys.executable, '-W', 'ignore', *command]
+            + ['--control-port', str(self._control)],
+            cwd=support.ROOT,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self._pool = urllib3.PoolManager(
+            retries=urllib3.Retry(20, backoff_factor=0.05)
+        )
+        self.set_fault('*')
+
+    def address(self, name):
+        """Return ``ip:port`` of a listener."""
+        return f'127.0.0.1:{self.ports[name]}'
+
+    def set_fault(self, name, **fault):
+        """Set the fault of a listener; none clears it."""
+        url = f'http://127.0.0.1:{self._control}/control/listeners'
+        self._pool.request(
+            'PUT', f'{url}/{name}/fault', body=json.dumps(fault)
+        )
+
+    def close(self):
+        """End the process."""
+        self._process.kill()
+        self._process.wait(servers.HANG_S)
+        self._directory.cleanup()
+
+
+LINK_FAULTS = (
+    {'delay_ms': 30.0, 'jitter_ms': 30.0},
+    {'stall': True},
+    {'reset': True},
+    {'one_way': 'to_client'},
+    {'cut': True},
+)
+
+
+class World:
+    """Everything a soak runs, with the configuration that it publishes."""
+
+    def __init__(self, seed, stack):
+        self.store = support.MetadataStore()
+        stack.callback(self.store.close)
+        self.ledger = Ledger()
+        self.version = 0
+        # When each version was acknowledged.
+        self.published = {}
+        self.servers = {}
+        for service in (*SHARDS, SINGLE):
+            for number in (1, 2):
+                name = f'{service}-{number}'
+                server = Server(name, service, self.ledger, f'{seed}{name}')
+                stack.callback(server.close)
+                self.servers[name] = server
+        targets = {n: s.address for n, s in self.servers.items()}
+        self.proxy = Proxy({**targets, 'store': self.store.address})
+        stack.callback(self.proxy.close)
+        for name in self.servers:
+            self.register(name)
+        self.publish()
+        through_proxy = contextlib.nullcontext()
+        through_proxy.address = self.proxy.address('store')
+        self.nodes = []
+        for number in (1, 2, 3):
+            seeds = [node.control for node in self.nodes[:1]]
+            node = support.Node(through_proxy, number, seeds)
+            stack.callback(node.close)
+            self.nodes.append(node)
+        for node in self.nodes:
+            node.wait_until(node.is_ready)
+
+    def register(self, name, **fields):
+        """Write the entry of a server."""
+        server = self.servers[name]
+        entry = {
+            'Backend': server.service,
+            'Address': self.proxy.address(name),
+            'Zone': 'hall-a',
+            'MaxConcurrency': 4,
+            'State': 'ready',
+            'born': 1000,
+            **fields,
+        }
+        self.store.put(f'servers/{name}', entry)
+
+    def publish(self):
+        """Write the next version, which adds a route of its own."""
+        self.version += 1
+        routes = [
+            _create_route(f'v{number}', f'/v{number}/', Backend=SINGLE)
+            for number in range(1, self.version + 1)
+        ]
+        routes.append(
+            _create_route(
+                'gather',
+                '/g/',
+                FanoutServices=list(SHARDS),
+                TopK=TOP,
+                MinSuccessShare=0.75,
+            )
+        )
+        routes.append(
+            _create_route('pay', '/p/', 'non_idempotent', Backend=SINGLE)
+        )
+        self.store.put(
+            'op/config',
+            {
+                'Version': self.version,
+                'Routes': routes,
+                'Services': [
+                    {'Name': name, 'MaxConns': 60}
+                    for name in (*SHARDS, SINGLE)
+                ],
+                'Limits': support.LIMITS,
+            },
+        )
+        self.published[self.version] = time.monotonic()
+
+
+def _create_route(name, prefix, kind='idempotent', **fields):
+    return {
+        'Name': name,
+        'Host': 'a.example',
+        'Prefix': prefix,
+        'RouteType': kind,
+        'TimeoutMs': 1500,
+        'TargetLatencyMs': 200,
+        'MaxAttempts': 2,
+        **fields,
+    }
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -220,6 +220,11 @@
                 stderr=log,
             )
 
+    def restart(self):
+        """Start the process again unless it runs."""
+        if self._process.poll() is not None:
+            self.start()
+
     def send_signal(self, number):
         """Send a signal to the process."""
         self._process.send_signal(number)
