Keep the caller's deadline when a query is handed over

Cause: found by reading. The delegate took the deadline from the caller's header, without the time that had passed at the first node; the message's own field was not read. The difference is some milliseconds, and more where the message waited.

--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -53,6 +53,8 @@
     objective_left_ms : float or None
         For a request of another node: time within which the answer is of
         full use to it.
+    deadline_left_ms : float or None
+        For such a request: time after which its caller has given up.
     """
 
     method: str
@@ -63,6 +65,7 @@
     arrived_ms: float
     travel_ms: float
     objective_left_ms: float | None = None
+    deadline_left_ms: float | None = None
 
 
 class _Route(typing.NamedTuple):
@@ -155,6 +158,7 @@
             self._clock.now_ms(),
             0.0,
             delegate.objective_left_ms,
+            delegate.deadline_left_ms,
         )
         answer = self.handle(incoming, watch_caller)
         # The sender may hold another configuration; it decides on its own
@@ -240,6 +244,8 @@
         text = headers.get(self._names.deadline.lower(), '')
         if text.isdecimal():
             left_ms = min(left_ms, float(text))
+        if incoming.deadline_left_ms is not None:
+            left_ms = min(left_ms, incoming.deadline_left_ms)
         deadline_ms = arrived_ms + left_ms - DEADLINE_MARGIN_MS
         answer_ms = deadline_ms
         if decision.objective_ms is not None:
