Do not run a delegated query again after servers were asked

A node whose delegate was late or failed ran the query itself, so that a shard was asked by both.

A node runs the query itself only if the delegate has run nothing of it. A failure of the delegate is final, and so is silence for half of the caller's time: 502, so that the caller can try elsewhere. The new tests fail on the code before.

--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -28,8 +28,10 @@
 # Requests of others in progress; beyond this they are declined.
 MAX_ACCEPTED = 64
 CALLER_LEFT = 'caller-left'
-# An answer that is not here this long after the objective is not waited for.
+# An answer that is not here this long after the objective is waited for until
+# this share of the caller's time is over; the caller can then try elsewhere.
 LATE_MS = 40.0
+WAIT_SHARE = 0.5
 
 
 class Delegations:
@@ -97,13 +99,14 @@
             for member in asked:
                 self._fleet.send(member.name, member.address, query)
 
-    def run(self, room, delegate, objective_left_ms, watch_caller):
+    def run(self, room, delegate, watch_caller):
         """Hand a request to a node and wait for its answer.
 
         Returns
         -------
-        Delegated or None
-            None when the node declined or did not answer in time.
+        Delegated, `CALLER_LEFT` or None
+            `Delegated` with status 0 when nothing of the request has run;
+            None when the node did not answer, and the request may have run.
         """
         call = next(self._calls)
         event = self._waiting[call] = eventlet.event.Event()
@@ -113,9 +116,11 @@
         try:
             self._fleet.send(room.name, room.address, delegate)
             with watch_caller(lambda: _settle(event, CALLER_LEFT)):
-                reply = event.wait(
-                    max(objective_left_ms + LATE_MS, 1.0) / 1000.0
+                wait_ms = max(
+                    delegate.objective_left_ms + LATE_MS,
+                    delegate.deadline_left_ms * WAIT_SHARE,
                 )
+                reply = event.wait(max(wait_ms, 1.0) / 1000.0)
         finally:
             del self._waiting[call]
             self._policy.end(
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -31,6 +31,8 @@
 # A configuration older than this may lack a route that was just added, so
 # the node does not say that there is no such path.
 STALE_MS = 5_000.0
+# Own answers to requests of which no server has run anything.
+_NOTHING_RAN = frozenset((400, 404, 503))
 
 
 class IncomingRequest(typing.NamedTuple):
@@ -161,9 +163,10 @@
             delegate.deadline_left_ms,
         )
         answer = self.handle(incoming, watch_caller)
-        # The sender may hold another configuration; it decides on its own
-        # what it refuses.
-        if answer is None or answer.status != 200:
+        # The sender runs the query itself if nothing has run here. Anything
+        # else is final: another run would exceed the servers that the rule
+        # allows.
+        if answer is None or answer.status in _NOTHING_RAN:
             return None
         return answer
 
@@ -194,9 +197,7 @@
             objective_left_ms,
             route.times.deadline_ms - now_ms,
         )
-        reply = self._delegations.run(
-            room, delegate, objective_left_ms, watch_caller
-        )
+        reply = self._delegations.run(room, delegate, watch_caller)
         done_ms = self._clock.now_ms()
         elapsed_ms = done_ms - incoming.arrived_ms
         is_answered = isinstance(reply, Delegated) and reply.status != 0
@@ -212,6 +213,12 @@
             elapsed_ms,
             name_reply(reply),
         )
+        if reply is None:
+            self._metrics.count('requests', outcome='unknown')
+            answer = create_refusal(
+                ResultCode.PEER_UNREACHABLE, 502, 'it may have run'
+            )
+            return answer, True
         if not is_answered:
             return None, reply == CALLER_LEFT
         if (self._names.missing_parts, '0') not in reply.headers:
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -8,6 +8,7 @@
 from hawthornfold.clock import create_system_clock
 from hawthornfold.delegation import Capacity
 from hawthornfold.delegation import Delegate
+from hawthornfold.delegation import Delegated
 from hawthornfold.delegation import Room
 from hawthornfold.delegation import RoomQuery
 from hawthornfold.delegation import create_delegation_policy
@@ -16,7 +17,12 @@
 from hawthornfold.gateway.delegations import MAX_ACCEPTED
 from hawthornfold.gateway.delegations import Delegations
 from hawthornfold.gateway.handler import GatewayHandler
+from hawthornfold.gateway.handler import IncomingRequest
+from hawthornfold.gateway.handler import _Route
+from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.metrics import create_metrics
+from hawthornfold.rules import Decision
+from hawthornfold.rules import Gather
 
 SMALL = Capacity(7.0, 0.5)
 LARGE = Capacity(70.0, 2.0)
@@ -92,8 +98,8 @@
             return None
         return GatewayAnswer(200, (('X-A', 'b'),), b'body')
 
-    def run_one(self, request=REQUEST, watch=no_caller, left_ms=80.0):
-        return self.small.run(self.room, request, left_ms, watch)
+    def run_one(self, request=REQUEST, watch=no_caller):
+        return self.small.run(self.room, request, watch)
 
     def test_answer_comes_back_whole(self):
         reply = self.run_one()
@@ -104,7 +110,10 @@
     def test_silent_node_is_not_waited_for_beyond_the_objective(self):
         # Guards against callers that wait for a node that has died.
         self.network.cut.add('large')
-        self.assertIsNone(self.run_one(left_ms=5.0))
+        hurried = REQUEST._replace(
+            objective_left_ms=5.0, deadline_left_ms=60.0
+        )
+        self.assertIsNone(self.run_one(hurried))
         now_ms = create_system_clock().now_ms()
         self.small.policy.learn([self.room], now_ms)
         self.assertEqual(len(self.small.policy.rooms(now_ms)), 1)
@@ -117,7 +126,8 @@
             yield
 
         held = REQUEST._replace(target='/hold/')
-        reply = self.run_one(held, leave_soon, left_ms=5_000.0)
+        held = held._replace(objective_left_ms=5_000.0)
+        reply = self.run_one(held, leave_soon)
         self.assertEqual(reply, CALLER_LEFT)
         self.assertEqual(self.held.wait(), 'cancelled')
 
@@ -156,3 +166,70 @@
         )
         with logbook.NullHandler().applicationbound():
             self.assertIsNone(handler.handle_delegated(REQUEST, no_caller))
+
+
+class SettledTest(unittest.TestCase):
+    """What a node does after another has had its query."""
+
+    def delegate(self, reply):
+        """Return the outcome of a query whose delegation gave `reply`."""
+        times = ExecutionTimes(0.0, 100.0, 500.0)
+        decision = Decision(
+            'r',
+            0,
+            600,
+            True,
+            95,
+            'refuse',
+            True,
+            1,
+            20,
+            'pin',
+            100.0,
+            gather=Gather(('a',), 20),
+        )
+        policy = types.SimpleNamespace(
+            choose=lambda *_: Room('large', 'large', 'dc', *LARGE, 0.0)
+        )
+        state = types.SimpleNamespace(
+            settings=types.SimpleNamespace(link_mbps=7.0, cores=0.5)
+        )
+        handler = GatewayHandler(
+            state, None, None, create_system_clock(), create_metrics()
+        )
+        handler.set_delegations(
+            types.SimpleNamespace(policy=policy, run=lambda *_: reply)
+        )
+        route = _Route('r1', decision, ('a',), times)
+        incoming = IncomingRequest('GET', '/', 'h', (), b'', 0.0, 0.0)
+        with logbook.NullHandler().applicationbound():
+            return handler._delegate(route, incoming, no_caller, 1)
+
+    def test_query_of_a_silent_node_is_not_run_again(self):
+        # Guards against a query that runs on more servers than its rule
+        # allows, at the delegate and once more here.
+        answer, is_settled = self.delegate(None)
+        self.assertTrue(is_settled)
+        self.assertEqual(answer.status, 502)
+
+    def test_declined_query_is_run_here(self):
+        declined = Delegated(0, 0, (), b'')
+        self.assertEqual(self.delegate(declined), (None, False))
+
+    def test_failure_of_the_delegate_is_final(self):
+        # Guards against a second run after the servers were asked.
+        failed = Delegated(0, 200, (('X-Missing', '0'),), b'x')
+        handler = types.SimpleNamespace(
+            _state=types.SimpleNamespace(
+                configuration=types.SimpleNamespace(version=5),
+                is_stopping=False,
+            ),
+            _clock=create_system_clock(),
+        )
+        for status, is_passed_on in ((504, True), (502, True), (503, False)):
+            answer = GatewayAnswer(status, failed.headers, failed.body)
+            handler.handle = lambda *_, answer=answer: answer
+            found = GatewayHandler.handle_delegated(
+                handler, REQUEST, no_caller
+            )
+            self.assertEqual(found, answer if is_passed_on else None)
