Remove three properties that nothing reads; drop half of a condition

Cause: found by reading the change. Execution.running, ArrivalWindow.repeats and ServerLink.count have no caller, and an unreachable server is among the kinds that cannot have run the request, so that naming it changed nothing.

Behaviour is the same. Checked: lint, and 81 tests of execution, window, exchange, delegations and the node as a process.

--- a/hawthornfold/gateway/links.py
+++ b/hawthornfold/gateway/links.py
@@ -44,11 +44,6 @@
         """``ip:port`` of the server."""
         return self._address
 
-    @property
-    def count(self):
-        """Connections open, idle and busy together."""
-        return len(self._idle) + len(self._busy)
-
     @property
     def has_idle(self):
         """Whether a connection is idle."""
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -171,15 +171,6 @@
         """The server's own failure to pass on, or None."""
         return self._parts[0].failure
 
-    @property
-    def running(self):
-        """The attempts without an outcome, by server id."""
-        return {
-            attempt: server_id
-            for part in self._parts
-            for attempt, server_id in part.running.items()
-        }
-
     @property
     def missing_services(self):
         """The services of the parts without an answer."""
@@ -305,7 +296,7 @@
         if kind.may_have_run and not self._decision.idempotent:
             part.is_given_up = True
             return []
-        if kind is OutcomeKind.UNREACHABLE or not kind.may_have_run:
+        if not kind.may_have_run:
             part.rejected += 1
         if part.running:
             return []
--- a/hawthornfold/limits/arrivals.py
+++ b/hawthornfold/limits/arrivals.py
@@ -38,11 +38,6 @@
         self._requests = collections.deque()
         self._repeats = collections.deque()
 
-    @property
-    def repeats(self):
-        """Repeated arrivals within the window."""
-        return len(self._repeats)
-
     def allowance(self, now_ms):
         """Return how many repeated arrivals the window allows."""
         self._forget(now_ms)
