--- a/hawthornfold/directory/following.py
+++ b/hawthornfold/directory/following.py
@@ -7,7 +7,6 @@
 itself.
 """
 
-import math
 import typing
 
 import msgspec
@@ -252,12 +251,13 @@
 class Following:
     """When a node relies on its readers.
 
-    A node that has no role yet reads by itself.
+    A node that has just started has read the store once, and gives its
+    readers as much time as those that it has heard from.
     """
 
-    def __init__(self):
-        self._is_reader = True
-        self._heard_ms = -math.inf
+    def __init__(self, started_ms):
+        self._is_reader = False
+        self._heard_ms = started_ms
         self._known_revision = 0
         # Since when a revision is known that the node does not have.
         self._behind_since_ms = None
@@ -301,19 +301,19 @@
         )
 
 
-def create_following():
+def create_following(started_ms):
     """Create the state of a node that has heard from no reader.
 
     Examples
     --------
-    >>> following = create_following()
-    >>> following.set_reader(False)
-    >>> following.relies_on_readers(7, 0.0)
+    >>> following = create_following(0.0)
+    >>> following.relies_on_readers(7, SILENCE_MS)
     False
-    >>> following.hear(7, 0.0)
-    >>> following.relies_on_readers(7, 0.0)
+    >>> following.hear(7, SILENCE_MS)
+    >>> following.relies_on_readers(7, SILENCE_MS)
     True
+    >>> following.set_reader(True)
     >>> following.relies_on_readers(7, SILENCE_MS)
     False
     """
-    return Following()
+    return Following(started_ms)
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -89,6 +89,7 @@
             self.take_configuration,
             self.news.append,
         )
+        self.watcher.set_reader(True)
         with logbook.NullHandler().applicationbound():
             return [self.watcher.step() for _ in replies]
 
@@ -198,6 +199,14 @@
         self.step()
         self.assertEqual(self.store.asked, ['all', 10])
 
+    def test_node_that_has_just_started_waits_for_its_readers(self):
+        # Guards against reads of each change by each node while all start.
+        self.follow(result.Ok(StoreChanges(10)), result.Ok(StoreChanges(11)))
+        self.assertEqual(self.step(), FOLLOW_MS)
+        self.clock.advance(SILENCE_MS)
+        self.step()
+        self.assertEqual(self.store.asked, ['all', 10])
+
     def test_missed_news_is_read(self):
         # Guards against a change that is lost with one message.
         self.follow(
@@ -312,6 +321,7 @@
             list,
             list,
         )
+        self.watcher.set_reader(True)
         self.watcher.set_reader_count(count)
         thread = eventlet.spawn(self.watcher.run)
         self.addCleanup(thread.kill)
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -84,7 +84,7 @@
         self._pace = 1.0
         self._reading = None
         self._waiting_since_ms = None
-        self._following = create_following()
+        self._following = create_following(clock.now_ms())
         self._outage_ms = None
 
     @property
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -40,6 +40,9 @@
 SETTINGS_POLL_MS = 1_000.0
 # Silent servers are looked for, and blocked ones probed, at this pace.
 SWEEP_MS = 50.0
+# After its start a node learns of the others, before it may read the store for
+# them.
+ROLES_MS = 900.0
 # A loop that an internal error has ended starts again after this time.
 RESTART_MS = 500.0
 # After the stop signal callers still arrive until the balancer has seen two
@@ -292,6 +295,7 @@
         )
         return Delegations(
             policy,
+            self._state.locality,
             self._fleet,
             settings,
             self._clock,
@@ -311,18 +315,23 @@
         return self._application.in_progress + self._delegations.accepted
 
     def _run_count(self):
+        started_ms = self._clock.now_ms()
         while True:
             count = self._fleet.node_count()
             now_ms = self._clock.now_ms()
             policy = self._delegations.policy
             self._state.set_shares(count, policy.share(count, now_ms))
-            self._fleet.assign_roles(policy.delegates(now_ms))
-            roles = self._fleet.roles
-            self._watcher.set_reader(roles.is_reader)
-            # This node may be a reader besides.
-            self._watcher.set_reader_count(len(roles.readers) + 1)
+            if now_ms - started_ms >= ROLES_MS:
+                self._assign_roles(policy.delegates(now_ms))
             self._clock.sleep_ms(COUNT_MS)
 
+    def _assign_roles(self, preferred):
+        self._fleet.assign_roles(preferred)
+        roles = self._fleet.roles
+        self._watcher.set_reader(roles.is_reader)
+        # This node may be a reader besides.
+        self._watcher.set_reader_count(len(roles.readers) + 1)
+
     def _run_sweep(self):
         placement = self._state.placement
         while True:
