--- a/hawthornfold/delegation/__init__.py
+++ b/hawthornfold/delegation/__init__.py
@@ -1,6 +1,5 @@
 """Queries that a small node hands to a node with more room."""
 
-from hawthornfold.delegation.locality import LocalityBook
 from hawthornfold.delegation.messages import Delegate
 from hawthornfold.delegation.messages import DelegateCancel
 from hawthornfold.delegation.messages import Delegated
@@ -17,7 +16,6 @@
     'DelegateCancel',
     'Delegated',
     'DelegationPolicy',
-    'LocalityBook',
     'Room',
     'RoomQuery',
     'RoomReply',
--- a/hawthornfold/delegation/policy.py
+++ b/hawthornfold/delegation/policy.py
@@ -3,8 +3,6 @@
 A query to many shards costs bytes on the node's link and processor time, both
 in proportion to the shards. Where that takes a large part of the objective, a
 node with a faster link and more cores answers sooner, in spite of the hop.
-Where the shards' servers are in another data centre, a node there merges their
-answers, so that one answer crosses instead of one a shard.
 """
 
 import math
@@ -39,14 +37,6 @@
 # So long is one that has declined, which may have an older configuration.
 DECLINED_MS = 300.0
 MAX_ROOMS = 16
-# What it costs, as a share of the objective, if all parts of a query come from
-# other data centres.
-REMOTE_PARTS_SHARE = 0.3
-# A query is kept unless the data centre of another node has servers of this
-# much more of its shards, or the node lacks room.
-LOCALITY_GAIN = 0.5
-# Where no node is known to have more room, so many are looked at.
-MAX_EQUALS = 8
 # A query is offered to so many nodes before its own node runs it.
 MAX_OFFERS = 3
 # A node that others may be asked besides declines what would take more than
@@ -189,7 +179,7 @@
 
     def needs_room(self, decision):
         """Return whether a query of a rule is too much for this node."""
-        if not self._may_hand_over(decision):
+        if decision.gather is None or decision.objective_ms is None:
             return False
         own_ms = self._estimate(self._capacity, decision)
         return own_ms > NEED_SHARE * decision.objective_ms
@@ -202,7 +192,7 @@
             for known in self._rooms.values()
         ]
 
-    def choose(self, decision, offers, members, locality, now_ms):
+    def choose(self, decision, offers, is_live, now_ms):
         """Return the `Offer` of a query to a node, or None to keep it.
 
         Parameters
@@ -211,34 +201,27 @@
             The rule of the query.
         offers : int
             How many nodes have declined it.
-        members : dict of str to Member
-            The other live nodes by name.
-        locality : LocalityBook
-            Where the servers of the query's shards are.
+        is_live : callable
+            Tells whether the node of a name is a live member.
         now_ms : float
             Current time.
         """
-        if offers >= MAX_OFFERS or not self._may_hand_over(decision):
-            return None
-        shares = locality.shares(decision, now_ms)
-        own_share = shares.get(self._data_centre, 0.0)
-        is_near = max(shares.values(), default=0.0) < own_share + LOCALITY_GAIN
-        if is_near and not self.needs_room(decision):
+        if offers >= MAX_OFFERS or not self.needs_room(decision):
             return None
         own_ms = self._estimate(self._capacity, decision)
-        own_ms += self._remote_parts_ms(decision, own_share)
         best, best_ms, others = None, GAIN_FACTOR * own_ms, 0
-        for room in self._list_candidates(members, now_ms):
-            if self._distrusted.get(room.name, 0.0) > now_ms:
+        for room in self.rooms(now_ms):
+            capacity = Capacity(room.link_mbps, room.cores)
+            if (
+                not capacity.has_more_than(self._capacity)
+                or self._distrusted.get(room.name, 0.0) > now_ms
+                or not is_live(room.name)
+            ):
                 continue
             others += 1
-            capacity = Capacity(room.link_mbps, room.cores)
             running = self._running.get(room.name, 0)
             room_ms = self._estimate(capacity, decision) * (1.0 + running)
             room_ms += HOP_MS
-            room_ms += self._remote_parts_ms(
-                decision, shares.get(room.data_centre, 0.0)
-            )
             if room.data_centre != self._data_centre:
                 room_ms += REMOTE_MS
             room_ms *= 1.0 + SPREAD * self._rng.random()
@@ -340,27 +323,6 @@
         if pause_ms:
             self._distrusted[name] = now_ms + pause_ms
 
-    def _may_hand_over(self, decision):
-        return (
-            decision.gather is not None and decision.objective_ms is not None
-        )
-
-    def _list_candidates(self, members, now_ms):
-        """Return the live nodes with room, or else some that are equal."""
-        rooms = [x for x in self.rooms(now_ms) if x.name in members]
-        if rooms:
-            return rooms
-        equals = self._rng.sample(
-            list(members.values()), min(MAX_EQUALS, len(members))
-        )
-        return [
-            Room(x.name, x.address, x.data_centre, *self._capacity, 0.0)
-            for x in equals
-        ]
-
-    def _remote_parts_ms(self, decision, share):
-        return REMOTE_PARTS_SHARE * decision.objective_ms * (1.0 - share)
-
     def _estimate(self, capacity, decision):
         size = self._sizes.get(decision.rule, INITIAL_BODY_BYTES)
         return estimate_ms(capacity, len(decision.gather.shards), size)
--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -44,8 +44,6 @@
     ----------
     policy : DelegationPolicy
         Decides.
-    locality : LocalityBook
-        Knows where servers are.
     fleet : Fleet
         Carries the messages.
     answer : callable
@@ -53,11 +51,8 @@
         returns the `GatewayAnswer`, or None when it was declined.
     """
 
-    def __init__(
-        self, policy, locality, fleet, settings, clock, metrics, answer
-    ):
+    def __init__(self, policy, fleet, settings, clock, metrics, answer):
         self._policy = policy
-        self._locality = locality
         self._fleet = fleet
         self._settings = settings
         self._clock = clock
@@ -88,11 +83,7 @@
     def choose(self, decision, offers):
         """Return the `Offer` of a query to a live node, or None."""
         return self._policy.choose(
-            decision,
-            offers,
-            self._fleet.members_by_name(),
-            self._locality,
-            self._clock.now_ms(),
+            decision, offers, self._fleet.is_live, self._clock.now_ms()
         )
 
     def run_queries(self, find_rules, rng=random):
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -88,17 +88,17 @@
         self._links = links
         self._clock = clock
         self._counter = counter
-        self._members = {}
-        self._members_version = None
+        self._live = frozenset()
+        self._live_version = None
         self._roles = ReaderRoles(False, (), ())
         self._roles_cause = None
 
-    def members_by_name(self):
-        """Return the other live members as a dict."""
-        if self._members_version != self._membership.version:
-            self._members_version = self._membership.version
-            self._members = {x.name: x for x in self.others()}
-        return self._members
+    def is_live(self, name):
+        """Return whether the node of a name is a live member."""
+        if self._live_version != self._membership.version:
+            self._live_version = self._membership.version
+            self._live = frozenset(m.name for m in self._membership.members)
+        return name in self._live
 
     def node_count(self):
         """Return how many nodes share the servers' limits."""
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -295,7 +295,6 @@
         )
         return Delegations(
             policy,
-            self._state.locality,
             self._fleet,
             settings,
             self._clock,
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -3,7 +3,6 @@
 import logbook
 
 from hawthornfold.audit import create_audit_trail
-from hawthornfold.delegation import LocalityBook
 from hawthornfold.directory import create_server_directory
 from hawthornfold.gateway.links import ServerLinks
 from hawthornfold.gateway.links import share_connections
@@ -47,7 +46,6 @@
         self._is_stopping = False
         self.audit = create_audit_trail(clock)
         self.directory = create_server_directory()
-        self.locality = LocalityBook(self.directory.servers_of)
         self.latency_book = create_latency_book()
         self.links = ServerLinks(names, clock, metrics, self._record_connect)
         self.placement = create_placement(
@@ -120,9 +118,9 @@
             if rule.decision.gather is not None
             for shard in rule.decision.gather.shards
         )
-        rules = [rule.name for rule in configuration.rules.rules]
-        self.latency_book.keep_only(rules)
-        self.locality.keep_only(rules)
+        self.latency_book.keep_only(
+            rule.name for rule in configuration.rules.rules
+        )
         self._apply_shares()
         self._metrics.count('configurations_applied')
         self.audit.record(
