--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -40,9 +40,9 @@
 SETTINGS_POLL_MS = 1_000.0
 # Silent servers are looked for, and blocked ones probed, at this pace.
 SWEEP_MS = 50.0
-# After its start a node learns of the others, before it may read the store for
-# them.
-ROLES_MS = 900.0
+# A node that starts learns of the others before it reads the store for them.
+# Where all have lost power, servers may register again meanwhile.
+ROLES_MS = 300.0
 # A loop that an internal error has ended starts again after this time.
 RESTART_MS = 500.0
 # After the stop signal callers still arrive until the balancer has seen two
@@ -314,18 +314,22 @@
         return self._application.in_progress + self._delegations.accepted
 
     def _run_count(self):
-        started_ms = self._clock.now_ms()
+        self._update_shares()
+        self._clock.sleep_ms(ROLES_MS)
         while True:
-            count = self._fleet.node_count()
-            now_ms = self._clock.now_ms()
-            policy = self._delegations.policy
-            self._state.set_shares(count, policy.share(count, now_ms))
-            if now_ms - started_ms >= ROLES_MS:
-                self._assign_roles(policy.delegates(now_ms))
+            self._update_shares()
+            self._assign_roles()
             self._clock.sleep_ms(COUNT_MS)
 
-    def _assign_roles(self, preferred):
-        self._fleet.assign_roles(preferred)
+    def _update_shares(self):
+        count = self._fleet.node_count()
+        policy = self._delegations.policy
+        share = policy.share(count, self._clock.now_ms())
+        self._state.set_shares(count, share)
+
+    def _assign_roles(self):
+        policy = self._delegations.policy
+        self._fleet.assign_roles(policy.delegates(self._clock.now_ms()))
         roles = self._fleet.roles
         self._watcher.set_reader(roles.is_reader)
         # This node may be a reader besides.
