--- a/hawthornfold/delegation/__init__.py
+++ b/hawthornfold/delegation/__init__.py
@@ -3,7 +3,6 @@
 from hawthornfold.delegation.messages import Delegate
 from hawthornfold.delegation.messages import DelegateCancel
 from hawthornfold.delegation.messages import Delegated
-from hawthornfold.delegation.messages import Piece
 from hawthornfold.delegation.messages import Room
 from hawthornfold.delegation.messages import RoomQuery
 from hawthornfold.delegation.messages import RoomReply
@@ -17,7 +16,6 @@
     'DelegateCancel',
     'Delegated',
     'DelegationPolicy',
-    'Piece',
     'Room',
     'RoomQuery',
     'RoomReply',
--- a/hawthornfold/delegation/messages.py
+++ b/hawthornfold/delegation/messages.py
@@ -46,23 +46,6 @@
     rooms: tuple[Room, ...]
 
 
-class Piece(typing.NamedTuple):
-    """Every `count`-th shard of a query, from the one at `index` on.
-
-    Examples
-    --------
-    >>> Piece(1, 3).select(('a', 'b', 'c', 'd', 'e'))
-    ('b', 'e')
-    """
-
-    index: int = 0
-    count: int = 1
-
-    def select(self, shards):
-        """Return the shards of the piece."""
-        return shards[self.index :: self.count]
-
-
 class Delegate(typing.NamedTuple):
     """A caller's request, handed over whole.
 
@@ -79,9 +62,6 @@
         Time after which the caller has given up.
     limit_ms : float
         A node that would occupy itself for longer than this declines.
-    piece : Piece
-        Which of the query's shards to ask. Unless these are all, a node with
-        another configuration declines.
     """
 
     call: int
@@ -94,7 +74,6 @@
     objective_left_ms: float
     deadline_left_ms: float
     limit_ms: float
-    piece: Piece
 
 
 class DelegateCancel(typing.NamedTuple):
--- a/hawthornfold/delegation/policy.py
+++ b/hawthornfold/delegation/policy.py
@@ -37,10 +37,6 @@
 # So long is one that has declined, which may have an older configuration.
 DECLINED_MS = 300.0
 MAX_ROOMS = 16
-# A query that takes more than this share of its objective even at the node
-# with most room is divided among several.
-PIECE_SHARE = 0.2
-MAX_PIECES = 3
 # A query is offered to so many nodes before its own node runs it.
 MAX_OFFERS = 3
 # A node that others may be asked besides declines what would take more than
@@ -196,18 +192,6 @@
             for known in self._rooms.values()
         ]
 
-    def count_pieces(self, decision, now_ms):
-        """Return among how many nodes a query is divided."""
-        rooms = self.rooms(now_ms)
-        if not rooms or not self.needs_room(decision):
-            return 1
-        best_ms = min(
-            self._estimate(Capacity(room.link_mbps, room.cores), decision)
-            for room in rooms
-        )
-        count = math.ceil(best_ms / (PIECE_SHARE * decision.objective_ms))
-        return min(count, MAX_PIECES, len(rooms))
-
     def choose(self, decision, offers, is_live, now_ms):
         """Return the `Offer` of a query to a node, or None to keep it.
 
--- a/hawthornfold/delegation/tests/test_policy.py
+++ b/hawthornfold/delegation/tests/test_policy.py
@@ -150,17 +150,6 @@
         self.assertAlmostEqual(sum(shares), 1.0)
         self.assertGreater(shares[0], 0.3)
 
-    def test_query_that_is_much_for_one_large_node_is_divided(self):
-        # Guards against queries to many shards that miss a short objective
-        # for the processor time of one node.
-        policy = self.create(*map(create_room, ['big-1', 'big-2', 'big-3']))
-        for objective_ms, count in ((200.0, 1), (60.0, 2), (20.0, 3)):
-            decision = create_decision(objective_ms=objective_ms)
-            self.assertEqual(policy.count_pieces(decision, 0.0), count)
-        alone = self.create(create_room('big-1'))
-        decision = create_decision(objective_ms=20.0)
-        self.assertEqual(alone.count_pieces(decision, 0.0), 1)
-
     def test_even_fleet_shares_equally(self):
         self.assertEqual(self.create().share(8, 0.0), 1.0 / 8.0)
 
--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -95,33 +95,6 @@
     return GatewayAnswer(200, headers, body)
 
 
-def join_pieces(answers, limit, names):
-    """Return one answer from those to the pieces of a query.
-
-    Parameters
-    ----------
-    answers : list of GatewayAnswer
-        One a piece.
-    limit : int
-        Most records to return.
-    names : HeaderNames
-        The deployment's header names.
-    """
-    if any(answer.status != http.HTTPStatus.OK for answer in answers):
-        return create_refusal(
-            ResultCode.PEER_UNREACHABLE, 502, 'a part of it may have run'
-        )
-    found = [dict(answer.headers) for answer in answers]
-    missing = sum(int(headers[names.missing_parts]) for headers in found)
-    headers = (
-        (names.part_seals, ', '.join(h[names.part_seals] for h in found)),
-        (names.missing_parts, str(missing)),
-        ('Content-Type', 'application/octet-stream'),
-    )
-    body = merge_records((answer.body for answer in answers), limit)
-    return GatewayAnswer(200, headers, body)
-
-
 def _pass_on(response):
     headers = tuple(
         (name, value)
--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -12,7 +12,6 @@
 from hawthornfold.delegation import Delegate
 from hawthornfold.delegation import DelegateCancel
 from hawthornfold.delegation import Delegated
-from hawthornfold.delegation import Piece
 from hawthornfold.delegation import Room
 from hawthornfold.delegation import RoomQuery
 from hawthornfold.delegation import RoomReply
@@ -81,11 +80,6 @@
         """Requests of other nodes in progress."""
         return len(self._accepted)
 
-    def divide(self, decision):
-        """Return the `Piece` list of a query that is handed over."""
-        count = self._policy.count_pieces(decision, self._clock.now_ms())
-        return [Piece(index, count) for index in range(count)]
-
     def choose(self, decision, offers):
         """Return the `Offer` of a query to a live node, or None."""
         return self._policy.choose(
@@ -186,7 +180,7 @@
     def _serve(self, sender, delegate, key, notify):
         answer = None
         try:
-            answer = self._answer(delegate, watch_list(notify))
+            answer = self._answer(delegate, _watch_list(notify))
         finally:
             del self._accepted[key]
             self._send_answer(sender, delegate.call, answer)
@@ -228,7 +222,7 @@
     return 'answered' if reply.status else 'declined'
 
 
-def watch_list(notify):
+def _watch_list(notify):
     """Return a ``watch_caller`` that notes whom to notify in a list."""
 
     @contextlib.contextmanager
@@ -237,6 +231,6 @@
         try:
             yield
         finally:
-            notify.remove(function)
+            notify.clear()
 
     return watch
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -3,24 +3,20 @@
 import itertools
 import typing
 
-import eventlet
 import logbook
 
 from hawthornfold.codes import ResultCode
 from hawthornfold.delegation import Capacity
 from hawthornfold.delegation import Delegate
 from hawthornfold.delegation import Delegated
-from hawthornfold.delegation import Piece
 from hawthornfold.delegation.policy import HOP_MS
 from hawthornfold.delegation.policy import estimate_answer_ms
 from hawthornfold.gateway.answers import RETRY_AFTER_MS
 from hawthornfold.gateway.answers import GatewayAnswer
 from hawthornfold.gateway.answers import create_answer
 from hawthornfold.gateway.answers import create_refusal
-from hawthornfold.gateway.answers import join_pieces
 from hawthornfold.gateway.delegations import CALLER_LEFT
 from hawthornfold.gateway.delegations import name_reply
-from hawthornfold.gateway.delegations import watch_list
 from hawthornfold.gateway.exchange import create_outgoing
 from hawthornfold.gateway.relay import Relay
 from hawthornfold.gathering import ExecutionTimes
@@ -61,8 +57,6 @@
         full use to it.
     deadline_left_ms : float or None
         For such a request: time after which its caller has given up.
-    piece : Piece
-        For such a request: which shards to ask.
     """
 
     method: str
@@ -74,7 +68,6 @@
     travel_ms: float
     objective_left_ms: float | None = None
     deadline_left_ms: float | None = None
-    piece: Piece = Piece()
 
 
 class _Route(typing.NamedTuple):
@@ -84,28 +77,6 @@
     decision: object
     services: tuple[str, ...]
     times: ExecutionTimes
-    piece: Piece
-
-
-def _select(decision, piece):
-    """Return a decision that asks for the shards of a piece."""
-    if piece.count == 1:
-        return decision
-    gather = decision.gather._replace(
-        shards=piece.select(decision.gather.shards)
-    )
-    return decision._replace(gather=gather)
-
-
-def _restrict(route, piece):
-    """Return the route of a piece of a query."""
-    if piece.count == 1:
-        return route
-    return route._replace(
-        decision=_select(route.decision, piece),
-        services=piece.select(route.services),
-        piece=piece,
-    )
 
 
 class GatewayHandler:
@@ -158,18 +129,14 @@
             decision,
             self._choose_services(decision),
             self._time(decision, headers, incoming),
-            Piece(),
-        )
-        route = _restrict(route, incoming.piece)
-        version = configuration.version
-        if incoming.objective_left_ms is not None or not self._delegations:
-            return self._run(route, incoming, watch_caller, version)
-        pieces = self._delegations.divide(decision)
-        if len(pieces) == 1:
-            return self._serve(route, incoming, watch_caller, version)
-        return self._serve_pieces(
-            route, pieces, incoming, watch_caller, version
         )
+        if incoming.objective_left_ms is None and self._delegations:
+            answer, is_settled = self._delegate(
+                route, incoming, watch_caller, configuration.version
+            )
+            if is_settled:
+                return answer
+        return self._run(route, incoming, watch_caller, configuration.version)
 
     def set_delegations(self, delegations):
         """Use `delegations` for queries that are too much for the node."""
@@ -184,12 +151,6 @@
             or configuration.version < delegate.version
         ):
             return None
-        if (
-            delegate.piece.count > 1
-            and configuration.version != delegate.version
-        ):
-            # All parts of an answer come from the shards of one version.
-            return None
         incoming = IncomingRequest(
             delegate.method,
             delegate.target,
@@ -200,12 +161,9 @@
             0.0,
             delegate.objective_left_ms,
             delegate.deadline_left_ms,
-            delegate.piece,
         )
         decision = configuration.rules.match(self._describe(incoming))
-        if decision is None or decision.gather is None:
-            return None
-        if not self._accepts(_select(decision, delegate.piece), delegate):
+        if decision is None or not self._accepts(decision, delegate):
             return None
         answer = self.handle(incoming, watch_caller)
         # The sender runs the query itself if nothing has run here. Anything
@@ -222,34 +180,6 @@
             decision, delegations.accepted - 1, delegate.limit_ms
         )
 
-    def _serve(self, route, incoming, watch_caller, version):
-        """Hand a query, or a piece of one, over or run it here."""
-        answer, is_settled = self._delegate(
-            route, incoming, watch_caller, version
-        )
-        if is_settled:
-            return answer
-        return self._run(route, incoming, watch_caller, version)
-
-    def _serve_pieces(self, route, pieces, incoming, watch_caller, version):
-        """Divide a query among several nodes and join their answers."""
-        notify = []
-        with watch_caller(lambda: [function() for function in list(notify)]):
-            threads = [
-                eventlet.spawn(
-                    self._serve,
-                    _restrict(route, piece),
-                    incoming,
-                    watch_list(notify),
-                    version,
-                )
-                for piece in pieces
-            ]
-            answers = [thread.wait() for thread in threads]
-        if None in answers:
-            return None
-        return join_pieces(answers, route.decision.gather.limit, self._names)
-
     def _delegate(self, route, incoming, watch_caller, version):
         """Hand a query to a node with more room.
 
@@ -289,10 +219,7 @@
         now_ms = self._clock.now_ms()
         # The answer comes over the same link as it leaves by.
         objective_left_ms = route.times.answer_ms - now_ms - HOP_MS
-        # All pieces share the link.
-        objective_left_ms -= route.piece.count * estimate_answer_ms(
-            self._capacity, route.decision
-        )
+        objective_left_ms -= estimate_answer_ms(self._capacity, route.decision)
         delegate = Delegate(
             0,
             version,
@@ -304,17 +231,14 @@
             objective_left_ms,
             route.times.deadline_ms - now_ms,
             offer.limit_ms,
-            route.piece,
         )
         reply = self._delegations.run(offer.room, delegate, watch_caller)
         _LOG.info(
-            'event=request_delegated request={} rule={} piece={}/{} node={} '
+            'event=request_delegated request={} rule={} node={} '
             'room_age_ms={:.0f} objective_left_ms={:.0f} ms={:.1f} '
             'outcome={}',
             route.request_id,
             route.decision.rule,
-            route.piece.index + 1,
-            route.piece.count,
             offer.room.name,
             offer.room.age_ms,
             objective_left_ms,
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -9,20 +9,17 @@
 from hawthornfold.delegation import Capacity
 from hawthornfold.delegation import Delegate
 from hawthornfold.delegation import Delegated
-from hawthornfold.delegation import Piece
 from hawthornfold.delegation import Room
 from hawthornfold.delegation import RoomQuery
 from hawthornfold.delegation import create_delegation_policy
 from hawthornfold.delegation.policy import Offer
 from hawthornfold.gateway.answers import GatewayAnswer
-from hawthornfold.gateway.answers import join_pieces
 from hawthornfold.gateway.delegations import CALLER_LEFT
 from hawthornfold.gateway.delegations import MAX_ACCEPTED
 from hawthornfold.gateway.delegations import Delegations
 from hawthornfold.gateway.handler import GatewayHandler
 from hawthornfold.gateway.handler import IncomingRequest
 from hawthornfold.gateway.handler import _Route
-from hawthornfold.gateway.names import HeaderNames
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.metrics import create_metrics
@@ -32,17 +29,7 @@
 SMALL = Capacity(7.0, 0.5)
 LARGE = Capacity(70.0, 2.0)
 REQUEST = Delegate(
-    0,
-    5,
-    'GET',
-    '/a/',
-    'a.example',
-    (('X-Id', '1'),),
-    b'',
-    80.0,
-    500.0,
-    99.0,
-    Piece(),
+    0, 5, 'GET', '/a/', 'a.example', (('X-Id', '1'),), b'', 80.0, 500.0, 99.0
 )
 
 
@@ -171,49 +158,7 @@
         self.assertEqual(names, ['large'])
 
 
-class JoinPiecesTest(unittest.TestCase):
-    NAMES = HeaderNames(part_seals='Seals', missing_parts='Missing')
-
-    def create(self, seals, missing, body, status=200):
-        headers = (('Seals', seals), ('Missing', str(missing)))
-        return GatewayAnswer(status, headers, body)
-
-    def test_pieces_become_one_answer(self):
-        # Guards against records out of order, and parts that are not named.
-        joined = join_pieces(
-            [
-                self.create('a, b', 1, b'd' * 16 + b'a' * 16),
-                self.create('c', 2, b'c' * 16 + b'b' * 16),
-            ],
-            3,
-            self.NAMES,
-        )
-        headers = dict(joined.headers)
-        self.assertEqual(headers['Seals'], 'a, b, c')
-        self.assertEqual(headers['Missing'], '3')
-        self.assertEqual(joined.body, b'd' * 16 + b'c' * 16 + b'b' * 16)
-
-    def test_piece_that_failed_fails_the_query(self):
-        # Guards against "not run" where another piece has run.
-        answers = [self.create('a', 0, b''), self.create('', 0, b'', 503)]
-        self.assertEqual(join_pieces(answers, 3, self.NAMES).status, 502)
-
-
 class VersionTest(unittest.TestCase):
-    def test_piece_is_declined_under_another_configuration(self):
-        # Guards against parts of one answer from shards of two versions.
-        state = types.SimpleNamespace(
-            settings=types.SimpleNamespace(link_mbps=1.0, cores=1.0),
-            is_stopping=False,
-            configuration=types.SimpleNamespace(version=6),
-        )
-        handler = GatewayHandler(
-            state, None, None, create_system_clock(), create_metrics()
-        )
-        piece = REQUEST._replace(piece=Piece(0, 2))
-        with logbook.NullHandler().applicationbound():
-            self.assertIsNone(handler.handle_delegated(piece, no_caller))
-
     def test_node_with_an_older_configuration_declines(self):
         # Guards against a configuration that goes back for a caller whose
         # node has the newer one.
@@ -268,7 +213,7 @@
                 run=lambda room, *_: self.offered.append(room.name) or reply,
             )
         )
-        route = _Route('r1', decision, ('a',), times, Piece())
+        route = _Route('r1', decision, ('a',), times)
         incoming = IncomingRequest('GET', '/', 'h', (), b'', 0.0, 0.0)
         with logbook.NullHandler().applicationbound():
             return handler._delegate(route, incoming, no_caller, 1)
@@ -300,9 +245,7 @@
             _state=types.SimpleNamespace(
                 configuration=types.SimpleNamespace(
                     version=5,
-                    rules=types.SimpleNamespace(
-                        match=lambda _: types.SimpleNamespace(gather='g')
-                    ),
+                    rules=types.SimpleNamespace(match=lambda _: 'decision'),
                 ),
                 is_stopping=False,
             ),
