--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -19,12 +19,10 @@
 _MAX_REJECTED = 2
 # A hedge without budget or server is tried again after this time.
 _HEDGE_RETRY_MS = 25.0
-# Once this share of the parts is answered, the others are late by comparison:
-# they are hedged after this multiple of the time that it took, and a slack
-# for the node's own work. The budget allows a repeat for about one request in
-# six.
-_ANSWERED_SHARE = 0.85
-_LATE_FACTOR = 1.25
+# Once a share of the parts is answered, the others are late by comparison:
+# they are hedged after a multiple of the time that it took, and a slack for
+# the node's own work. The smaller share counts while many servers are slow.
+_LATE_FACTORS = ((0.6, 2.0), (0.85, 1.25))
 _LATE_SLACK_MS = 3.0
 # Fewer parts than this are no sample.
 _LEAST_SAMPLE = 8
@@ -146,9 +144,12 @@
         self._hedge_ms = times.arrived_ms + late_ms
         self._next_tick_ms = times.arrived_ms
         self._needed = _count_needed(decision, len(services))
-        self._sample = math.inf
+        self._late_factors = {}
         if len(services) >= _LEAST_SAMPLE:
-            self._sample = math.ceil(_ANSWERED_SHARE * len(services))
+            self._late_factors = {
+                math.ceil(share * len(services)): factor
+                for share, factor in _LATE_FACTORS
+            }
         self._answered = 0
         self._sufficient_ms = times.arrived_ms
         self._hedges = 0
@@ -238,8 +239,9 @@
             self._answered += 1
             if self._answered == self._needed:
                 self._sufficient_ms = now_ms
-            if self._answered == self._sample:
-                self._advance_hedges(now_ms)
+            factor = self._late_factors.get(self._answered)
+            if factor is not None:
+                self._advance_hedges(factor, now_ms)
             return [Cancel(other) for other in part.running]
         if outcome.kind is OutcomeKind.FAILED:
             part.failure = outcome.response
@@ -289,9 +291,9 @@
             return None
         return self._fail()
 
-    def _advance_hedges(self, now_ms):
+    def _advance_hedges(self, factor, now_ms):
         elapsed_ms = now_ms - self._times.arrived_ms
-        late_ms = _LATE_FACTOR * elapsed_ms + _LATE_SLACK_MS
+        late_ms = factor * elapsed_ms + _LATE_SLACK_MS
         self._hedge_ms = min(self._hedge_ms, self._times.arrived_ms + late_ms)
         self._next_tick_ms = min(self._next_tick_ms, self._hedge_ms)
 
