Count exchanges that were given up as slow; keep the soak's output readable

Cause: an exchange that a hedge has overtaken is given up 200 ms later and told nothing of its server, so that one that never answers in time kept the cost of a fast one. The soak's store printed a trace for each connection that a killed node broke off.

--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -191,7 +191,9 @@
         elapsed_ms = now_ms - started_ms
         if exchange.is_cancelled:
             self._metrics.count('exchanges', outcome='cancelled')
-            placement.health(server_id).cancel(key)
+            placement.record_cancelled(
+                server_id, key, self._decision, elapsed_ms, now_ms
+            )
             return
         self._metrics.count('exchanges', outcome=kind.value)
         if kind is OutcomeKind.ANSWERED:
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -87,9 +87,22 @@
         """Count an exchange that starts."""
         self._running[attempt] = (now_ms, silence_limit_ms)
 
-    def cancel(self, attempt):
-        """Forget an exchange that the node gave up."""
+    def cancel(self, attempt, ratio, now_ms):
+        """Take over that the node gave up an exchange.
+
+        Parameters
+        ----------
+        attempt : object
+            The exchange.
+        ratio : float
+            Its time until then as a multiple of the usual time. An answer
+            would have taken longer, so only a slow exchange counts.
+        now_ms : float
+            Current time.
+        """
         self._running.pop(attempt, None)
+        if ratio > self.slowness(now_ms):
+            self._record_ratio(ratio, now_ms)
 
     def record_answer(self, attempt, ratio, waiting, now_ms):
         """Take over an answer.
@@ -106,9 +119,7 @@
             Current time.
         """
         self._running.pop(attempt, None)
-        self._age(now_ms)
-        ratio = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
-        self._slowness += SLOWNESS_WEIGHT * (ratio - self._slowness)
+        self._record_ratio(ratio, now_ms)
         self._failure_share *= 1.0 - FAILURE_WEIGHT
         self._last_answer_ms = now_ms
         self._failures = 0
@@ -170,6 +181,11 @@
             self._is_blocked = False
             self._failures = 0
 
+    def _record_ratio(self, ratio, now_ms):
+        self._age(now_ms)
+        ratio = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+        self._slowness += SLOWNESS_WEIGHT * (ratio - self._slowness)
+
     def _age(self, now_ms):
         memory = self._memory(now_ms)
         self._slowness = 1.0 + (self._slowness - 1.0) * memory
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -133,6 +133,13 @@
             self._health[server_id].block_for_silence(now_ms)
         return silent
 
+    def record_cancelled(
+        self, server_id, attempt, decision, elapsed_ms, now_ms
+    ):
+        """Take over the time of an exchange that the node gave up."""
+        ratio = elapsed_ms / self._latency_book.usual_ms(decision)
+        self.health(server_id).cancel(attempt, ratio, now_ms)
+
     def record_answer(
         self, server_id, attempt, decision, elapsed_ms, waiting, now_ms
     ):
--- a/hawthornfold/placement/tests/test_placement.py
+++ b/hawthornfold/placement/tests/test_placement.py
@@ -48,6 +48,21 @@
         self.answer('remote', 20.0, 1_000.0, count=5)
         self.assertEqual(self.choose(1_001.0), 'remote')
 
+    def test_server_whose_exchanges_are_given_up_is_slow(self):
+        # Guards against a server that never answers in time and keeps the
+        # cost of a fast one.
+        for number in range(3):
+            self.placement.begin('local', number, DECISION, 0.0)
+            self.placement.record_cancelled(
+                'local', number, DECISION, 250.0, 250.0
+            )
+        self.assertEqual(self.choose(251.0), 'remote')
+        self.placement.begin('remote', 'short', DECISION, 300.0)
+        self.placement.record_cancelled(
+            'remote', 'short', DECISION, 1.0, 301.0
+        )
+        self.assertEqual(self.placement.health('remote').slowness(301.0), 1.0)
+
     def test_slow_server_is_tried_again(self):
         # Guards against a server that is lost for good once it was slow.
         self.answer('local', 100.0, 1_000.0, count=5)
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -46,6 +46,14 @@
 }
 
 
+class _QuietServer(http.server.ThreadingHTTPServer):
+    """Does not report connections that nodes break off."""
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class MetadataStore:
     """A stand-in of the platform's store, over HTTP."""
 
@@ -69,9 +77,7 @@
             def log_message(self, *arguments):
                 """Keep the test's output clean."""
 
-        self._server = http.server.ThreadingHTTPServer(
-            ('127.0.0.1', 0), Handler
-        )
+        self._server = _QuietServer(('127.0.0.1', 0), Handler)
         self._server.daemon_threads = True
         self.address = f'127.0.0.1:{self._server.server_port}'
         threading.Thread(target=self._server.serve_forever).start()
