--- a/hawthornfold/integration/loads.py
+++ b/hawthornfold/integration/loads.py
@@ -1,10 +1,12 @@
 """Steady load on a fleet while a trial changes something."""
 
 import contextlib
+import functools
 import threading
 
 from hawthornfold.clock import create_system_clock
 from hawthornfold.integration.callers import Claim
+from hawthornfold.integration.threads import run_threads
 
 _POLL_MS = 50
 
@@ -25,22 +27,6 @@
         self._balancer = fleet.create_balancer(lag_ms)
         self._clock = create_system_clock()
         self._lock = threading.Lock()
-        self._ended = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._poll, args=(name,), daemon=True)
-            for name in fleet.nodes
-        ]
-
-    def start(self):
-        """Start to poll."""
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self):
-        """End the polls."""
-        self._ended.set()
-        for thread in self._threads:
-            thread.join()
 
     def sees_ready(self, name):
         """Return whether the balancer sends requests to a node."""
@@ -57,8 +43,9 @@
             self._balancer.step()
         return name
 
-    def _poll(self, name):
-        while not self._ended.wait(_POLL_MS / 1000.0):
+    def poll(self, name, ended):
+        """Poll a node until the event is set."""
+        while not ended.wait(_POLL_MS / 1000.0):
             is_ready = self._fleet.is_ready(name)
             with self._lock:
                 now_ms = self._clock.now_ms()
@@ -69,11 +56,9 @@
 def open_balancer(fleet, lag_ms):
     """Poll the nodes while the context is active."""
     polls = BalancerPolls(fleet, lag_ms)
-    polls.start()
-    try:
+    functions = [functools.partial(polls.poll, name) for name in fleet.nodes]
+    with run_threads(functions):
         yield polls
-    finally:
-        polls.stop()
 
 
 @contextlib.contextmanager
@@ -98,10 +83,9 @@
     list of Claim
         Claims of this load so far.
     """
-    ended = threading.Event()
     claims = []
 
-    def work():
+    def work(ended):
         while not ended.is_set():
             node = choose()
             ticket = None
@@ -113,12 +97,5 @@
                     continue
             claims.append(caller.ask(node, query, ticket))
 
-    threads = [threading.Thread(target=work) for _ in range(workers)]
-    for thread in threads:
-        thread.start()
-    try:
+    with run_threads([work] * workers):
         yield claims
-    finally:
-        ended.set()
-        for thread in threads:
-            thread.join()
--- a/hawthornfold/integration/revisions.py
+++ b/hawthornfold/integration/revisions.py
@@ -1,10 +1,11 @@
 """Watches the revisions that the nodes of a fleet have in force."""
 
 import contextlib
-import threading
+import functools
 
 from hawthornfold.integration import waiting
 from hawthornfold.integration.callers import read_operator
+from hawthornfold.integration.threads import run_threads
 
 _POLL_S = 0.05
 
@@ -63,11 +64,6 @@
         self._highest = {}
         self._falls = []
         self._samples = dict.fromkeys(fleet.nodes, 0)
-        self._ended = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._watch, args=(name,))
-            for name in fleet.nodes
-        ]
 
     @property
     def falls(self):
@@ -79,19 +75,9 @@
         """Number of samples by node."""
         return dict(self._samples)
 
-    def start(self):
-        """Start to sample."""
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self):
-        """End the samples."""
-        self._ended.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _watch(self, node):
-        while not self._ended.wait(_POLL_S):
+    def watch(self, node, ended):
+        """Sample a node until the event is set."""
+        while not ended.wait(_POLL_S):
             found = read_configuration(self._fleet, node)
             if found is not None and found['is_ready']:
                 self._samples[node] += 1
@@ -111,8 +97,8 @@
 def open_sampler(fleet):
     """Sample all nodes while the context is active."""
     sampler = RevisionSampler(fleet)
-    sampler.start()
-    try:
+    functions = [
+        functools.partial(sampler.watch, name) for name in fleet.nodes
+    ]
+    with run_threads(functions):
         yield sampler
-    finally:
-        sampler.stop()
--- /dev/null
+++ b/hawthornfold/integration/threads.py
@@ -0,0 +1,28 @@
+"""Threads that run while a context is active."""
+
+import contextlib
+import threading
+
+
+@contextlib.contextmanager
+def run_threads(functions):
+    """Run functions in threads of their own while the context is active.
+
+    Parameters
+    ----------
+    functions : iterable of callable
+        Each takes the event that tells it to return.
+    """
+    ended = threading.Event()
+    threads = [
+        threading.Thread(target=function, args=(ended,), daemon=True)
+        for function in functions
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        for thread in threads:
+            thread.join()
