--- a/hawthornfold/directory/__init__.py
+++ b/hawthornfold/directory/__init__.py
@@ -2,11 +2,11 @@
 
 from hawthornfold.directory.directory import ServerDirectory
 from hawthornfold.directory.directory import create_server_directory
-from hawthornfold.directory.following import ReaderRoles
-from hawthornfold.directory.following import SnapshotQuery
-from hawthornfold.directory.following import StoreNews
-from hawthornfold.directory.following import StoreSnapshot
-from hawthornfold.directory.following import assign_roles
+from hawthornfold.directory.news import SnapshotQuery
+from hawthornfold.directory.news import StoreNews
+from hawthornfold.directory.news import StoreSnapshot
+from hawthornfold.directory.readers import ReaderRoles
+from hawthornfold.directory.readers import assign_roles
 from hawthornfold.directory.records import CallerLimits
 from hawthornfold.directory.records import ItemFailure
 from hawthornfold.directory.records import ReadFailure
--- a/hawthornfold/directory/tests/test_following.py
+++ b/hawthornfold/directory/tests/test_readers.py
@@ -3,8 +3,8 @@
 
 from hawthornfold.directory import StoreNews
 from hawthornfold.directory import assign_roles
-from hawthornfold.directory.following import PublishedConfiguration
-from hawthornfold.directory.following import limit_news
+from hawthornfold.directory.news import PublishedConfiguration
+from hawthornfold.directory.news import limit_news
 
 
 class Node(typing.NamedTuple):
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -8,11 +8,11 @@
 
 from hawthornfold.directory.directory import LAPSE_GRACE_MS
 from hawthornfold.directory.following import SNAPSHOT_MS
-from hawthornfold.directory.following import StoreNews
-from hawthornfold.directory.following import StoreSnapshot
 from hawthornfold.directory.following import create_following
-from hawthornfold.directory.following import pack_configuration
-from hawthornfold.directory.following import unpack_configuration
+from hawthornfold.directory.news import StoreNews
+from hawthornfold.directory.news import StoreSnapshot
+from hawthornfold.directory.news import pack_configuration
+from hawthornfold.directory.news import unpack_configuration
 from hawthornfold.directory.records import ServerChange
 from hawthornfold.directory.records import StoreChanges
 
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -16,7 +16,7 @@
 from hawthornfold.directory import StoreSnapshot
 from hawthornfold.directory import create_store_watcher
 from hawthornfold.directory.following import BEAT_MS
-from hawthornfold.directory.following import limit_news
+from hawthornfold.directory.news import limit_news
 from hawthornfold.gateway.delegations import Delegations
 from hawthornfold.gateway.fleet import COUNT_MS
 from hawthornfold.gateway.fleet import StoreRevision
