--- /dev/null
+++ b/hawthornfold/delegation/tests/support.py
@@ -0,0 +1,22 @@
+"""Rules for tests of queries that are handed over."""
+
+from hawthornfold.rules import Decision
+from hawthornfold.rules import Gather
+
+
+def create_decision(shards=90, objective_ms=120.0):
+    """Return a decision that gathers the answers of some shards."""
+    return Decision(
+        'r',
+        0,
+        600,
+        True,
+        95,
+        'refuse',
+        True,
+        1,
+        20,
+        'pin',
+        objective_ms,
+        gather=Gather(tuple(map(str, range(shards))), 20),
+    )
--- a/hawthornfold/delegation/tests/test_policy.py
+++ b/hawthornfold/delegation/tests/test_policy.py
@@ -8,31 +8,13 @@
 from hawthornfold.delegation.policy import LOST_MS
 from hawthornfold.delegation.policy import MAX_OFFERS
 from hawthornfold.delegation.policy import ROOM_AGE_MS
-from hawthornfold.rules import Decision
+from hawthornfold.delegation.tests.support import create_decision
 from hawthornfold.rules import ForwardTarget
-from hawthornfold.rules import Gather
 
 SMALL = Capacity(7.0, 0.5)
 LARGE = Capacity(70.0, 2.0)
 
 
-def create_decision(shards=90, objective_ms=120.0):
-    return Decision(
-        'r',
-        0,
-        600,
-        True,
-        95,
-        'refuse',
-        True,
-        1,
-        20,
-        'pin',
-        objective_ms,
-        gather=Gather(tuple(map(str, range(shards))), 20),
-    )
-
-
 def create_room(name, capacity=LARGE, age_ms=0.0, data_centre='dc-a'):
     return Room(name, f'{name}:1', data_centre, *capacity, age_ms)
 
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -13,6 +13,7 @@
 from hawthornfold.delegation import RoomQuery
 from hawthornfold.delegation import create_delegation_policy
 from hawthornfold.delegation.policy import Offer
+from hawthornfold.delegation.tests.support import create_decision
 from hawthornfold.gateway.answers import GatewayAnswer
 from hawthornfold.gateway.delegations import CALLER_LEFT
 from hawthornfold.gateway.delegations import MAX_ACCEPTED
@@ -23,8 +24,6 @@
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.metrics import create_metrics
-from hawthornfold.rules import Decision
-from hawthornfold.rules import Gather
 
 SMALL = Capacity(7.0, 0.5)
 LARGE = Capacity(70.0, 2.0)
@@ -182,20 +181,7 @@
         self.offered = []
         now_ms = create_system_clock().now_ms()
         times = ExecutionTimes(now_ms, now_ms, now_ms + 500.0)
-        decision = Decision(
-            'r',
-            0,
-            600,
-            True,
-            95,
-            'refuse',
-            True,
-            1,
-            20,
-            'pin',
-            100.0,
-            gather=Gather(('a',), 20),
-        )
+        decision = create_decision(1, 100.0)
         rooms = [Room(n, n, 'dc', *LARGE, 0.0) for n in ('large-1', 'large-2')]
         self.margin = create_answer_margin()
         state = types.SimpleNamespace(
