--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -46,6 +46,8 @@
     def __init__(self):
         self._records = {}
         self._ready_by_service = {}
+        # The ready servers of a service, until one of them changes.
+        self._ready_lists = {}
         self._leaving = {}
         # Times at which deferred removals are carried out, by server id.
         self._pending_removals = {}
@@ -81,19 +83,23 @@
 
         Returns
         -------
-        list of ServerRecord
-            The ready servers; if there are none, the servers that began to
-            leave less than `LAST_RESORT_MS` ago.
+        tuple of ServerRecord
+            The ready servers, as the same object while they do not change;
+            if there are none, the servers that began to leave less than
+            `LAST_RESORT_MS` ago.
         """
-        ready = self._ready_by_service.get(service)
+        ready = self._ready_lists.get(service)
+        if ready is None:
+            servers = self._ready_by_service.get(service, {})
+            ready = self._ready_lists[service] = tuple(servers.values())
         if ready:
-            return list(ready.values())
-        return [
+            return ready
+        return tuple(
             leaving.record
             for leaving in self._leaving.values()
             if leaving.record.service == service
             and now_ms - leaving.since_ms < LAST_RESORT_MS
-        ]
+        )
 
     def record_outage(self, now_ms):
         """Record that the store did not answer; defer removals."""
@@ -169,7 +175,7 @@
     def _update_index(self, before, record, now_ms):
         server_id = record.server_id
         if before is not None:
-            self._ready_by_service.get(before.service, {}).pop(server_id, None)
+            self._remove_ready(before)
         if record.is_draining:
             if before is None or not before.is_draining:
                 self._leaving[server_id] = _Leaving(record, now_ms)
@@ -177,6 +183,7 @@
             self._leaving.pop(server_id, None)
             servers = self._ready_by_service.setdefault(record.service, {})
             servers[server_id] = record
+            self._ready_lists.pop(record.service, None)
 
     def _remove_or_defer(self, server_id, now_ms):
         if server_id not in self._records:
@@ -193,11 +200,16 @@
         record = self._records.pop(server_id, None)
         if record is None:
             return []
-        self._ready_by_service.get(record.service, {}).pop(server_id, None)
+        self._remove_ready(record)
         if not record.is_draining:
             self._leaving[server_id] = _Leaving(record, now_ms)
         return [DirectoryEvent('removed', record)]
 
+    def _remove_ready(self, record):
+        servers = self._ready_by_service.get(record.service, {})
+        servers.pop(record.server_id, None)
+        self._ready_lists.pop(record.service, None)
+
 
 def _classify_change(before, record):
     if before is None:
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -376,7 +376,7 @@
         self.directory.expire_removals(now_ms + REMOVAL_GRACE_MS)
         late_ms = now_ms + REMOVAL_GRACE_MS + 2_000.0
         self.assertEqual(
-            self.directory.available_servers('portal', late_ms), []
+            self.directory.available_servers('portal', late_ms), ()
         )
 
     def test_failed_reads_are_followed_by_a_delay(self):
--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -6,7 +6,6 @@
 from hawthornfold.codes import ResultCode
 from hawthornfold.gateway.exchange import strip_connection_headers
 from hawthornfold.gathering import Verdict
-from hawthornfold.gathering import merge_records
 
 # Retry-After of refusals, in milliseconds. A node without a configuration has
 # to read the store first; a service without a server has to wait until a
@@ -74,7 +73,7 @@
     if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
         if decision.gather is None:
             return _pass_on(execution.answers[0])
-        return _merge_answers(decision, execution, names)
+        return _merge_answers(execution, names)
     failure = execution.failure
     if (
         verdict is Verdict.PASSED_FAILURE
@@ -94,15 +93,14 @@
     )
 
 
-def _merge_answers(decision, execution, names):
+def _merge_answers(execution, names):
     answers = execution.answers
     headers = (
         (names.part_seals, ', '.join(a.seal for a in answers)),
         (names.missing_parts, str(execution.missing_count)),
         ('Content-Type', 'application/octet-stream'),
     )
-    body = merge_records((a.body for a in answers), decision.gather.limit)
-    return GatewayAnswer(200, headers, body)
+    return GatewayAnswer(200, headers, execution.merged_records)
 
 
 def _pass_on(response):
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -418,7 +418,8 @@
         missing = execution.missing_services
         _LOG.info(
             'event=request_ended request={} rule={} version={} verdict={} '
-            'status={} ms={:.1f} answer_ms={:.0f} deadline_ms={:.0f} '
+            'status={} ms={:.1f} answer_ms={:.0f} sufficient_ms={} '
+            'deadline_ms={:.0f} '
             'parts={} remote={} missing={} hedges={} retries={} denied={} '
             'store_age_ms={:.0f} faults="{}"',
             plan.request_id,
@@ -428,6 +429,7 @@
             answer.status if answer is not None else '-',
             elapsed_ms,
             plan.times.answer_ms - plan.times.arrived_ms,
+            _describe_ms(execution.sufficient_ms, plan.times.arrived_ms),
             plan.times.deadline_ms - plan.times.arrived_ms,
             len(plan.services),
             result.remote,
@@ -438,3 +440,7 @@
             self._watcher.age_ms(now_ms) or -1.0,
             ' '.join(result.faults),
         )
+
+
+def _describe_ms(time_ms, since_ms):
+    return '-' if time_ms is None else f'{time_ms - since_ms:.0f}'
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -1,6 +1,7 @@
 """Assembles a gateway node and runs it until a stop signal."""
 
 import contextlib
+import gc
 import os
 import signal
 
@@ -40,6 +41,8 @@
 SETTINGS_POLL_INTERVAL_MS = 1_000.0
 # Interval at which silent servers are blocked and blocked ones are probed.
 SWEEP_INTERVAL_MS = 50.0
+# A sweep that is later than this was held up by the node itself.
+LATENESS_SLACK_MS = 10.0
 # A node that starts waits this long before it assigns reader roles: it finds
 # the other nodes first and reads the store on their behalf only then. After
 # all machines have lost power, servers can register again in this time.
@@ -353,7 +356,13 @@
     def _run_sweep(self):
         placement = self._state.placement
         while True:
+            started_ms = self._clock.now_ms()
             self._clock.sleep_ms(SWEEP_INTERVAL_MS)
+            late_ms = self._clock.now_ms() - started_ms - SWEEP_INTERVAL_MS
+            if late_ms > LATENESS_SLACK_MS:
+                placement.excuse_silence(late_ms)
+            # Lets the event loop handle what has arrived meanwhile.
+            self._clock.sleep_ms(0.0)
             now_ms = self._clock.now_ms()
             for server_id in placement.block_silent_servers(now_ms):
                 self._metrics.count('servers_blocked')
@@ -373,19 +382,18 @@
         # probe, so that only one runs at a time.
         health = self._state.placement.health(server_id)
         health.record_probe(False, now_ms)
-        eventlet.spawn_n(self._probe, record, health)
 
-    def _probe(self, record, health):
-        has_succeeded = self._state.get_pool(record).probe()
-        self._metrics.count(
-            'server_probes', outcome='ok' if has_succeeded else 'failed'
-        )
-        health.record_probe(has_succeeded, self._clock.now_ms())
-        if has_succeeded:
-            _LOG.notice(
-                'event=server_unblocked server={} cause=probe',
-                record.server_id,
+        def end(has_succeeded):
+            self._metrics.count(
+                'server_probes', outcome='ok' if has_succeeded else 'failed'
             )
+            health.record_probe(has_succeeded, self._clock.now_ms())
+            if has_succeeded:
+                _LOG.notice(
+                    'event=server_unblocked server={} cause=probe', server_id
+                )
+
+        self._state.get_pool(record).probe(end)
 
 
 def run_gateway(load_settings, open_store, names, ready_path, settings_path):
@@ -403,6 +411,9 @@
     """
     signals = []
     node = GatewayNode(load_settings, open_store, names, ready_path)
+    # Modules and their objects stay until the process ends. Without this, each
+    # full collection examines all of them, which takes 10 ms and more.
+    gc.freeze()
     with setup_logs(node.settings.node_name):
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda number, _: signals.append(number))
--- a/hawthornfold/gateway/pools.py
+++ b/hawthornfold/gateway/pools.py
@@ -1,12 +1,11 @@
 """Pools a node's connections to its backend servers, within their limits."""
 
+import abc
 import collections
 
-import eventlet
-import eventlet.semaphore
-
-from hawthornfold.gateway.exchange import CONNECT_TIMEOUT_MS
-from hawthornfold.gateway.exchange import ServerConnection
+from hawthornfold.gateway.connections import CONNECT_TIMEOUT_MS
+from hawthornfold.gateway.connections import ServerConnection
+from hawthornfold.gateway.exchange import ResponseClassifier
 
 # Share of a server's connections that all nodes together may open. The rest is
 # for nodes that restart while the server has not closed their old connections.
@@ -39,19 +38,46 @@
     return max(1, int(limit * USABLE_SHARE * share))
 
 
+class ConnectionUser(abc.ABC):
+    """A request for a connection of a pool."""
+
+    __slots__ = ()
+
+    # Whether the connection is no longer needed.
+    is_cancelled = False
+    # Whether the request that the connection is for may be executed twice.
+    is_idempotent = True
+
+    @abc.abstractmethod
+    def handle_connection(self, connection, reason):
+        """Take the `ServerConnection`, or None and the reason."""
+
+
+class _Probe(ConnectionUser):
+    """Checks that a server accepts a connection."""
+
+    def __init__(self, pool, on_end):
+        self._pool = pool
+        self._on_end = on_end
+
+    def handle_connection(self, connection, reason):
+        if connection is not None:
+            self._pool.release(connection)
+        self._on_end(connection is not None)
+
+
 class ServerPool:
     """A pool of idle and busy connections to one server process."""
 
-    def __init__(self, address, limit, names, clock, metrics, on_connect):
+    def __init__(self, address, limit, create_connection, metrics, on_connect):
         self._address = address
         self._limit = limit
-        self._names = names
-        self._clock = clock
+        self._create_connection = create_connection
         self._metrics = metrics
         self._on_connect = on_connect
-        self._slots = eventlet.semaphore.Semaphore(limit)
         self._idle = collections.deque()
-        self._busy = set()
+        self._waiting = collections.deque()
+        self._busy_count = 0
         self._is_closed = False
 
     @property
@@ -65,74 +91,52 @@
         return bool(self._idle)
 
     def set_limit(self, limit):
-        """Set the maximum number of connections."""
-        for _ in range(self._limit, limit):
-            self._slots.release()
-        for _ in range(limit, self._limit):
-            # Does not block: busy connections finish their exchange.
-            self._slots.acquire(blocking=False)
+        """Set the maximum number of connections; close idle ones above it."""
         self._limit = limit
+        self._limit_idle(limit)
+        self._serve_waiting()
+
+    def acquire(self, user):
+        """Get an idle connection, or open one.
 
-    def acquire(self, is_idempotent, timeout_ms):
-        """Return an idle connection, or open a new one.
+        Waits while all connections are busy.
 
         Parameters
         ----------
-        is_idempotent : bool
-            Whether the request may be executed twice.
-        timeout_ms : float
-            Maximum time to wait for a free slot, and then to connect.
-
-        Returns
-        -------
-        tuple of (ServerConnection or None, str)
-            The connection and '', or None and the reason.
+        user : ConnectionUser
+            Receives the connection, before the method returns if one is
+            idle, and later otherwise. A user that is cancelled while it
+            waits receives none.
         """
-        if not self._slots.acquire(timeout=max(timeout_ms, 1.0) / 1000.0):
-            return None, 'no free connection'
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.can_carry_request(is_idempotent):
-                self._busy.add(connection)
-                return connection, ''
-            connection.close()
-        connection = ServerConnection(self._address, self._names, self._clock)
-        self._busy.add(connection)
-        self._metrics.count('server_connections_opened')
-        started_ms = self._clock.now_ms()
-        error = connection.open(min(timeout_ms, CONNECT_TIMEOUT_MS))
-        if error is not None:
-            self.release(connection)
-            return None, error
-        self._on_connect(self._clock.now_ms() - started_ms)
-        return connection, ''
+        if self._busy_count < self._limit:
+            self._assign(user)
+        else:
+            self._waiting.append(user)
 
     def release(self, connection):
         """Return a connection to the pool; close it if it is not reusable."""
-        self._busy.discard(connection)
+        self._busy_count -= 1
         if connection.is_reusable and not self._is_closed:
             self._idle.append(connection)
         else:
             connection.close()
-        self._slots.release()
+        self._serve_waiting()
 
-    def probe(self):
+    def probe(self, on_end):
         """Open a connection to check that the server accepts it.
 
-        Returns
-        -------
-        bool
-            Whether the server accepted. The connection joins the pool.
-            False also if all connections are in use.
+        Parameters
+        ----------
+        on_end : callable
+            Takes whether the server accepted; False also if all connections
+            are in use. The connection joins the pool.
         """
-        if not self._slots.acquire(blocking=False):
-            return False
-        connection = ServerConnection(self._address, self._names, self._clock)
-        self._busy.add(connection)
-        self._metrics.count('server_connections_opened')
-        error = connection.open(CONNECT_TIMEOUT_MS)
-        self.release(connection)
-        return error is None
+        if self._busy_count >= self._limit:
+            on_end(False)
+            return
+
+        self._limit_idle(self._limit - 1)
+        self._open(_Probe(self, on_end))
 
     def discard_idle(self):
         """Close all idle connections."""
@@ -144,31 +148,83 @@
         self._is_closed = True
         self.discard_idle()
 
+    def _limit_idle(self, limit):
+        """Close the oldest idle connections until at most `limit` are open."""
+        while self._idle and self._busy_count + len(self._idle) > limit:
+            self._idle.popleft().close()
+
+    def _serve_waiting(self):
+        while self._waiting and self._busy_count < self._limit:
+            user = self._waiting.popleft()
+            if not user.is_cancelled:
+                self._assign(user)
+
+    def _assign(self, user):
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.can_carry_request(user.is_idempotent):
+                self._busy_count += 1
+                user.handle_connection(connection, '')
+                return
+            connection.close()
+        self._open(user)
+
+    def _open(self, user):
+        self._busy_count += 1
+        self._metrics.count('server_connections_opened')
+        connection = self._create_connection(self._address, self._remove_idle)
+
+        def end(error):
+            if error is None:
+                self._on_connect(connection.connect_ms)
+            if error is not None or user.is_cancelled:
+                self.release(connection)
+            if not user.is_cancelled:
+                user.handle_connection(
+                    None if error else connection, error or ''
+                )
+
+        connection.open(CONNECT_TIMEOUT_MS, end)
+
+    def _remove_idle(self, connection):
+        if connection in self._idle:
+            self._idle.remove(connection)
+
 
 class ServerPools:
     """Holds the `ServerPool` of each server, by server id."""
 
     def __init__(self, names, clock, metrics, on_connect):
         self._names = names
+        self._classifier = ResponseClassifier(names)
         self._clock = clock
         self._metrics = metrics
         self._on_connect = on_connect
         self._pools = {}
 
-    def get(self, record, limit):
-        """Return the pool of a server; create it if missing or outdated."""
+    def get(self, record, compute_limit):
+        """Return the pool of a server; create it if missing or outdated.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            The server.
+        compute_limit : callable
+            Takes the server's service; returns the maximum number of
+            connections of a new pool.
+        """
         pool = self._pools.get(record.server_id)
-        if pool is None or pool.address != record.address:
-            if pool is not None:
-                pool.close()
-            pool = self._pools[record.server_id] = ServerPool(
-                record.address,
-                limit,
-                self._names,
-                self._clock,
-                self._metrics,
-                self._on_connect,
-            )
+        if pool is not None and pool.address == record.address:
+            return pool
+        if pool is not None:
+            pool.close()
+        pool = self._pools[record.server_id] = ServerPool(
+            record.address,
+            compute_limit(record.service),
+            self._create_connection,
+            self._metrics,
+            self._on_connect,
+        )
         return pool
 
     def has_idle(self, server_id):
@@ -190,3 +246,8 @@
         """Close all pools."""
         for server_id in list(self._pools):
             self.close_pool(server_id)
+
+    def _create_connection(self, address, on_idle_end):
+        return ServerConnection(
+            address, self._names, self._classifier, self._clock, on_idle_end
+        )
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -1,11 +1,12 @@
 """Runs the exchanges of one request until the request has a verdict."""
 
-import contextlib
 import typing
 
-import eventlet
-import eventlet.queue
+from eventlet import hubs
+import eventlet.event
+import logbook
 
+from hawthornfold.gateway.pools import ConnectionUser
 from hawthornfold.gathering import Cancel
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
@@ -18,7 +19,7 @@
 # Maximum number of failed attempts in a log line.
 MAX_LISTED_FAULTS = 12
 
-_CALLER_LEFT = object()
+_LOG = logbook.Logger('request')
 
 
 class RelayResult(typing.NamedTuple):
@@ -39,20 +40,51 @@
     remote: int
 
 
-class _RunningExchange:
-    """A running attempt; `connection` is None unless it occupies one."""
+class _Exchange(ConnectionUser):
+    """A running attempt, which waits for a connection or occupies one."""
 
-    __slots__ = ('connection', 'is_cancelled', 'record')
+    __slots__ = (
+        'connection',
+        'is_cancelled',
+        'is_idempotent',
+        'pool',
+        'relay',
+        'send',
+        'started_ms',
+    )
 
-    def __init__(self, record):
-        self.record = record
+    def __init__(self, relay, send, pool, is_idempotent, started_ms):
+        self.relay = relay
+        self.send = send
+        self.pool = pool
+        self.is_idempotent = is_idempotent
+        self.started_ms = started_ms
         self.connection = None
         self.is_cancelled = False
 
+    def handle_connection(self, connection, reason):
+        if connection is None:
+            self._end_unreachable(reason)
+            return
+        self.connection = connection
+        self.relay.send_request(self)
+
+    def handle_end(self, outcome, waiting_count):
+        if self.connection is not None:
+            self.pool.release(self.connection)
+        self.relay.handle_end(self, outcome, waiting_count)
+
     def cancel(self):
         self.is_cancelled = True
         if self.connection is not None:
             self.connection.abort()
+        else:
+            self._end_unreachable('cancelled')
+
+    def _end_unreachable(self, reason):
+        self.handle_end(
+            ExchangeOutcome(OutcomeKind.UNREACHABLE, None, reason), None
+        )
 
 
 class Relay:
@@ -81,14 +113,19 @@
         self._execution = execution
         self._decision = decision
         self._request = request
-        self._outcomes = eventlet.queue.LightQueue()
+        self._deadline_ms = 0.0
+        self._data_centre = state.settings.data_centre
         self._running = {}
         self._faults = []
         self._remote_count = 0
+        self._hub = hubs.get_hub()
+        self._timer = None
+        self._timer_due_ms = 0.0
+        self._end = eventlet.event.Event()
 
     def notify_caller_left(self):
         """End the request because its caller has disconnected."""
-        self._outcomes.put((_CALLER_LEFT, None))
+        self._end_request(None)
 
     def run(self, deadline_ms):
         """Run the request to its end.
@@ -103,108 +140,143 @@
         RelayResult
         """
         self._deadline_ms = deadline_ms
-        execution = self._execution
         verdict = None
         try:
-            self._apply_actions(execution.start(self._clock.now_ms()))
-            verdict = self._wait_for_verdict()
+            now_ms = self._clock.now_ms()
+            self._apply_actions(self._execution.start(now_ms), now_ms)
+            now_ms = self._clock.now_ms()
+            self._execution.record_sent(now_ms)
+            self._check_verdict(now_ms)
+            verdict = self._end.wait()
         finally:
+            self._end_request(None)
             self._cancel_running(verdict)
         return RelayResult(verdict, tuple(self._faults), self._remote_count)
 
-    def _wait_for_verdict(self):
-        execution = self._execution
-        while True:
+    def _end_request(self, verdict):
+        if not self._end.ready():
+            self._end.send(verdict)
+        self._cancel_timer()
+
+    def _check_verdict(self, now_ms):
+        """End the request, or schedule the next check of it."""
+        verdict = self._execution.determine_verdict(now_ms)
+        if verdict is not None:
+            self._end_request(verdict)
+            return
+        due_ms = self._execution.next_wakeup_ms(now_ms)
+        # A timer that fires early schedules the next one. Replacing it after
+        # each outcome would cost more.
+        if self._timer is None or due_ms < self._timer_due_ms:
+            self._cancel_timer()
+            self._timer_due_ms = due_ms
+            self._timer = self._hub.schedule_call_global(
+                max(due_ms - now_ms, 0.5) / 1000.0, self._handle_timer
+            )
+
+    def _cancel_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _handle_timer(self):
+        # The loop runs timers before it reads sockets. What has arrived while
+        # it was busy is handled first, so that no part is hedged whose
+        # response is only unread.
+        self._timer = self._hub.schedule_call_global(0, self._handle_due)
+
+    def _handle_due(self):
+        self._timer = None
+        try:
             now_ms = self._clock.now_ms()
-            verdict = execution.determine_verdict(now_ms)
-            if verdict is not None:
-                return verdict
-            wait_ms = execution.next_wakeup_ms(now_ms) - now_ms
-            with contextlib.suppress(eventlet.queue.Empty):
-                attempt, outcome = self._outcomes.get(
-                    timeout=max(wait_ms, 0.5) / 1000.0
-                )
-                if attempt is _CALLER_LEFT:
-                    return None
-                now_ms = self._clock.now_ms()
-                self._apply_actions(
-                    execution.handle_outcome(attempt, outcome, now_ms)
-                )
             self._apply_actions(
-                execution.start_due_hedges(self._clock.now_ms())
+                self._execution.start_due_hedges(now_ms), now_ms
             )
+            self._check_verdict(now_ms)
+        except Exception as error:  # noqa: BLE001
+            self._end_with_error(error)
+
+    def _end_with_error(self, error):
+        """Pass an error of a callback to the green thread of the request."""
+        if self._end.ready():
+            _LOG.exception('event=relay_failed')
+        else:
+            self._end.send_exception(error)
 
-    def _apply_actions(self, actions):
+    def _apply_actions(self, actions, now_ms):
         for action in actions:
             if isinstance(action, Send):
-                exchange = _RunningExchange(action.record)
-                self._running[action.attempt] = exchange
-                local_data_centre = self._state.settings.data_centre
-                self._remote_count += (
-                    action.record.data_centre != local_data_centre
-                )
-                eventlet.spawn_n(self._run_exchange, action, exchange)
+                self._start_exchange(action, now_ms)
             elif isinstance(action, Cancel):
-                exchange = self._running.get(action.attempt)
-                if exchange is not None:
-                    eventlet.spawn_after(
-                        CANCEL_DELAY_MS / 1000.0, exchange.cancel
-                    )
+                self._cancel_later(self._running.get(action.attempt))
+
+    def _start_exchange(self, send, now_ms):
+        state = self._state
+        record = send.record
+        if record.data_centre != self._data_centre:
+            self._remote_count += 1
+        pool = state.get_pool(record)
+        exchange = self._running[send.attempt] = _Exchange(
+            self, send, pool, self._decision.idempotent, now_ms
+        )
+        pool.acquire(exchange)
+
+    def send_request(self, exchange):
+        """Send the request on the connection of an exchange."""
+        exchange.connection.start_exchange(
+            self._request,
+            exchange.send.record.server_id,
+            self._deadline_ms,
+            exchange.handle_end,
+        )
+
+    def handle_end(self, exchange, outcome, waiting_count):
+        """Continue the request after the end of an exchange."""
+        attempt = exchange.send.attempt
+        self._running.pop(attempt, None)
+        try:
+            now_ms = self._clock.now_ms()
+            self._record_outcome(exchange, outcome, waiting_count, now_ms)
+            if not self._end.ready():
+                self._continue_request(attempt, outcome, now_ms)
+        except Exception as error:  # noqa: BLE001
+            self._end_with_error(error)
+
+    def _continue_request(self, attempt, outcome, now_ms):
+        execution = self._execution
+        self._apply_actions(
+            execution.handle_outcome(attempt, outcome, now_ms), now_ms
+        )
+        self._check_verdict(now_ms)
 
     def _cancel_running(self, verdict):
         remaining = list(self._running.values())
-        if not remaining:
-            return
         if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
             for exchange in remaining:
-                eventlet.spawn_after(CANCEL_DELAY_MS / 1000.0, exchange.cancel)
+                self._cancel_later(exchange)
         else:
             for exchange in remaining:
-                exchange.cancel()
+                self._cancel(exchange)
 
-    def _run_exchange(self, send, exchange):
-        outcome = ExchangeOutcome(OutcomeKind.LOST, None, 'internal error')
-        started_ms = self._clock.now_ms()
-        waiting_count = None
-        try:
-            outcome, waiting_count = self._perform_exchange(exchange)
-        finally:
-            self._running.pop(send.attempt, None)
-            self._record_outcome(
-                send, exchange, outcome, waiting_count, started_ms
+    def _cancel_later(self, exchange):
+        if exchange is not None:
+            self._hub.schedule_call_global(
+                CANCEL_DELAY_MS / 1000.0, self._cancel, exchange
             )
-            self._outcomes.put((send.attempt, outcome))
 
-    def _perform_exchange(self, exchange):
-        record = exchange.record
-        pool = self._state.get_pool(record)
-        left_ms = self._deadline_ms - self._clock.now_ms()
-        connection, reason = pool.acquire(self._decision.idempotent, left_ms)
-        if connection is None:
-            return ExchangeOutcome(OutcomeKind.UNREACHABLE, None, reason), None
-        try:
-            if exchange.is_cancelled:
-                outcome = ExchangeOutcome(
-                    OutcomeKind.UNREACHABLE, None, 'cancelled'
-                )
-                return outcome, None
-            exchange.connection = connection
-            return connection.exchange(
-                self._request, record.server_id, self._deadline_ms
-            )
-        finally:
-            exchange.connection = None
-            pool.release(connection)
+    def _cancel(self, exchange):
+        if exchange.send.attempt in self._running:
+            exchange.cancel()
 
-    def _record_outcome(
-        self, send, exchange, outcome, waiting_count, started_ms
-    ):
-        now_ms = self._clock.now_ms()
+    def _record_outcome(self, exchange, outcome, waiting_count, now_ms):
         placement = self._state.placement
-        server_id = exchange.record.server_id
-        key = self._execution.attempt_key(send.attempt)
+        server_id = exchange.send.record.server_id
+        key = self._execution.attempt_key(exchange.send.attempt)
         kind = outcome.kind
-        elapsed_ms = now_ms - started_ms
+        elapsed_ms = now_ms - exchange.started_ms
+        if exchange.connection is not None:
+            # Neither the node's own work nor opening a connection counts.
+            elapsed_ms = now_ms - exchange.connection.sent_ms
         if exchange.is_cancelled:
             self._metrics.count('exchanges', outcome='cancelled')
             placement.record_cancelled(
@@ -224,7 +296,7 @@
             return
         if len(self._faults) < MAX_LISTED_FAULTS:
             self._faults.append(
-                f'{exchange.record.service}/{server_id}/{kind.value}/'
+                f'{exchange.send.record.service}/{server_id}/{kind.value}/'
                 f'{outcome.detail}/{elapsed_ms:.0f}ms'
             )
         health = placement.health(server_id)
--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -1,4 +1,4 @@
-"""Parses the response of a server with httptools."""
+"""Parses the responses of a server with httptools."""
 
 import httptools
 
@@ -7,22 +7,19 @@
 
 
 class ResponseReader:
-    """Parses one response from the bytes of a connection.
+    """Parses the responses of one connection, one after the other.
 
-    Parameters
-    ----------
-    method : str
-        Method of the request; a response to HEAD has no body.
+    `begin` has to be called before each response.
     """
 
-    def __init__(self, method):
-        self._has_no_body = method == 'HEAD'
+    def __init__(self):
         self._parser = httptools.HttpResponseParser(self)
+        self._has_no_body = False
         self._reset()
 
     def _reset(self):
-        self.headers = []
-        self._fields = {}
+        # Names and values as received.
+        self.raw_headers = []
         self._chunks = []
         self._size = 0
         self._has_head = False
@@ -30,6 +27,17 @@
         self._has_extra_bytes = False
         self._keeps_open = False
 
+    def begin(self, method):
+        """Prepare for the response to a request.
+
+        Parameters
+        ----------
+        method : str
+            Method of the request; a response to HEAD has no body.
+        """
+        self._reset()
+        self._has_no_body = method == 'HEAD'
+
     @property
     def is_complete(self):
         """Whether the response is complete."""
@@ -52,12 +60,21 @@
 
     @property
     def keeps_open(self):
-        """Whether the server keeps the connection open."""
+        """Whether the connection may carry another exchange."""
         return self._keeps_open
 
-    def get(self, name):
-        """Return the value of a header by its lowercase name, or ''."""
-        return self._fields.get(name, '')
+    def read_fields(self):
+        """Return the header values by lowercase name, as bytes.
+
+        Values of equal names are joined.
+        """
+        fields = {}
+        for name, value in self.raw_headers:
+            name = name.lower()
+            if name in fields:
+                value = b'%b, %b' % (fields[name], value)
+            fields[name] = value
+        return fields
 
     def feed(self, data):
         """Parse received bytes.
@@ -81,12 +98,12 @@
 
         It completes a response without a length; any other is incomplete.
         """
-        is_framed = (
-            'content-length' in self._fields
-            or 'transfer-encoding' in self._fields
-        )
-        if self._has_head and not is_framed:
-            self._is_complete = True
+        if self._has_head:
+            fields = self.read_fields()
+            self._is_complete = (
+                b'content-length' not in fields
+                and b'transfer-encoding' not in fields
+            )
 
     # Callbacks of httptools.
 
@@ -94,23 +111,21 @@
         """Start a response, or record that another one follows."""
         if self._is_complete:
             self._has_extra_bytes = True
-        else:
+        elif self._has_head:
+            # An interim response came first.
             self._reset()
 
     def on_header(self, name, value):
         """Store a header."""
         if not self._is_complete:
-            name, value = name.decode('latin-1'), value.decode('latin-1')
-            self.headers.append((name, value))
-            lowercase = name.lower()
-            if lowercase in self._fields:
-                value = f'{self._fields[lowercase]}, {value}'
-            self._fields[lowercase] = value
+            self.raw_headers.append((name, value))
 
     def on_headers_complete(self):
         """Record the end of the head."""
         self._has_head = True
         if self._has_no_body and self.status >= 200:
+            # The parser still expects the body, so that it cannot parse
+            # another response.
             self._is_complete = True
 
     def on_body(self, data):
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -157,7 +157,7 @@
 
     def get_pool(self, record):
         """Return the `ServerPool` for the server of a directory record."""
-        return self.pools.get(record, self._connection_limit(record.service))
+        return self.pools.get(record, self._connection_limit)
 
     def get_repeat_budget(self, service):
         """Return the repeat budget of a service, creating it when missing."""
--- a/hawthornfold/gateway/tests/support.py
+++ b/hawthornfold/gateway/tests/support.py
@@ -6,10 +6,28 @@
 import threading
 import typing
 
+import eventlet
+import eventlet.event
+
 # Timeout that only ends tests that hang; no assertion depends on it.
 HANG_S = 20.0
 
 
+def wait_for_callback(start):
+    """Return the arguments of the callback that is passed to `start`."""
+    event = eventlet.event.Event()
+    start(lambda *arguments: event.send(arguments))
+    with eventlet.Timeout(HANG_S):
+        return event.wait()
+
+
+def wait_until(condition):
+    """Let the event loop run until a condition holds."""
+    with eventlet.Timeout(HANG_S):
+        while not condition():
+            eventlet.sleep(0.005)
+
+
 class Received(typing.NamedTuple):
     method: str
     target: str
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -1,7 +1,13 @@
+import socket
+import threading
 import time
+import types
 import unittest
 
+import eventlet
+
 from hawthornfold.clock import create_system_clock
+from hawthornfold.gateway import connections
 from hawthornfold.gateway import exchange as exchanges
 from hawthornfold.gateway.names import HeaderNames
 from hawthornfold.gateway.tests import support
@@ -14,13 +20,33 @@
     def open(self, script=support.answer_correctly):
         self.server = support.ScriptedServer(script)
         self.addCleanup(self.server.close)
+        self.assertIsNone(self.connect())
+        return self.connection
+
+    def connect(self, timeout_ms=1000.0):
+        """Open a connection to the server; return the error, if any."""
         self.clock = create_system_clock()
-        self.connection = exchanges.ServerConnection(
-            self.server.address, HeaderNames(), self.clock
+        self.idle_ends = []
+        names = HeaderNames()
+        self.connection = connections.ServerConnection(
+            self.server.address,
+            names,
+            exchanges.ResponseClassifier(names),
+            self.clock,
+            self.idle_ends.append,
         )
         self.addCleanup(self.connection.close)
-        self.assertIsNone(self.connection.open(1000.0))
-        return self.connection
+        (error,) = support.wait_for_callback(
+            lambda on_open: self.connection.open(timeout_ms, on_open)
+        )
+        return error
+
+    def exchange(self, request, deadline_ms):
+        return support.wait_for_callback(
+            lambda on_end: self.connection.start_exchange(
+                request, 'i-1', deadline_ms, on_end
+            )
+        )
 
     def send(self, request_id='r1', method='GET', body=b'', **headers):
         """Send one request; return the outcome of its exchange."""
@@ -29,8 +55,8 @@
         request = exchanges.create_outgoing_request(
             method, '/a/b?c=%20d', fields, body, request_id, HeaderNames()
         )
-        outcome, self.waiting_count = self.connection.exchange(
-            request, 'i-1', self.clock.now_ms() + 1500.0
+        outcome, self.waiting_count = self.exchange(
+            request, self.clock.now_ms() + 1500.0
         )
         return outcome
 
@@ -70,9 +96,7 @@
         request = exchanges.create_outgoing_request(
             'GET', '/', (), b'', 'r1', HeaderNames()
         )
-        outcome, _ = self.connection.exchange(
-            request, 'i-1', self.clock.now_ms()
-        )
+        outcome, _ = self.exchange(request, self.clock.now_ms())
         self.assertIs(outcome.kind, OutcomeKind.UNREACHABLE)
         self.assertEqual(self.server.requests, [])
 
@@ -282,7 +306,7 @@
         connection = self.open()
         self.send()
         self.assertTrue(connection.can_carry_request(False))
-        time.sleep(exchanges.NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
+        time.sleep(connections.NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
         self.assertFalse(connection.can_carry_request(False))
         self.assertTrue(connection.can_carry_request(True))
 
@@ -300,5 +324,94 @@
         connection = self.open(script)
         self.send()
         self.assertTrue(connection.can_carry_request(True))
-        time.sleep(exchanges.NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
+        time.sleep(connections.NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
         self.assertFalse(connection.can_carry_request(True))
+
+    def test_idle_connection_that_the_server_closes_is_reported(self):
+        # Guards against pools that count a closed connection as open.
+        def script(connection, request, number):
+            connection.sendall(support.create_answer(request))
+            return False
+
+        connection = self.open(script)
+        self.send()
+        support.wait_until(lambda: self.idle_ends)
+        self.assertEqual(self.idle_ends, [connection])
+        self.assertFalse(connection.is_reusable)
+
+    def test_connection_with_an_unsent_body_is_not_reused(self):
+        # Guards against a request that the server reads as the rest of the
+        # previous one's body.
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        self.server = types.SimpleNamespace(
+            address=f'127.0.0.1:{listener.getsockname()[1]}'
+        )
+        threading.Thread(
+            target=answer_before_the_body, args=(listener,), daemon=True
+        ).start()
+        self.connect()
+        outcome = self.send(method='POST', body=bytes(16 << 20))
+        self.assertIs(outcome.kind, OutcomeKind.ANSWERED)
+        self.assertFalse(self.connection.is_reusable)
+
+    def test_long_request_is_sent_in_full(self):
+        # Guards against requests that are cut when the kernel's buffer is
+        # full.
+        self.open()
+        body = bytes(range(256)) * 16_384
+        outcome = self.send(method='POST', body=body)
+        self.assertIs(outcome.kind, OutcomeKind.ANSWERED)
+        self.assertEqual(self.server.requests[0].body, body)
+
+
+class OpenTest(ExchangeTestCase):
+    def open_to(self, address, timeout_ms):
+        self.server = types.SimpleNamespace(address=address)
+        return self.connect(timeout_ms)
+
+    def test_refused_connection_is_an_error(self):
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            port = listener.getsockname()[1]
+        error = self.open_to(f'127.0.0.1:{port}', 1000.0)
+        self.assertIn('ConnectionRefusedError', error)
+        self.assertFalse(self.connection.is_reusable)
+
+    def test_opening_is_limited_in_time(self):
+        # Guards against requests that wait for a host without power.
+        listener = socket.create_server(('127.0.0.1', 0), backlog=0)
+        self.addCleanup(listener.close)
+        address = listener.getsockname()
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        error = self.open_to(f'127.0.0.1:{address[1]}', 50.0)
+        self.assertIn('timed out', error)
+
+    def test_aborted_exchange_ends_at_once(self):
+        # Guards against cancelled requests that occupy a connection.
+        def script(connection, request, number):
+            time.sleep(support.HANG_S)
+            return False
+
+        connection = self.open(script)
+        eventlet.spawn_after(0.05, connection.abort)
+        outcome = self.send()
+        self.assertIs(outcome.kind, OutcomeKind.LOST)
+        self.assertFalse(connection.is_reusable)
+
+
+def answer_before_the_body(listener):
+    """Answer a request after its head and read nothing more."""
+    connection, _ = listener.accept()
+    with connection:
+        head = b''
+        while b'\r\n\r\n' not in head:
+            head += connection.recv(1)
+        headers = {'x-request-id': 'r1'}
+        request = support.Received('POST', '/', headers, b'')
+        connection.sendall(support.create_answer(request))
+        time.sleep(support.HANG_S)
--- /dev/null
+++ b/hawthornfold/gateway/tests/test_pools.py
@@ -0,0 +1,120 @@
+import unittest
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.directory import ServerRecord
+from hawthornfold.gateway.names import HeaderNames
+from hawthornfold.gateway.pools import ConnectionUser
+from hawthornfold.gateway.pools import ServerPools
+from hawthornfold.gateway.tests import support
+from hawthornfold.metrics import create_metrics
+
+
+class RecordingUser(ConnectionUser):
+    def __init__(self):
+        self.results = []
+
+    def handle_connection(self, connection, reason):
+        self.results.append((connection, reason))
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self):
+        self.server = support.ScriptedServer(support.answer_correctly)
+        self.addCleanup(self.server.close)
+        self.metrics = create_metrics()
+        self.pools = ServerPools(
+            HeaderNames(),
+            create_system_clock(),
+            self.metrics,
+            lambda elapsed_ms: None,
+        )
+        self.addCleanup(self.pools.close)
+        self.record = ServerRecord('s1', 'portal', self.server.address, 'd', 2)
+
+    def get_pool(self, limit):
+        return self.pools.get(self.record, lambda service: limit)
+
+    def acquire(self, pool):
+        user = RecordingUser()
+        pool.acquire(user)
+        support.wait_until(lambda: user.results)
+        ((connection, reason),) = user.results
+        self.assertIsNotNone(connection, reason)
+        return connection
+
+    @property
+    def opened_count(self):
+        return self.metrics.value('server_connections_opened')
+
+    def test_idle_connection_is_reused(self):
+        pool = self.get_pool(2)
+        first = self.acquire(pool)
+        pool.release(first)
+        self.assertTrue(pool.has_idle)
+        self.assertIs(self.acquire(pool), first)
+        self.assertEqual(self.opened_count, 1)
+
+    def test_request_waits_while_all_connections_are_busy(self):
+        # Guards against more connections than the server accepts.
+        pool = self.get_pool(1)
+        first = self.acquire(pool)
+        users = [RecordingUser(), RecordingUser()]
+        for user in users:
+            pool.acquire(user)
+        self.assertEqual([user.results for user in users], [[], []])
+        pool.release(first)
+        self.assertEqual([user.results for user in users], [[(first, '')], []])
+        pool.release(first)
+        self.assertEqual(users[1].results, [(first, '')])
+        self.assertEqual(self.opened_count, 1)
+
+    def test_cancelled_request_gets_no_connection(self):
+        # Guards against a connection that is assigned to nobody.
+        pool = self.get_pool(1)
+        first = self.acquire(pool)
+        user = RecordingUser()
+        pool.acquire(user)
+        user.is_cancelled = True
+        pool.release(first)
+        self.assertEqual(user.results, [])
+        self.assertTrue(pool.has_idle)
+
+    def test_connection_of_a_cancelled_request_joins_the_pool(self):
+        pool = self.get_pool(1)
+        user = RecordingUser()
+        pool.acquire(user)
+        user.is_cancelled = True
+        support.wait_until(lambda: pool.has_idle)
+        self.assertEqual(user.results, [])
+
+    def test_lower_limit_closes_idle_connections(self):
+        # Guards against nodes that together keep more connections than the
+        # server accepts after nodes have joined.
+        pool = self.get_pool(2)
+        both = [self.acquire(pool), self.acquire(pool)]
+        for connection in both:
+            pool.release(connection)
+        pool.set_limit(1)
+        self.assertEqual(sum(c.is_reusable for c in both), 1)
+
+    def test_probe_opens_a_new_connection_within_the_limit(self):
+        # Guards against a probe that takes a silent connection for a live
+        # server, and against one connection too many.
+        pool = self.get_pool(1)
+        first = self.acquire(pool)
+        pool.release(first)
+        (has_succeeded,) = support.wait_for_callback(pool.probe)
+        self.assertTrue(has_succeeded)
+        self.assertEqual(self.opened_count, 2)
+        self.assertFalse(first.is_reusable)
+
+    def test_probe_fails_while_all_connections_are_busy(self):
+        pool = self.get_pool(1)
+        self.acquire(pool)
+        self.assertEqual(support.wait_for_callback(pool.probe), (False,))
+
+    def test_moved_server_gets_a_new_pool(self):
+        # Guards against requests to the address that a server had before.
+        pool = self.get_pool(1)
+        moved = self.record._replace(address='127.0.0.1:1')
+        self.assertIsNot(self.pools.get(moved, lambda service: 1), pool)
--- a/hawthornfold/gathering/__init__.py
+++ b/hawthornfold/gathering/__init__.py
@@ -9,7 +9,7 @@
 from hawthornfold.gathering.margin import AnswerMargin
 from hawthornfold.gathering.margin import create_answer_margin
 from hawthornfold.gathering.margin import estimate_travel_ms
-from hawthornfold.gathering.merging import merge_records
+from hawthornfold.gathering.merging import RecordMerger
 from hawthornfold.gathering.outcomes import ExchangeOutcome
 from hawthornfold.gathering.outcomes import OutcomeKind
 from hawthornfold.gathering.outcomes import ServerResponse
@@ -21,11 +21,11 @@
     'Execution',
     'ExecutionTimes',
     'OutcomeKind',
+    'RecordMerger',
     'Send',
     'ServerResponse',
     'Verdict',
     'create_answer_margin',
     'create_execution',
     'estimate_travel_ms',
-    'merge_records',
 ]
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -11,6 +11,7 @@
 import typing
 
 from hawthornfold.directory import ServerRecord
+from hawthornfold.gathering.merging import RecordMerger
 from hawthornfold.gathering.outcomes import OutcomeKind
 
 # Maximum number of additional servers, beyond the rule's `max_servers`, that a
@@ -29,6 +30,10 @@
 # Minimum number of parts for the detection of stragglers; the times of fewer
 # parts say too little about what is slow.
 _MIN_SAMPLE_PARTS = 8
+# Minimum share of answered parts for hedges that are due by the typical
+# latency. When fewer parts are answered by then, the node or its link is late,
+# not the servers, and hedges would only add to the load.
+_MIN_ANSWERED_SHARE = 0.4
 # Interval between two checks for due hedges. It bounds their cost, because a
 # check takes time in proportion to the number of shards.
 _HEDGE_CHECK_INTERVAL_MS = 20.0
@@ -152,17 +157,26 @@
         ]
         self._part_indexes = {}
         self._attempts = itertools.count()
-        typical_max_ms = latency_tracker.typical_max_ms(decision)
-        self._hedge_due_ms = times.arrived_ms + typical_max_ms
+        self._typical_max_ms = latency_tracker.typical_max_ms(decision)
+        # When the first attempts were sent. Hedges depend on the time that
+        # the servers have had, not on that of the node before it.
+        self._sent_ms = times.arrived_ms
+        self._hedge_due_ms = math.inf
         self._next_hedge_check_ms = times.arrived_ms
         self._needed_parts = _count_needed_parts(decision, len(services))
         self._straggler_factors = {}
+        self._min_answered_parts = 0
         if len(services) >= _MIN_SAMPLE_PARTS:
+            self._min_answered_parts = _MIN_ANSWERED_SHARE * len(services)
             self._straggler_factors = {
                 math.ceil(share * len(services)): factor
                 for share, factor in _STRAGGLER_FACTORS
             }
+        self._merger = None
+        if decision.gather is not None:
+            self._merger = RecordMerger(decision.gather.limit)
         self._answered_parts = 0
+        self._has_abandoned_parts = False
         self._sufficient_ms = times.arrived_ms
         self._hedge_count = 0
         self._retry_count = 0
@@ -197,6 +211,21 @@
         """The `ServerResponse` of each answered part, in order of parts."""
         return [part.answer for part in self._parts if part.answer is not None]
 
+    @property
+    def merged_records(self):
+        """The greatest records of all answered parts of a gathered query."""
+        return self._merger.merged
+
+    @property
+    def sufficient_ms(self):
+        """When the minimum share of the parts was answered.
+
+        On the node's clock; None if it was not.
+        """
+        if self._answered_parts < self._needed_parts:
+            return None
+        return self._sufficient_ms
+
     @property
     def missing_count(self):
         """Number of parts without an answer."""
@@ -227,15 +256,22 @@
         list of Send
         """
         chosen = [self._choose_server(part, now_ms) for part in self._parts]
+        self.record_sent(now_ms)
         found = sum(1 for record in chosen if record is not None)
         for part, record in zip(self._parts, chosen, strict=True):
-            part.is_abandoned = record is None or found < self._needed_parts
+            if record is None or found < self._needed_parts:
+                self._abandon(part)
         return [
             self._start_attempt(index, record, now_ms)
             for index, record in enumerate(chosen)
             if not self._parts[index].is_abandoned
         ]
 
+    def record_sent(self, now_ms):
+        """Record when the first attempts of all parts were sent."""
+        self._sent_ms = now_ms
+        self._hedge_due_ms = now_ms + self._typical_max_ms
+
     def handle_outcome(self, attempt, outcome, now_ms):
         """Record the end of an exchange and return what to do next.
 
@@ -261,6 +297,8 @@
             return []
         if outcome.kind is OutcomeKind.ANSWERED:
             part.answer = outcome.response
+            if self._merger is not None:
+                self._merger.add(outcome.response.body)
             self._answered_parts += 1
             if self._answered_parts == self._needed_parts:
                 self._sufficient_ms = now_ms
@@ -282,7 +320,10 @@
                 self._next_hedge_check_ms, self._hedge_due_ms
             )
         sends = []
-        is_hedge_due = now_ms >= self._hedge_due_ms
+        is_hedge_due = (
+            now_ms >= self._hedge_due_ms
+            and self._answered_parts >= self._min_answered_parts
+        )
         for index, part in enumerate(self._parts):
             if not part.is_open or len(part.running) != 1:
                 continue
@@ -313,6 +354,8 @@
         if now_ms >= self._times.deadline_ms:
             has_sent = any(part.sent_count for part in self._parts)
             return Verdict.TIMED_OUT if has_sent else Verdict.NOT_RUN
+        if not self._has_abandoned_parts:
+            return None
         achievable = sum(
             1 for part in self._parts if part.answer or part.running
         )
@@ -320,11 +363,15 @@
             return None
         return self._failure_verdict()
 
+    def _abandon(self, part):
+        part.is_abandoned = True
+        self._has_abandoned_parts = True
+
     def _advance_hedge_time(self, factor, now_ms):
-        elapsed_ms = now_ms - self._times.arrived_ms
+        elapsed_ms = now_ms - self._sent_ms
         hedge_delay_ms = factor * elapsed_ms + _STRAGGLER_SLACK_MS
         self._hedge_due_ms = min(
-            self._hedge_due_ms, self._times.arrived_ms + hedge_delay_ms
+            self._hedge_due_ms, self._sent_ms + hedge_delay_ms
         )
         self._next_hedge_check_ms = min(
             self._next_hedge_check_ms, self._hedge_due_ms
@@ -339,6 +386,10 @@
 
     def _choose_server(self, part, now_ms):
         servers = self._directory.available_servers(part.service, now_ms)
+        if not part.tried_server_ids:
+            return self._placement.choose_first_server(
+                part.service, servers, self._decision, now_ms
+            )
         candidates = [
             record
             for record in servers
@@ -366,7 +417,7 @@
     def _retry_part(self, index, part, kind, now_ms):
         """Start another attempt after a failure if rule and budget allow."""
         if kind.may_have_run and not self._decision.idempotent:
-            part.is_abandoned = True
+            self._abandon(part)
             return []
         if not kind.may_have_run:
             part.not_executed_count += 1
@@ -379,7 +430,7 @@
             self._may_have_arrived(part, kind)
             and not self._try_record_repeat(part, now_ms)
         ):
-            part.is_abandoned = True
+            self._abandon(part)
             return []
         self._retry_count += 1
         return [self._start_attempt(index, record, now_ms)]
--- a/hawthornfold/gathering/merging.py
+++ b/hawthornfold/gathering/merging.py
@@ -1,8 +1,60 @@
 """Merges the records that the shards of a query returned."""
 
-import heapq
+import struct
 
 RECORD_BYTES = 16
+_RECORD = struct.Struct(f'{RECORD_BYTES}s')
+
+
+class RecordMerger:
+    """Keeps the greatest records of the parts received so far.
+
+    Parts are merged as they arrive, while the node waits for others. Merging
+    all of them at the end would delay the answer.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum number of records to keep. Duplicates are kept.
+
+    Examples
+    --------
+    >>> merger = RecordMerger(2)
+    >>> merger.add(b'a' * 16 + b'c' * 16)
+    >>> merger.add(b'b' * 16 + b'z')
+    >>> merger.merged
+    b'ccccccccccccccccbbbbbbbbbbbbbbbb'
+    """
+
+    def __init__(self, limit):
+        self._limit = limit
+        # In descending bytewise order.
+        self._records = []
+
+    @property
+    def merged(self):
+        """The greatest records in descending order, concatenated."""
+        return b''.join(self._records)
+
+    def add(self, body):
+        """Merge the records of a part.
+
+        Parameters
+        ----------
+        body : bytes
+            Records in any order. A shorter remainder at its end is ignored.
+        """
+        remainder = len(body) % RECORD_BYTES
+        if remainder:
+            body = body[:-remainder]
+        records = [record for (record,) in _RECORD.iter_unpack(body)]
+        if len(self._records) == self._limit:
+            smallest = self._records[-1]
+            records = [record for record in records if record > smallest]
+        if records:
+            records += self._records
+            records.sort(reverse=True)
+            self._records = records[: self._limit]
 
 
 def merge_records(bodies, limit):
@@ -11,26 +63,16 @@
     Parameters
     ----------
     bodies : iterable of bytes
-        Each body holds records of `RECORD_BYTES` in any order. A shorter
-        remainder at its end is ignored.
+        As for `RecordMerger.add`.
     limit : int
-        Maximum number of records to return. Duplicates are kept.
+        Maximum number of records to return.
 
     Returns
     -------
     bytes
         The records, concatenated.
-
-    Examples
-    --------
-    >>> merge_records([b'a' * 16 + b'c' * 16, b'b' * 16 + b'z'], 2)
-    b'ccccccccccccccccbbbbbbbbbbbbbbbb'
     """
-    records = []
+    merger = RecordMerger(limit)
     for body in bodies:
-        end = len(body) - len(body) % RECORD_BYTES
-        records += [
-            body[start : start + RECORD_BYTES]
-            for start in range(0, end, RECORD_BYTES)
-        ]
-    return b''.join(heapq.nlargest(limit, records))
+        merger.add(body)
+    return merger.merged
--- a/hawthornfold/gathering/outcomes.py
+++ b/hawthornfold/gathering/outcomes.py
@@ -43,7 +43,7 @@
     ----------
     status : int
         HTTP status.
-    headers : tuple of tuple of str
+    raw_headers : tuple of tuple of bytes
         Names and values, as the server sent them.
     body : bytes
         The whole body.
@@ -52,10 +52,18 @@
     """
 
     status: int
-    headers: tuple[tuple[str, str], ...]
+    raw_headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     seal: str
 
+    @property
+    def headers(self):
+        """Names and values as text."""
+        return tuple(
+            (name.decode('latin-1'), value.decode('latin-1'))
+            for name, value in self.raw_headers
+        )
+
 
 class ExchangeOutcome(typing.NamedTuple):
     """The outcome of one exchange.
--- a/hawthornfold/gathering/tests/test_execution.py
+++ b/hawthornfold/gathering/tests/test_execution.py
@@ -8,11 +8,11 @@
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import OutcomeKind
+from hawthornfold.gathering import RecordMerger
 from hawthornfold.gathering import Send
 from hawthornfold.gathering import ServerResponse
 from hawthornfold.gathering import Verdict
 from hawthornfold.gathering import create_execution
-from hawthornfold.gathering import merge_records
 from hawthornfold.limits import create_repeat_budget
 from hawthornfold.placement import create_latency_tracker
 from hawthornfold.placement import create_placement
@@ -230,6 +230,29 @@
         self.finish_attempts(sends[:2], ANSWERED, 2.0)
         self.assertEqual(execution.start_due_hedges(12.0), [])
 
+    def test_time_of_the_node_before_sending_is_no_time_of_the_servers(self):
+        # Guards against hedges that are due because a small node took long to
+        # send the first attempts.
+        execution = self.create()
+        sends = execution.start(0.0)
+        _, hedges = self.find_first_hedges()
+        self.assertTrue(hedges)
+        execution = self.create()
+        sends = execution.start(0.0)
+        execution.record_sent(80.0)
+        self.finish_attempts(sends[:3], ANSWERED, 90.0)
+        self.assertEqual(self.find_first_hedges(), (None, []))
+
+    def test_node_without_answers_sends_no_hedges(self):
+        # Guards against hedging all parts because the node or its link is
+        # late, which doubles the load that causes it.
+        execution = self.create(shards=20)
+        sends = execution.start(0.0)
+        self.assertEqual(self.find_first_hedges(), (None, []))
+        self.finish_attempts(sends[:10], ANSWERED, ANSWER_MS)
+        later_ms = execution.next_wakeup_ms(ANSWER_MS)
+        self.assertEqual(len(execution.start_due_hedges(later_ms)), 10)
+
     def test_second_answer_of_a_shard_is_ignored(self):
         # Guards against an answer with two seals of the same shard.
         execution = self.create(shards=1)
@@ -314,6 +337,13 @@
         self.assertIs(self.execution.determine_verdict(0.0), Verdict.NOT_RUN)
 
 
+def merge_records(bodies, limit):
+    merger = RecordMerger(limit)
+    for body in bodies:
+        merger.add(body)
+    return merger.merged
+
+
 class MergingTest(unittest.TestCase):
     def test_merge_returns_the_greatest_records_in_descending_order(self):
         # Compares the result with a sort of all records.
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -11,6 +11,9 @@
 # Bounds of one sample of slowness.
 MIN_SLOWNESS = 0.3
 MAX_SLOWNESS = 30.0
+# A server is undisturbed while its exchanges take at most this multiple of the
+# typical latency.
+UNDISTURBED_RATIO = 1.5
 # A server is considered silent when an exchange is running and the server has
 # answered nothing for this multiple of the typical latency, but not before the
 # minimum, which exceeds the length of an ordinary pause.
@@ -42,6 +45,7 @@
         self._last_probe_ms = -math.inf
         self._probe_interval_ms = PROBE_INTERVAL_MS
         self._reported_waiting = 0
+        self._is_undisturbed = True
 
     @property
     def in_flight(self):
@@ -53,6 +57,16 @@
         """Whether the server is excluded from selection."""
         return self._is_blocked or self._is_replaced
 
+    @property
+    def is_undisturbed(self):
+        """Whether the server is idle and answered its last request in time."""
+        return (
+            self._is_undisturbed
+            and not self._running
+            and not self._is_blocked
+            and not self._is_replaced
+        )
+
     @property
     def reported_waiting(self):
         """Number of waiting requests that the last answer reported."""
@@ -60,11 +74,24 @@
 
     def slowness(self, now_ms):
         """Return the exchange time as a multiple of the typical latency."""
-        return 1.0 + (self._slowness - 1.0) * self._decay_factor(now_ms)
+        return self.estimate(now_ms)[0]
 
     def failure_share(self, now_ms):
         """Return the smoothed share of failed exchanges, from 0 to 1."""
-        return self._failure_share * self._decay_factor(now_ms)
+        return self.estimate(now_ms)[1]
+
+    def estimate(self, now_ms):
+        """Return slowness and failure share, with one computation of decay.
+
+        Returns
+        -------
+        tuple of float
+        """
+        decay_factor = self._decay_factor(now_ms)
+        return (
+            1.0 + (self._slowness - 1.0) * decay_factor,
+            self._failure_share * decay_factor,
+        )
 
     def stall_ms(self, now_ms):
         """Return for how long running exchanges have had no answer."""
@@ -80,6 +107,18 @@
             for sent_ms, limit_ms in self._running.values()
         )
 
+    def has_answered_since(self, since_ms):
+        """Return whether the server has answered after a time."""
+        return self._last_answer_ms > since_ms
+
+    def excuse_silence(self, duration_ms):
+        """Exclude a time in which the node received nothing from silence."""
+        self._last_answer_ms += duration_ms
+        self._running = {
+            attempt: (sent_ms + duration_ms, limit_ms)
+            for attempt, (sent_ms, limit_ms) in self._running.items()
+        }
+
     def needs_probe(self, now_ms):
         """Return whether a probe of the blocked server is due."""
         return (
@@ -107,6 +146,7 @@
         """
         self._running.pop(attempt, None)
         if ratio > self.slowness(now_ms):
+            self._is_undisturbed = False
             self._record_ratio(ratio, now_ms)
 
     def record_answer(self, attempt, ratio, waiting, now_ms):
@@ -131,6 +171,7 @@
         self._is_blocked = False
         self._probe_interval_ms = PROBE_INTERVAL_MS
         self._reported_waiting = waiting or 0
+        self._is_undisturbed = not waiting and ratio <= UNDISTURBED_RATIO
 
     def record_failure(self, attempt, is_unresponsive, now_ms):
         """Record a failed exchange.
@@ -146,6 +187,7 @@
             Current time.
         """
         self._running.pop(attempt, None)
+        self._is_undisturbed = False
         self._apply_decay(now_ms)
         self._failure_share += FAILURE_WEIGHT * (1.0 - self._failure_share)
         if is_unresponsive:
@@ -199,7 +241,8 @@
         self._updated_ms = now_ms
 
     def _decay_factor(self, now_ms):
-        return math.exp(-max(0.0, now_ms - self._updated_ms) / DECAY_MS)
+        age_ms = now_ms - self._updated_ms
+        return math.exp(-age_ms / DECAY_MS) if age_ms > 0.0 else 1.0
 
 
 def compute_silence_limit_ms(typical_ms):
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -2,6 +2,7 @@
 
 import random
 
+from hawthornfold.placement.health import MIN_SILENCE_MS
 from hawthornfold.placement.health import ServerHealth
 from hawthornfold.placement.health import compute_silence_limit_ms
 
@@ -26,6 +27,15 @@
 # queueing for a slot, which is not a stall.
 STALL_FACTOR = 2.0
 STALL_SLACK_MS = 6.0
+# Up to this many servers are blocked for silence although fewer others have
+# answered meanwhile. A node with little traffic may have no others to compare.
+MAX_UNCONFIRMED_SILENT = 2
+# A service's chosen server is used again without a comparison for this long,
+# while it has an open connection and nothing has disturbed it. Comparing all
+# servers of each shard is a large part of the processor time of a query. A
+# server in another data centre is compared with the local ones more often.
+CHOICE_LIFETIME_MS = 4_000.0
+REMOTE_CHOICE_LIFETIME_MS = 500.0
 
 
 class Placement:
@@ -38,6 +48,8 @@
         self._rng = rng
         self._connect_ms = INITIAL_CONNECT_MS
         self._health = {}
+        # By service: the candidates, the chosen server and its expiry time.
+        self._choices = {}
 
     def health(self, server_id):
         """Return the `ServerHealth` of a server."""
@@ -49,11 +61,57 @@
     def remove_server(self, server_id):
         """Remove the observations of a server that left or restarted."""
         self._health.pop(server_id, None)
+        self._choices = {
+            service: choice
+            for service, choice in self._choices.items()
+            if choice[1].server_id != server_id
+        }
 
     def blocked_server_ids(self):
         """Return the ids of the servers excluded from selection."""
         return [i for i, health in self._health.items() if health.is_blocked]
 
+    def choose_first_server(self, service, candidates, decision, now_ms):
+        """Return the server of the first attempt of a part.
+
+        Parameters
+        ----------
+        service : str
+            The service of the part.
+        candidates : tuple of ServerRecord
+            Its servers, as the same object while they do not change.
+        decision, now_ms : Decision, float
+            As for `choose_server`.
+
+        Returns
+        -------
+        ServerRecord or None
+            None if there is no candidate or all of them are blocked.
+        """
+        choice = self._choices.get(service)
+        if choice is not None:
+            chosen_from, record, expiry_ms = choice
+            if (
+                chosen_from is candidates
+                and now_ms < expiry_ms
+                and self._health[record.server_id].is_undisturbed
+                and self._has_connection(record.server_id)
+            ):
+                return record
+        record = self.choose_server(candidates, decision, now_ms)
+        if record is None:
+            self._choices.pop(service, None)
+        else:
+            lifetime_ms = CHOICE_LIFETIME_MS
+            if record.data_centre != self._data_centre:
+                lifetime_ms = REMOTE_CHOICE_LIFETIME_MS
+            self._choices[service] = (
+                candidates,
+                record,
+                now_ms + lifetime_ms,
+            )
+        return record
+
     def choose_server(self, candidates, decision, now_ms):
         """Return the candidate with the lowest estimated cost.
 
@@ -90,19 +148,24 @@
         return best
 
     def _estimate_cost_ms(self, record, health, typical_ms, now_ms):
-        slots = max(record.slots, 1)
-        # Requests that exceed the slots wait. This node does not see the slots
-        # that requests of other nodes use, but the server reports its queue.
-        queued = max(0, health.in_flight + 1 - slots)
-        queued = max(queued, health.reported_waiting)
-        ahead = (queued + IN_FLIGHT_COST_SHARE * health.in_flight) / slots
-        cost = typical_ms * health.slowness(now_ms) * (1.0 + ahead)
+        slowness, failure_share = health.estimate(now_ms)
+        cost = typical_ms * slowness
+        in_flight, waiting = health.in_flight, health.reported_waiting
+        if in_flight or waiting:
+            slots = max(record.slots, 1)
+            # Requests that exceed the slots wait. This node does not see the
+            # slots that requests of other nodes use, but the server reports
+            # its queue.
+            queued = max(0, in_flight + 1 - slots, waiting)
+            ahead = (queued + IN_FLIGHT_COST_SHARE * in_flight) / slots
+            cost *= 1.0 + ahead
         if record.warmup_ms > 0:
             cost *= COLD_FACTOR
-        cost += FAILURE_COST_MS * health.failure_share(now_ms)
-        stall_ms = health.stall_ms(now_ms)
-        if stall_ms > STALL_FACTOR * typical_ms + STALL_SLACK_MS:
-            cost += stall_ms
+        cost += FAILURE_COST_MS * failure_share
+        if in_flight:
+            stall_ms = health.stall_ms(now_ms)
+            if stall_ms > STALL_FACTOR * typical_ms + STALL_SLACK_MS:
+                cost += stall_ms
         if not self._has_connection(record.server_id):
             # Where there are more nodes than connections, this cost makes
             # each node use the servers that it is connected to.
@@ -120,9 +183,22 @@
             attempt, compute_silence_limit_ms(typical_ms), now_ms
         )
 
+    def excuse_silence(self, duration_ms):
+        """Record that the node itself received nothing for some time.
+
+        A node that was suspended or had no processor time finds all running
+        exchanges unanswered; that is not the servers' silence.
+        """
+        for health in self._health.values():
+            if health.in_flight:
+                health.excuse_silence(duration_ms)
+
     def block_silent_servers(self, now_ms):
         """Block the servers that have been silent for too long.
 
+        Blocks none if more servers are silent than have answered: the node
+        or its link is then the likely cause.
+
         Returns
         -------
         list of str
@@ -133,6 +209,14 @@
             for server_id, health in self._health.items()
             if not health.is_blocked and health.is_silent(now_ms)
         ]
+        if len(silent) > MAX_UNCONFIRMED_SILENT:
+            since_ms = now_ms - MIN_SILENCE_MS
+            answered_count = sum(
+                health.has_answered_since(since_ms)
+                for health in self._health.values()
+            )
+            if answered_count < len(silent):
+                return []
         for server_id in silent:
             self._health[server_id].block_for_silence(now_ms)
         return silent
--- a/hawthornfold/placement/tests/test_placement.py
+++ b/hawthornfold/placement/tests/test_placement.py
@@ -124,6 +124,65 @@
         self.assertIsNone(self.choose_server_id(0.0, []))
 
 
+class FirstChoiceTest(PlacementTestCase):
+    candidates = (LOCAL, LOCAL._replace(server_id='other'))
+
+    def choose_first(self, now_ms, candidates=None):
+        record = self.placement.choose_first_server(
+            'portal', candidates or self.candidates, DECISION, now_ms
+        )
+        return record.server_id
+
+    def test_choice_is_kept_while_nothing_disturbs_the_server(self):
+        # Guards against comparing all servers for each part of each query.
+        chosen = self.choose_first(0.0)
+        self.record_answers(chosen, 20.0, 10.0)
+        repeated = {self.choose_first(20.0 + n) for n in range(50)}
+        self.assertEqual(repeated, {chosen})
+
+    def test_disturbed_server_is_compared_again(self):
+        # Guards against staying with a server that is busy, slow, queueing,
+        # failing or blocked.
+        cases = {
+            'busy': lambda s: [
+                self.placement.record_start(s, n, DECISION, 10.0)
+                for n in range(6)
+            ],
+            'slow': lambda s: self.record_answers(s, 90.0, 10.0, count=5),
+            'failing': lambda s: [
+                self.placement.health(s).record_failure(n, False, 10.0)
+                for n in range(3)
+            ],
+            'blocked': lambda s: self.placement.health(s).block(10.0),
+        }
+        for name, disturb in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                chosen = self.choose_first(0.0)
+                disturb(chosen)
+                self.assertNotEqual(self.choose_first(20.0), chosen)
+
+    def test_queue_reported_by_the_server_ends_the_choice(self):
+        chosen = self.choose_first(0.0)
+        self.placement.record_start(chosen, 'a', DECISION, 0.0)
+        self.placement.record_answer(chosen, 'a', DECISION, 20.0, 5, 20.0)
+        self.assertNotEqual(self.choose_first(21.0), chosen)
+
+    def test_changed_servers_end_the_choice(self):
+        # Guards against requests to a server that is leaving.
+        chosen = self.choose_first(0.0)
+        others = tuple(s for s in self.candidates if s.server_id != chosen)
+        self.assertNotEqual(self.choose_first(1.0, others), chosen)
+        self.placement.remove_server(chosen)
+        self.assertNotEqual(self.choose_first(2.0, others), chosen)
+
+    def test_remote_choice_is_compared_with_local_servers_again(self):
+        # Guards against needless traffic between data centres.
+        self.record_answers('local', 100.0, 0.0, count=9)
+        self.assertEqual(self.choose_first(1.0, tuple(BOTH)), 'remote')
+        self.assertEqual(self.choose_first(9_000.0, tuple(BOTH)), 'local')
+
+
 class BlockingTest(PlacementTestCase):
     def fail_exchanges(self, count):
         for number in range(count):
@@ -183,6 +242,31 @@
         self.record_answers('local', 20.0, 400.0)
         self.assertEqual(self.placement.block_silent_servers(500.0), [])
 
+    def test_silence_while_the_node_was_late_does_not_block(self):
+        # Guards against blocking all servers with running exchanges after the
+        # node itself was suspended or had no processor time.
+        limit_ms = compute_silence_limit_ms(20.0)
+        self.placement.record_start('local', 'a', DECISION, 0.0)
+        self.placement.excuse_silence(250.0)
+        self.assertEqual(self.placement.block_silent_servers(limit_ms), [])
+        self.assertEqual(
+            self.placement.block_silent_servers(limit_ms + 250.0), ['local']
+        )
+
+    def test_silence_of_most_servers_at_once_blocks_none(self):
+        # Guards against blocking the servers because the node's own link is
+        # late or cut.
+        limit_ms = compute_silence_limit_ms(20.0)
+        silent = [f'silent-{number}' for number in range(10)]
+        for server_id in silent:
+            self.placement.record_start(server_id, 'a', DECISION, 0.0)
+        self.assertEqual(self.placement.block_silent_servers(limit_ms), [])
+        for number in range(10):
+            self.record_answers(f'other-{number}', 20.0, limit_ms - 10.0)
+        self.assertEqual(
+            set(self.placement.block_silent_servers(limit_ms)), set(silent)
+        )
+
     def test_server_whose_address_is_reused_stays_excluded(self):
         # Guards against unblocking it after a probe that reached the server
         # that uses the address now.
