--- a/hawthornfold/directory/__init__.py
+++ b/hawthornfold/directory/__init__.py
@@ -2,6 +2,8 @@
 
 from hawthornfold.directory.directory import ServerDirectory
 from hawthornfold.directory.directory import create_server_directory
+from hawthornfold.directory.positions import UNKNOWN_ERA
+from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.readers import ReaderRoles
 from hawthornfold.directory.readers import assign_roles
 from hawthornfold.directory.records import CallerLimits
@@ -20,6 +22,7 @@
 from hawthornfold.directory.watcher import create_store_watcher
 
 __all__ = [
+    'UNKNOWN_ERA',
     'CallerLimits',
     'ItemFailure',
     'PublishedStore',
@@ -33,6 +36,7 @@
     'SnapshotQuery',
     'StoreChanges',
     'StoreNews',
+    'StorePosition',
     'StoreSnapshot',
     'StoreWatcher',
     'assign_roles',
--- /dev/null
+++ b/hawthornfold/directory/departures.py
@@ -0,0 +1,103 @@
+"""Remembers servers that left before the store returned from an older copy.
+
+The copy may list a server as ready that has announced since that it leaves,
+or whose record has been removed. The store's list then contradicts what it had
+acknowledged, until the server or the expiry of its record corrects it.
+"""
+
+import typing
+
+# How long a departure is remembered: longer than the age of a copy.
+DEPARTURE_TTL_MS = 60_000.0
+# A server that the copy lists as ready although it had left is not used for
+# this long. The record of a server that is gone expires earlier, and a server
+# that is leaving writes that again.
+DISTRUST_MS = 6_000.0
+
+
+class _Departure(typing.NamedTuple):
+    born_ms: int
+    departed_ms: float
+
+
+class _Distrusted(typing.NamedTuple):
+    record: typing.Any
+    until_ms: float
+
+
+class Departures:
+    """The departures of servers, and the records that contradict them."""
+
+    def __init__(self):
+        self._departures = {}
+        self._distrusted = {}
+
+    @property
+    def distrusted_records(self):
+        """The listed records of servers that are not used for now."""
+        return [item.record for item in self._distrusted.values()]
+
+    def list_distrusted(self):
+        """Return the ids of the servers that are not used, as a set."""
+        return set(self._distrusted)
+
+    def record_departure(self, record, now_ms):
+        """Record that a server is leaving or was removed."""
+        self._departures[record.server_id] = _Departure(record.born_ms, now_ms)
+
+    def forget(self, server_id):
+        """Forget a departure, because the server wrote its record again."""
+        self._departures.pop(server_id, None)
+        self._distrusted.pop(server_id, None)
+
+    def drop_listing(self, server_id):
+        """Drop a distrusted record that the store no longer lists."""
+        self._distrusted.pop(server_id, None)
+
+    def distrusts(self, record, now_ms):
+        """Hold back a record from a copy if its server had left.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            A record of the first complete read after a restore.
+        now_ms : float
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether the record is held back. A record of a later start of the
+            server, or one that says that it leaves, is not.
+        """
+        departure = self._departures.get(record.server_id)
+        if (
+            departure is None
+            or record.is_draining
+            or record.born_ms > departure.born_ms
+            or now_ms - departure.departed_ms > DEPARTURE_TTL_MS
+        ):
+            return False
+        self._distrusted[record.server_id] = _Distrusted(
+            record, now_ms + DISTRUST_MS
+        )
+        return True
+
+    def take_trusted(self, now_ms):
+        """Return the records that are used from now on, and forget the rest.
+
+        Returns
+        -------
+        list of ServerRecord
+        """
+        due = [
+            item.record
+            for item in self._distrusted.values()
+            if item.until_ms <= now_ms
+        ]
+        for record in due:
+            self.forget(record.server_id)
+        for server_id, departure in list(self._departures.items()):
+            if now_ms - departure.departed_ms > DEPARTURE_TTL_MS:
+                del self._departures[server_id]
+        return due
--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -8,6 +8,7 @@
 
 import typing
 
+from hawthornfold.directory.departures import Departures
 from hawthornfold.directory.records import ServerRecord
 
 # Removals are deferred until this long after an outage. Servers write expired
@@ -53,6 +54,7 @@
         # Times at which deferred removals are carried out, by server id.
         self._pending_removals = {}
         self._removals_deferred_until_ms = 0.0
+        self._departures = Departures()
 
     @property
     def version(self):
@@ -65,13 +67,30 @@
         return dict(self._records)
 
     @property
-    def confirmed_records(self):
-        """The records without a deferred removal."""
-        return [
-            record
+    def listed_records(self):
+        """The records that the store lists.
+
+        They are those without a deferred removal, and those of servers that
+        are not used although a restored store lists them.
+        """
+        listed = {
+            server_id: record
             for server_id, record in self._records.items()
             if server_id not in self._pending_removals
-        ]
+        }
+        for record in self._departures.distrusted_records:
+            listed[record.server_id] = record
+        return list(listed.values())
+
+    @property
+    def pending_removal_ids(self):
+        """The ids of the servers whose removal is deferred."""
+        return tuple(self._pending_removals)
+
+    @property
+    def distrusted_ids(self):
+        """The ids of listed servers that are not used for now."""
+        return tuple(self._departures.list_distrusted())
 
     def get(self, server_id):
         """Return the record of a server, or None."""
@@ -118,17 +137,39 @@
                 self._removals_deferred_until_ms
             )
 
-    def replace_all(self, changes, now_ms):
+    def replace_all(self, changes, now_ms, is_restored=False):
         """Replace all records by a complete list of servers.
 
+        Parameters
+        ----------
+        changes : iterable of ServerChange
+            All servers.
+        now_ms : float
+            Current time.
+        is_restored : bool
+            Whether the list is the first one after the store returned from an
+            older copy. Servers that it lacks may write their records again,
+            and servers that had left may be listed as ready.
+
         Returns
         -------
         list of DirectoryEvent
         """
+        if is_restored:
+            self.record_outage(now_ms)
         listed = {change.server_id for change in changes}
         events = []
         for server_id in set(self._records) - listed:
             events += self._remove_or_defer(server_id, now_ms)
+        for server_id in self._departures.list_distrusted() - listed:
+            self._departures.drop_listing(server_id)
+        if is_restored:
+            changes = [
+                change
+                for change in changes
+                if change.record is None
+                or not self._departures.distrusts(change.record, now_ms)
+            ]
         return events + self.apply(changes, now_ms)
 
     def apply(self, changes, now_ms):
@@ -141,8 +182,10 @@
         events = []
         for change in changes:
             if change.record is None:
+                self._departures.drop_listing(change.server_id)
                 events += self._remove_or_defer(change.server_id, now_ms)
             else:
+                self._departures.forget(change.server_id)
                 events += self._update_record(change.record, now_ms)
         return events
 
@@ -164,6 +207,8 @@
         for server_id, leaving in list(self._leaving.items()):
             if now_ms - leaving.since_ms >= LAST_RESORT_MS:
                 del self._leaving[server_id]
+        for record in self._departures.take_trusted(now_ms):
+            events += self._update_record(record, now_ms)
         return events
 
     def _update_record(self, record, now_ms):
@@ -185,6 +230,7 @@
         if record.is_draining:
             if before is None or not before.is_draining:
                 self._leaving[server_id] = _Leaving(record, now_ms)
+            self._departures.record_departure(record, now_ms)
         else:
             self._leaving.pop(server_id, None)
             servers = self._ready_by_service.setdefault(record.service, {})
@@ -207,6 +253,7 @@
         if record is None:
             return []
         self._remove_ready(record)
+        self._departures.record_departure(record, now_ms)
         if not record.is_draining:
             self._leaving[server_id] = _Leaving(record, now_ms)
         return [DirectoryEvent('removed', record)]
--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -147,12 +147,15 @@
         The newest configuration among the changes, if any.
     failures : tuple of ItemFailure
         Items that were ignored.
+    era : int or None
+        Era of the store; None if it reports none.
     """
 
     revision: int
     servers: tuple[ServerChange, ...] = ()
     configuration: RoutingConfiguration | None = None
     failures: tuple[ItemFailure, ...] = ()
+    era: int | None = None
 
 
 class ReadFailure(typing.NamedTuple):
@@ -165,7 +168,10 @@
     is_history_lost : bool
         Whether the store no longer holds the requested changes, so that
         everything must be read again.
+    era : int or None
+        Era of the store; None if there was no answer or it reports none.
     """
 
     detail: str
     is_history_lost: bool = False
+    era: int | None = None
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -15,6 +15,7 @@
 from hawthornfold.directory import ServiceRecord
 from hawthornfold.directory import StoreChanges
 from hawthornfold.directory import StoreNews
+from hawthornfold.directory import StorePosition
 from hawthornfold.directory import create_server_directory
 from hawthornfold.directory import create_store_watcher
 from hawthornfold.directory.directory import REMOVAL_GRACE_MS
@@ -171,7 +172,7 @@
         _, update = decoder.decode(encoder.encode(self.updates[0]))
         self.follow(result.Ok(StoreChanges(10, (WRITTEN,), configuration(3))))
         self.watcher.apply_update(update)
-        self.assertEqual(self.watcher.revision, 12)
+        self.assertEqual(self.watcher.position.revision, 12)
         self.assertEqual(self.versions, [3, 4])
         found, sent = self.configurations[-1], configuration(4)
         self.assertEqual(found._replace(rules=None), sent._replace(rules=None))
@@ -219,7 +220,7 @@
         self.clock.advance(MISSED_UPDATE_GRACE_MS)
         self.read_once()
         self.assertEqual(self.store.requests, ['all', 10])
-        self.assertEqual(self.watcher.revision, 14)
+        self.assertEqual(self.watcher.position.revision, 14)
 
     def test_overlapping_updates_do_not_revert_records(self):
         # Guards against an older record replacing a newer one when two
@@ -232,7 +233,7 @@
         gone = ServerChange('s2', None, 13)
         self.watcher.apply_update(StoreNews(10, 13, (ready, gone)))
         self.assertEqual([e.kind for e in self.events], ['added', 'draining'])
-        self.assertEqual(self.watcher.revision, 13)
+        self.assertEqual(self.watcher.position.revision, 13)
 
     def test_outage_seen_by_the_reader_defers_removals(self):
         # Guards against removal of live servers whose records expired during
@@ -266,7 +267,7 @@
         self.assertTrue(self.watcher.should_query_snapshot())
         self.assertFalse(self.watcher.should_query_snapshot())
         self.watcher.apply_snapshot(snapshot)
-        self.assertEqual(self.watcher.revision, 20)
+        self.assertEqual(self.watcher.position.revision, 20)
         self.assertEqual(self.versions, [4])
         self.assertEqual([e.kind for e in self.events], ['added'])
         self.assertTrue(self.watcher.is_loaded)
@@ -279,7 +280,7 @@
         snapshot = self.watcher.create_snapshot()
         self.follow(result.Ok(StoreChanges(20, (WRITTEN,), configuration(4))))
         self.watcher.apply_snapshot(snapshot)
-        self.assertEqual(self.watcher.revision, 20)
+        self.assertEqual(self.watcher.position.revision, 20)
         self.assertEqual([e.kind for e in self.events], ['added'])
 
     def test_snapshot_omits_servers_whose_removal_is_deferred(self):
@@ -296,7 +297,7 @@
         # Guards against followers that miss a change because their reader's
         # long poll hangs.
         self.watch(result.Ok(StoreChanges(10)))
-        self.watcher.handle_revision(15)
+        self.watcher.handle_position(StorePosition(0, 15))
         self.assertEqual(self.watcher.create_heartbeat().revision, 15)
 
 
@@ -339,7 +340,7 @@
         # reset.
         self.start()
         self.clock.advance(REVISION_GRACE_MS + 1)
-        self.watcher.handle_revision(11)
+        self.watcher.handle_position(StorePosition(0, 11))
         for _ in range(5):
             eventlet.sleep(0)
         self.assertEqual([wait[0] for wait in self.store.waits], [10, 10])
@@ -347,9 +348,9 @@
     def test_applied_revisions_and_recent_long_polls_cancel_nothing(self):
         # Guards against reads repeated for each change.
         self.start()
-        self.watcher.handle_revision(11)
+        self.watcher.handle_position(StorePosition(0, 11))
         self.clock.advance(REVISION_GRACE_MS + 1)
-        self.watcher.handle_revision(10)
+        self.watcher.handle_position(StorePosition(0, 10))
         for _ in range(5):
             eventlet.sleep(0)
         self.assertEqual(len(self.store.waits), 1)
--- a/hawthornfold/directory/updates.py
+++ b/hawthornfold/directory/updates.py
@@ -5,6 +5,8 @@
 import msgspec
 import result
 
+from hawthornfold.directory.positions import UNKNOWN_ERA
+from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.records import CallerLimits
 from hawthornfold.directory.records import RoutingConfiguration
 from hawthornfold.directory.records import ServerChange
@@ -59,6 +61,9 @@
     outage_age_ms : float or None
         Time since the reader last failed to reach the store, in
         milliseconds; None if there was no recent failure.
+    era : int
+        Era of the store; `UNKNOWN_ERA` if it reports none, or if the reader
+        runs an older release.
     """
 
     after: int
@@ -66,6 +71,12 @@
     servers: tuple[ServerChange, ...] = ()
     configuration: PublishedConfiguration | None = None
     outage_age_ms: float | None = None
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self):
+        """The position up to which the changes are complete."""
+        return StorePosition(self.era, self.revision)
 
 
 class SnapshotQuery(typing.NamedTuple):
@@ -83,11 +94,19 @@
         All servers.
     configuration : PublishedConfiguration or None
         The configuration in force.
+    era : int
+        As in `StoreNews`.
     """
 
     revision: int
     servers: tuple[ServerChange, ...]
     configuration: PublishedConfiguration | None
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self):
+        """The position up to which the snapshot is complete."""
+        return StorePosition(self.era, self.revision)
 
 
 def limit_update(update, followers, link_mbps):
@@ -122,10 +141,21 @@
     if size * followers * 8.0 / (link_mbps * 1000.0) <= MAX_BROADCAST_MS:
         return update
     return StoreNews(
-        update.revision, update.revision, outage_age_ms=update.outage_age_ms
+        update.revision,
+        update.revision,
+        outage_age_ms=update.outage_age_ms,
+        era=update.era,
     )
 
 
+def estimate_snapshot_bytes(snapshot):
+    """Estimate the size of a `StoreSnapshot` in a message."""
+    size = SERVER_RECORD_BYTES * len(snapshot.servers)
+    if snapshot.configuration is not None:
+        size += len(snapshot.configuration.rules)
+    return size
+
+
 def encode_configuration(configuration):
     """Convert a `RoutingConfiguration` to a `PublishedConfiguration`.
 
--- /dev/null
+++ b/hawthornfold/directory/view.py
@@ -0,0 +1,186 @@
+"""What a node holds of the published store: its position and contents.
+
+`StoreView` is a state machine: it receives reads of the store, and updates and
+snapshots of readers, and decides what of them comes into force.
+"""
+
+import logbook
+
+from hawthornfold.directory.positions import UNKNOWN_ERA
+from hawthornfold.directory.positions import StorePosition
+
+_LOG = logbook.Logger('directory')
+
+
+class StoreView:
+    """Servers and configuration of the store, up to a position.
+
+    Parameters
+    ----------
+    directory : ServerDirectory
+        The directory to update.
+    metrics : object
+        The node's metrics registry.
+    on_servers : callable
+        Called with a list of `DirectoryEvent` after servers changed.
+    on_configuration : callable
+        Called with each `RoutingConfiguration` that comes into force.
+    """
+
+    def __init__(self, directory, metrics, on_servers, on_configuration):
+        self._directory = directory
+        self._metrics = metrics
+        self._on_servers = on_servers
+        self._on_configuration = on_configuration
+        # Position up to which all changes are applied. None until everything
+        # was read once.
+        self._position = None
+        self._configuration = None
+        self._configuration_era = UNKNOWN_ERA
+
+    @property
+    def position(self):
+        """The `StorePosition` up to which all changes are applied, or None."""
+        return self._position
+
+    @property
+    def configuration(self):
+        """The `RoutingConfiguration` in force, or None."""
+        return self._configuration
+
+    def resolve_era(self, era):
+        """Return the era of an answer; one without is of the era in force."""
+        if era is not None:
+            return era
+        return UNKNOWN_ERA if self._position is None else self._position.era
+
+    def apply_complete(self, changes, now_ms):
+        """Replace everything by a complete read or snapshot.
+
+        Parameters
+        ----------
+        changes : StoreChanges
+            All servers and the configuration, of the era in force or a later
+            one.
+        now_ms : float
+            Current time.
+        """
+        before = self._position
+        era = self.resolve_era(changes.era)
+        is_restored = before is not None and era > before.era
+        events = self._directory.replace_all(
+            changes.servers, now_ms, is_restored
+        )
+        if is_restored:
+            self._report_restore(before, era, changes, events)
+            self._position = StorePosition(era, changes.revision)
+        elif before is None:
+            _LOG.notice(
+                'event=store_loaded position={}:{} servers={}',
+                era,
+                changes.revision,
+                len(changes.servers),
+            )
+        self._commit(changes, era, events)
+
+    def apply_changes(self, changes, now_ms):
+        """Apply changes that follow on the position.
+
+        Changes that were received from another source already are skipped.
+
+        Parameters
+        ----------
+        changes : StoreChanges
+            Changes of the era in force.
+        now_ms : float
+            Current time.
+        """
+        newer = [
+            change
+            for change in changes.servers
+            if not 0 < change.revision <= self._position.revision
+        ]
+        events = self._directory.apply(newer, now_ms)
+        self._commit(changes, self._position.era, events)
+
+    def expire(self, now_ms):
+        """Carry out what has been deferred and is due."""
+        self._notify_servers(self._directory.expire_removals(now_ms))
+
+    def _commit(self, changes, era, events):
+        for failure in changes.failures:
+            self._metrics.count('store_items_refused')
+            _LOG.warning(
+                'event=item_refused key={} detail="{}"',
+                failure.key,
+                failure.detail,
+            )
+        position = StorePosition(era, changes.revision)
+        if self._position is None or position > self._position:
+            # A reply from a lagging replica of the store must not move the
+            # position back.
+            self._position = position
+        if changes.configuration is not None:
+            self._offer_configuration(changes.configuration, era)
+        self._notify_servers(events)
+
+    def _offer_configuration(self, configuration, era):
+        before = self._configuration
+        if before is None or configuration.version > before.version:
+            is_newer = True
+        else:
+            # After a restore the operator writes again, perhaps other rules
+            # under a version that the store has lost. An older version is
+            # what the copy holds until then.
+            is_newer = (
+                configuration.version == before.version
+                and era > self._configuration_era
+                and _differs(configuration, before)
+            )
+        if is_newer:
+            self._configuration = configuration
+            self._configuration_era = era
+            self._on_configuration(configuration)
+            return
+        self._metrics.count('configurations_ignored')
+        if configuration.version == before.version:
+            self._configuration_era = max(self._configuration_era, era)
+        elif era > self._configuration_era:
+            _LOG.warning(
+                'event=configuration_kept version={} era={} listed_version={} '
+                'listed_era={}',
+                before.version,
+                self._configuration_era,
+                configuration.version,
+                era,
+            )
+
+    def _report_restore(self, before, era, changes, events):
+        self._metrics.count('store_eras_changed')
+        _LOG.notice(
+            'event=store_restored position_before={} position={}:{} '
+            'servers={} events={} unlisted={} distrusted={}',
+            before,
+            era,
+            changes.revision,
+            len(changes.servers),
+            len(events),
+            ','.join(self._directory.pending_removal_ids) or '-',
+            ','.join(self._directory.distrusted_ids) or '-',
+        )
+
+    def _notify_servers(self, events):
+        if not events:
+            return
+        for event in events:
+            self._metrics.count('server_changes', kind=event.kind)
+        self._on_servers(events)
+
+
+def _differs(configuration, other):
+    """Return whether two configurations of one version have other contents."""
+    return (
+        configuration.document != other.document
+        or configuration.services != other.services
+        or configuration.limits != other.limits
+    )
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -1,12 +1,14 @@
 """Keeps the server directory and the configuration up to date."""
 
 import math
+import random
 
 import eventlet
 import greenlet
 import logbook
 
 from hawthornfold.directory.directory import REMOVAL_GRACE_MS
+from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
 from hawthornfold.directory.reader_tracker import create_reader_tracker
 from hawthornfold.directory.records import ServerChange
@@ -15,6 +17,7 @@
 from hawthornfold.directory.updates import StoreSnapshot
 from hawthornfold.directory.updates import decode_configuration
 from hawthornfold.directory.updates import encode_configuration
+from hawthornfold.directory.view import StoreView
 
 _LOG = logbook.Logger('directory')
 
@@ -39,6 +42,9 @@
 # Factor on `RETRY_MS` for a node that is not a reader and whose own read
 # failed while it could not rely on its readers.
 FOLLOWER_RETRY_FACTOR = 4.0
+# A reader that learns of a new era from the store reads everything within this
+# time, at random.
+ERA_RELOAD_SPREAD_MS = 200.0
 # Minimum interval between attempts to read everything.
 RELOAD_RETRY_MS = 600.0
 # Interval at which a node that relies on its readers checks whether it still
@@ -82,11 +88,14 @@
         self._directory = directory
         self._clock = clock
         self._metrics = metrics
-        self._on_servers = on_servers
-        self._on_configuration = on_configuration
         self._on_update = on_update
-        self._revision = None
-        self._configuration = None
+        self._view = StoreView(
+            directory, metrics, on_servers, on_configuration
+        )
+        # Whether everything has to be read before the next long poll.
+        self._needs_reload = True
+        # Whether the era may have changed since the last answer.
+        self._is_era_uncertain = False
         self._snapshot_query_ms = -math.inf
         self._is_reachable = None
         self._last_read_ms = None
@@ -95,6 +104,7 @@
         self._waiting_since_ms = None
         self._reader_tracker = create_reader_tracker(clock.now_ms())
         self._last_outage_ms = None
+        self._rng = random.Random()
 
     @property
     def is_loaded(self):
@@ -102,9 +112,9 @@
         return self._last_read_ms is not None
 
     @property
-    def revision(self):
-        """The revision up to which all changes are applied, or None."""
-        return self._revision
+    def position(self):
+        """The `StorePosition` up to which all changes are applied, or None."""
+        return self._view.position
 
     def age_ms(self, now_ms):
         """Return the time since the data was last current, or None.
@@ -126,33 +136,49 @@
 
     def create_heartbeat(self):
         """Return a `StoreNews` without changes, or None without the store."""
-        if self._revision is None or not self._is_reachable:
+        position = self._view.position
+        if position is None or not self._is_reachable:
+            return None
+        position = max(position, self._reader_tracker.known_position)
+        if position.era > self._view.position.era:
+            # This node has yet to read the new era, and cannot vouch for it.
             return None
-        revision = max(self._revision, self._reader_tracker.known_revision)
         return StoreNews(
-            revision, revision, outage_age_ms=self._last_outage_age_ms()
+            position.revision,
+            position.revision,
+            outage_age_ms=self._last_outage_age_ms(),
+            era=position.era,
         )
 
     def apply_update(self, update):
         """Apply a `StoreNews` from a reader."""
         now_ms = self._clock.now_ms()
-        self._reader_tracker.record_heartbeat(update.revision, now_ms)
-        if self._revision is None:
+        own = self._view.position
+        if own is not None and update.era < own.era:
+            # The reader has yet to read the new era, or runs an older release
+            # that does not know of eras.
+            self._metrics.count('store_news', outcome='stale')
+            return
+        self._reader_tracker.record_heartbeat(update.position, now_ms)
+        if own is None or update.era > own.era:
             return
         if update.outage_age_ms is not None:
             self._directory.record_outage(now_ms - update.outage_age_ms)
-        if update.after <= self._revision <= update.revision:
+        if update.after <= own.revision <= update.revision:
             self._last_read_ms = now_ms
-        if not update.after <= self._revision < update.revision:
+        if not update.after <= own.revision < update.revision:
             return
         decoded = self._decode_configuration(update.configuration)
         if decoded.is_err():
             return
         self._metrics.count('store_news', outcome='taken')
         changes = StoreChanges(
-            update.revision, update.servers, decoded.ok_value
+            update.revision,
+            update.servers,
+            decoded.ok_value,
+            era=update.era,
         )
-        self._apply_changes(changes, now_ms)
+        self._view.apply_changes(changes, now_ms)
 
     def should_query_snapshot(self):
         """Return whether to query a reader for a snapshot now.
@@ -160,9 +186,18 @@
         Records the time of the query if so.
         """
         now_ms = self._clock.now_ms()
+        own = self._view.position
+        known = self._reader_tracker.known_position
+        is_behind = known.revision > 0 if own is None else known > own
+        is_cut_off = self._is_reachable is False
+        is_older_follower = (
+            own is not None
+            and known.era > own.era
+            and not self._reader_tracker.is_reader
+        )
         if (
-            self._is_reachable is not False
-            or self._reader_tracker.known_revision <= (self._revision or 0)
+            not is_behind
+            or not (is_cut_off or is_older_follower)
             or now_ms - self._snapshot_query_ms < SNAPSHOT_QUERY_INTERVAL_MS
         ):
             return False
@@ -171,20 +206,23 @@
 
     def create_snapshot(self):
         """Return a `StoreSnapshot`, or None if it would be stale."""
-        if self._revision is None or not self._is_reachable:
+        position = self._view.position
+        if position is None or not self._is_reachable or self._needs_reload:
             return None
         return StoreSnapshot(
-            self._revision,
+            position.revision,
             tuple(
                 ServerChange(record.server_id, record)
-                for record in self._directory.confirmed_records
+                for record in self._directory.listed_records
             ),
-            encode_configuration(self._configuration),
+            encode_configuration(self._view.configuration),
+            position.era,
         )
 
     def apply_snapshot(self, snapshot):
         """Apply a `StoreSnapshot` from a reader if it is newer."""
-        if snapshot.revision <= (self._revision or 0):
+        own = self._view.position
+        if own is not None and snapshot.position <= own:
             return
         decoded = self._decode_configuration(snapshot.configuration)
         if decoded.is_err():
@@ -192,17 +230,22 @@
         now_ms = self._clock.now_ms()
         self._metrics.count('store_snapshots')
         _LOG.notice(
-            'event=snapshot_taken revision_before={} revision={} servers={}',
-            self._revision,
-            snapshot.revision,
+            'event=snapshot_taken position_before={} position={} servers={}',
+            own,
+            snapshot.position,
             len(snapshot.servers),
         )
         self._last_read_ms = now_ms
-        events = self._directory.replace_all(snapshot.servers, now_ms)
-        changes = StoreChanges(
-            snapshot.revision, snapshot.servers, decoded.ok_value
+        self._needs_reload = False
+        self._view.apply_complete(
+            StoreChanges(
+                snapshot.revision,
+                snapshot.servers,
+                decoded.ok_value,
+                era=snapshot.era,
+            ),
+            now_ms,
         )
-        self._commit_changes(changes, events)
 
     def _decode_configuration(self, published):
         decoded = decode_configuration(published)
@@ -213,22 +256,24 @@
             _LOG.warning('event=news_refused detail="{}"', decoded.err_value)
         return decoded
 
-    def handle_revision(self, revision):
-        """Record that the store has reached `revision`.
+    def handle_position(self, position):
+        """Record that the store has reached a `StorePosition`.
 
         Cancels a long poll that should have returned it already: its
-        connection may be dead.
+        connection may be dead. A long poll of an earlier era is cancelled at
+        once, because it waits for a revision that means something else now.
         """
-        self._reader_tracker.record_revision(revision)
-        if self._revision is None or revision <= self._revision:
+        self._reader_tracker.record_position(position)
+        own = self._view.position
+        if own is None or position <= own or self._waiting_since_ms is None:
             return
-        now_ms = self._clock.now_ms()
-        if (
-            self._waiting_since_ms is not None
-            and now_ms - self._waiting_since_ms > REVISION_GRACE_MS
-        ):
-            self._metrics.count('store_waits_given_up')
-            self._read_thread.kill()
+        waited_ms = self._clock.now_ms() - self._waiting_since_ms
+        if position.era > own.era:
+            self._is_era_uncertain = True
+        elif waited_ms <= REVISION_GRACE_MS:
+            return
+        self._metrics.count('store_waits_given_up')
+        self._read_thread.kill()
 
     def run(self):
         """Read the store in an endless loop; to be spawned."""
@@ -237,7 +282,7 @@
             try:
                 delay_ms = self._read_thread.wait()
             except greenlet.GreenletExit:
-                # `handle_revision` cancelled the long poll.
+                # `handle_position` cancelled the long poll.
                 self._waiting_since_ms = None
                 continue
             if delay_ms:
@@ -247,9 +292,7 @@
         """Carry out deferred removals in an endless loop; to be spawned."""
         while True:
             self._clock.sleep_ms(EXPIRY_INTERVAL_MS)
-            self._notify_servers(
-                self._directory.expire_removals(self._clock.now_ms())
-            )
+            self._view.expire(self._clock.now_ms())
 
     def read_once(self):
         """Read the store once, unless the node can rely on its readers.
@@ -259,60 +302,97 @@
         float
             Milliseconds to wait before the next read.
         """
-        if self._revision is None:
-            return self._reload()
         now_ms = self._clock.now_ms()
-        if self._reader_tracker.relies_on_readers(self._revision, now_ms):
+        position = self._view.position
+        if position is None:
+            return self._reload()
+        if self._reader_tracker.relies_on_readers(position, now_ms):
             return FOLLOWER_CHECK_MS
-        self._waiting_since_ms = now_ms
-        outcome = self._store.wait_for_changes(
-            self._revision,
-            min(self._interval_factor * LONG_POLL_MS, MAX_LONG_POLL_MS),
-        )
+        if self._needs_reload:
+            return self._reload()
+        return self._wait_for_changes(position)
+
+    def _wait_for_changes(self, position):
+        wait_ms = min(self._interval_factor * LONG_POLL_MS, MAX_LONG_POLL_MS)
+        if self._is_era_uncertain:
+            # The store may have returned from an older copy. An answer tells
+            # its era; a long poll might wait until it is at the revision that
+            # this node had reached before.
+            wait_ms = 0.0
+        self._waiting_since_ms = self._clock.now_ms()
+        outcome = self._store.wait_for_changes(position.revision, wait_ms)
         self._waiting_since_ms = None
+        changes = outcome.unwrap_or_else(lambda failure: failure)
+        if self._view.resolve_era(changes.era) != position.era:
+            return self._handle_other_era(changes.era)
         if outcome.is_err():
-            factor = 1.0
-            if not self._reader_tracker.is_reader:
-                factor = FOLLOWER_RETRY_FACTOR
-            return self._record_failure(outcome.err_value, factor * RETRY_MS)
-        changes = outcome.ok_value
+            return self._record_failure(changes, self._retry_delay_ms)
         self._record_success()
-        after = self._revision
-        self._apply_changes(changes, self._clock.now_ms())
-        if self._revision > after:
+        self._is_era_uncertain = False
+        self._view.apply_changes(changes, self._clock.now_ms())
+        after = self._view.position
+        if after > position:
             self._on_update(
                 StoreNews(
-                    after,
+                    position.revision,
                     changes.revision,
                     changes.servers,
                     encode_configuration(changes.configuration),
                     self._last_outage_age_ms(),
+                    position.era,
                 )
             )
         if not changes.servers:
             return 0.0
         return min(self._interval_factor * BATCH_DELAY_MS, MAX_BATCH_DELAY_MS)
 
+    @property
+    def _retry_delay_ms(self):
+        if self._reader_tracker.is_reader:
+            return RETRY_MS
+        return FOLLOWER_RETRY_FACTOR * RETRY_MS
+
     def _reload(self):
         outcome = self._store.read_all()
+        own = self._view.position
+        changes = outcome.unwrap_or_else(lambda failure: failure)
+        era = self._view.resolve_era(changes.era)
+        if own is not None and era < own.era:
+            return self._handle_other_era(era)
         if outcome.is_err():
-            return self._record_failure(outcome.err_value, RELOAD_RETRY_MS)
-        changes = outcome.ok_value
+            return self._record_failure(changes, RELOAD_RETRY_MS)
         self._record_success()
         now_ms = self._clock.now_ms()
-        events = self._directory.replace_all(changes.servers, now_ms)
-        self._commit_changes(changes, events)
+        self._needs_reload = self._is_era_uncertain = False
+        if own is not None and era > own.era:
+            # The followers defer removals, as this node does.
+            self._record_outage(now_ms)
+        self._view.apply_complete(changes, now_ms)
+        if own is not None and era > own.era:
+            # Followers ask for a snapshot when they learn of the new era.
+            self._on_update(
+                StoreNews(changes.revision, changes.revision, era=era)
+            )
         return 0.0
 
-    def _apply_changes(self, changes, now_ms):
-        """Apply changes; skip those already received from another source."""
-        newer = [
-            change
-            for change in changes.servers
-            if not 0 < change.revision <= self._revision
-        ]
-        events = self._directory.apply(newer, now_ms)
-        self._commit_changes(changes, events)
+    def _handle_other_era(self, era):
+        """Handle an answer of another era than the node's own.
+
+        Its contents do not follow on what the node holds.
+        """
+        position = self._view.position
+        if era < position.era:
+            self._metrics.count('store_answers_stale')
+            _LOG.warning(
+                'event=store_answer_stale position={} era={}', position, era
+            )
+            return self._retry_delay_ms
+        _LOG.notice(
+            'event=store_era_changed position={} era={}', position, era
+        )
+        self._needs_reload = True
+        self._reader_tracker.record_position(StorePosition(era, 0))
+        return ERA_RELOAD_SPREAD_MS * self._rng.random()
 
     def _last_outage_age_ms(self):
         if self._last_outage_ms is None:
@@ -320,39 +400,13 @@
         age_ms = self._clock.now_ms() - self._last_outage_ms
         return age_ms if age_ms < REMOVAL_GRACE_MS else None
 
-    def _commit_changes(self, changes, events):
-        for failure in changes.failures:
-            self._metrics.count('store_items_refused')
-            _LOG.warning(
-                'event=item_refused key={} detail="{}"',
-                failure.key,
-                failure.detail,
-            )
-        # A reply from a lagging replica of the store must not move the
-        # revision back.
-        self._revision = max(self._revision or 0, changes.revision)
-        configuration = changes.configuration
-        if configuration is not None:
-            before = self._configuration
-            if before is None or configuration.version > before.version:
-                self._configuration = configuration
-                self._on_configuration(configuration)
-            else:
-                self._metrics.count('configurations_ignored')
-        self._notify_servers(events)
-
-    def _notify_servers(self, events):
-        if not events:
-            return
-        for event in events:
-            self._metrics.count('server_changes', kind=event.kind)
-        self._on_servers(events)
-
     def _record_success(self):
         self._last_read_ms = self._clock.now_ms()
         self._metrics.count('store_reads', outcome='ok')
         if self._is_reachable is False:
-            _LOG.notice('event=store_regained revision={}', self._revision)
+            _LOG.notice(
+                'event=store_regained position={}', self._view.position
+            )
             # Records may have expired during the outage.
             self._record_outage(self._last_read_ms)
         self._is_reachable = True
@@ -365,15 +419,18 @@
         now_ms = self._clock.now_ms()
         if failure.is_history_lost:
             self._metrics.count('store_reads', outcome='history_lost')
-            _LOG.notice('event=store_history_lost revision={}', self._revision)
-            self._revision = None
+            _LOG.notice(
+                'event=store_history_lost position={}', self._view.position
+            )
+            self._needs_reload = True
             return 0.0
         self._metrics.count('store_reads', outcome='failed')
+        self._is_era_uncertain = True
         self._record_outage(now_ms)
         if self._is_reachable is not False:
             _LOG.warning(
-                'event=store_lost revision={} age_ms={} detail="{}"',
-                self._revision,
+                'event=store_lost position={} age_ms={} detail="{}"',
+                self._view.position,
                 self.age_ms(now_ms),
                 failure.detail,
             )
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -6,7 +6,9 @@
 
 import eventlet
 
+from hawthornfold.directory import UNKNOWN_ERA
 from hawthornfold.directory import ReaderRoles
+from hawthornfold.directory import StorePosition
 from hawthornfold.directory import assign_roles
 from hawthornfold.gateway.settings import split_address
 from hawthornfold.membership import ListedVM
@@ -42,9 +44,24 @@
 
 
 class StoreRevision(typing.NamedTuple):
-    """Reports the revision of the published store that the sender has read."""
+    """Reports the position of the store up to which the sender has read.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store.
+    era : int
+        Era of the store; `UNKNOWN_ERA` if it reports none, or if the sender
+        runs an older release.
+    """
 
     revision: int
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self):
+        """The `StorePosition`."""
+        return StorePosition(self.era, self.revision)
 
 
 class NodeCounter:
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -35,6 +35,7 @@
 from hawthornfold.gateway.readiness import ReadyLimits
 from hawthornfold.gateway.runner import RequestRunner
 from hawthornfold.gateway.settings import split_address
+from hawthornfold.gateway.snapshot_sender import SnapshotSender
 from hawthornfold.gateway.state import GatewayState
 from hawthornfold.gateway.sweep import ServerSweep
 from hawthornfold.logs import setup_logs
@@ -144,11 +145,13 @@
         state = self._state
         configuration = state.configuration
         now_ms = self._clock.now_ms()
+        position = self._watcher.position
         return {
             'node': self._settings.node_name,
             'ready': self.is_ready(),
             'version': configuration.version if configuration else None,
-            'store_revision': self._watcher.revision,
+            'store_era': position.era if position else None,
+            'store_revision': position.revision if position else None,
             'store_age_ms': self._watcher.age_ms(now_ms),
             'nodes': state.node_count,
             'servers': len(state.directory.records),
@@ -183,6 +186,12 @@
                     settings, self._clock, self._metrics, self._state.audit
                 )
             )
+            self._snapshot_sender = SnapshotSender(
+                self._fleet,
+                self._watcher.create_snapshot,
+                self._clock,
+                self._settings.link_mbps,
+            )
             self._fleet.register(StoreRevision, self._on_store_revision)
             self._fleet.register(StoreNews, self._on_store_news)
             self._fleet.register(SnapshotQuery, self._on_snapshot_query)
@@ -200,6 +209,7 @@
                     self._run_count,
                     self._run_room_queries,
                     self._run_links,
+                    self._snapshot_sender.run,
                 )
             ]
             stack.callback(lambda: [loop.kill() for loop in loops])
@@ -300,7 +310,9 @@
                 self._settings.link_mbps,
             )
         )
-        self._fleet.send_to_readers(StoreRevision(store_update.revision))
+        self._fleet.send_to_readers(
+            StoreRevision(store_update.revision, store_update.era)
+        )
 
     def _run_beats(self):
         while True:
@@ -315,15 +327,13 @@
             self._fleet.send(sender.name, sender.address, SnapshotQuery())
 
     def _on_snapshot_query(self, sender, query):
-        snapshot = self._watcher.create_snapshot()
-        if snapshot is not None:
-            self._fleet.send(sender.name, sender.address, snapshot)
+        self._snapshot_sender.request(sender)
 
     def _on_snapshot(self, sender, snapshot):
         self._watcher.apply_snapshot(snapshot)
 
     def _on_store_revision(self, sender, message):
-        self._watcher.handle_revision(message.revision)
+        self._watcher.handle_position(message.position)
 
     def _create_delegations(self):
         settings = self._settings
--- a/hawthornfold/peers/codec.py
+++ b/hawthornfold/peers/codec.py
@@ -86,12 +86,29 @@
             prefix = self._prefixes_by_type[type(body)] = (
                 self._envelope_prefix + name
             )
-        frame = prefix + self._encode(body)
+        frame = prefix + self._encode(_trim_defaults(body))
         if len(frame) > MAX_FRAME_BYTES:
             raise FrameError('size')
         return frame
 
 
+def _trim_defaults(body):
+    """Leave out the last fields of a body that have their default values.
+
+    Nodes of an older release refuse a body with more fields than they know. A
+    field that was added later is sent only when it says something.
+    """
+    defaults = body._field_defaults
+    fields = body._fields
+    length = len(fields)
+    while length and (
+        fields[length - 1] in defaults
+        and body[length - 1] == defaults[fields[length - 1]]
+    ):
+        length -= 1
+    return body if length == len(fields) else tuple(body[:length])
+
+
 class FrameDecoder:
     """Decodes frames of one cluster into registered body types."""
 
--- a/hawthornfold/peers/tests/test_codec.py
+++ b/hawthornfold/peers/tests/test_codec.py
@@ -1,7 +1,9 @@
+import typing
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 
 from hawthornfold.peers import codec
 from hawthornfold.peers import messages
@@ -30,6 +32,43 @@
 )
 
 
+class OldNote(typing.NamedTuple):
+    text: str
+    number: int = 0
+
+
+class NewNote(typing.NamedTuple):
+    text: str
+    number: int = 0
+    added: int = 0
+
+
+class UpgradeTest(unittest.TestCase):
+    """Nodes of two releases, of which the newer has added a field."""
+
+    def send(self, body, sent_type, received_type):
+        decoder = codec.FrameDecoder('lipovec')
+        decoder._body_decoders['note'] = msgspec.msgpack.Decoder(received_type)
+        encoder = codec.FrameEncoder('lipovec', SENDER)
+        encoder._prefixes_by_type[sent_type] = (
+            encoder._envelope_prefix + msgspec.msgpack.encode('note')
+        )
+        return decoder.decode(encoder.encode(body))[1]
+
+    def test_added_field_is_sent_only_when_it_is_set(self):
+        # Guards against a fleet in which old nodes refuse all messages of new
+        # ones during a rolling upgrade.
+        for number in (0, 5):
+            received = self.send(NewNote('a', number), NewNote, OldNote)
+            self.assertEqual(received, OldNote('a', number))
+        with self.assertRaises(codec.FrameError):
+            self.send(NewNote('a', 0, 1), NewNote, OldNote)
+
+    def test_missing_field_has_its_default(self):
+        received = self.send(OldNote('a', 5), OldNote, NewNote)
+        self.assertEqual(received, NewNote('a', 5, 0))
+
+
 class CodecTest(unittest.TestCase):
     def setUp(self):
         self.encoder = codec.FrameEncoder('lipovec', SENDER)
--- a/hawthornfold/peers/tests/test_links.py
+++ b/hawthornfold/peers/tests/test_links.py
@@ -1,3 +1,4 @@
+import contextlib
 import unittest
 
 import eventlet
@@ -140,6 +141,21 @@
             while endpoint.metrics.counts[label] < count:
                 eventlet.sleep(0.01)
 
+    def test_idle_link_that_is_needed_again_stays_open(self):
+        # Guards against a part of a query that waits until a link is open. In
+        # a fleet of many nodes idle links are closed after a second.
+        with contextlib.ExitStack() as stack:
+            a = stack.enter_context(open_endpoint('a'))
+            b = stack.enter_context(open_endpoint('b'))
+            note = fakes.Note('x')
+            a.links.send('kept', b.address, note, keeps_open=True)
+            for number in range(20):
+                a.links.send(f'n{number}', b.address, note)
+            with eventlet.Timeout(LIMIT_S):
+                while len(a.links._links) > 1:
+                    eventlet.sleep(0.05)
+            self.assertEqual(list(a.links._links), ['kept'])
+
 
 class KeysTest(unittest.TestCase):
     def exchange_messages(self, keys_a, keys_b):
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -103,7 +103,7 @@
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
 
 
-def decode_items(items, revision):
+def decode_items(items, revision, era=None):
     """Decode items, which are in the order of their revisions.
 
     Parameters
@@ -113,6 +113,8 @@
         are ignored.
     revision : int
         The store's revision after these items.
+    era : int or None
+        The store's era; None if it reports none.
 
     Returns
     -------
@@ -139,7 +141,7 @@
                     )
                 )
     return StoreChanges(
-        revision, tuple(servers), configuration, tuple(failures)
+        revision, tuple(servers), configuration, tuple(failures), era
     )
 
 
--- a/hawthornfold/platform/names.py
+++ b/hawthornfold/platform/names.py
@@ -6,6 +6,9 @@
 READY_PATH = '/api/ready'
 SERVERS_PREFIX = 'servers/'
 CONFIGURATION_KEY = 'op/config'
+# Header of all answers of the store: how often it has returned from an older
+# copy.
+STORE_ERA_HEADER = 'Store-Era'
 
 HEADERS = HeaderNames(
     request_id='X-Request-Id',
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -1,21 +1,25 @@
 """Reads the platform's metadata store, which is read-only, over HTTP."""
 
+import re
 import socket
 import urllib.parse
 
+import logbook
 import msgspec
 import result
 import urllib3
 
 from hawthornfold.directory import PublishedStore
 from hawthornfold.directory import ReadFailure
-from hawthornfold.directory import StoreChanges
 from hawthornfold.platform.documents import Item
 from hawthornfold.platform.documents import decode_items
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import SERVERS_PREFIX
+from hawthornfold.platform.names import STORE_ERA_HEADER
 from hawthornfold.sockets import read_body
 
+_LOG = logbook.Logger('directory')
+
 # Bounds a connection attempt, and a read in addition to the time that a watch
 # waits. Replies take 4 ms, and 50 times as long while the store is slow.
 TIMEOUT_MS = 700.0
@@ -44,6 +48,8 @@
     CurrentRev: int
 
 
+# Larger numbers would not fit into the messages between nodes.
+_ERA = re.compile('[0-9]{1,15}')
 _PAGE_DECODER = msgspec.json.Decoder(_Page)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
@@ -57,11 +63,14 @@
         The cause, for logs.
     status : int
         HTTP status if it is the cause; 0 otherwise.
+    era : int or None
+        Era of the store, if it answered and reports one.
     """
 
-    def __init__(self, detail, status=0):
+    def __init__(self, detail, status=0, era=None):
         super().__init__(detail)
         self.status = status
+        self.era = era
 
 
 class MetadataStore(PublishedStore):
@@ -81,22 +90,27 @@
         self._pool = urllib3.PoolManager(
             num_pools=2, retries=False, socket_options=_SOCKET_OPTIONS
         )
+        # The era header of the last answer, to log changes only.
+        self._last_era_text = None
 
     def read_all(self):
         """Read all servers and the configuration; see `PublishedStore`."""
         try:
-            configuration_items, configuration_revision = self._read_prefix(
-                CONFIGURATION_KEY
+            configuration_items, configuration_revision, first_era = (
+                self._read_prefix(CONFIGURATION_KEY)
+            )
+            server_items, servers_revision, era = self._read_prefix(
+                SERVERS_PREFIX, first_era
             )
-            server_items, servers_revision = self._read_prefix(SERVERS_PREFIX)
         except _ReadError as error:
-            return result.Err(ReadFailure(str(error)))
+            return result.Err(ReadFailure(str(error), era=error.era))
         # The pages are not one snapshot. With their lowest revision, the
         # next watch repeats the changes that were made between the reads.
         return result.Ok(
             decode_items(
                 configuration_items + server_items,
                 min(configuration_revision, servers_revision),
+                era,
             )
         )
 
@@ -105,22 +119,34 @@
         # A watch of the empty prefix covers all keys and counts as one call.
         query = {'Prefix': '', 'after': revision, 'WaitMs': int(wait_ms)}
         try:
-            reply = self._fetch('kv-watch', query, wait_ms, _EVENTS_DECODER)
+            reply, era = self._fetch(
+                'kv-watch', query, wait_ms, _EVENTS_DECODER
+            )
         except _ReadError as error:
             is_history_lost = error.status == 410
-            return result.Err(ReadFailure(str(error), is_history_lost))
-        if not reply.events:
-            return result.Ok(StoreChanges(reply.CurrentRev))
-        return result.Ok(decode_items(reply.events, reply.CurrentRev))
+            return result.Err(
+                ReadFailure(str(error), is_history_lost, error.era)
+            )
+        return result.Ok(decode_items(reply.events, reply.CurrentRev, era))
+
+    def _read_prefix(self, prefix, known_era=None):
+        """Read all items of a prefix.
 
-    def _read_prefix(self, prefix):
+        Returns
+        -------
+        tuple of (list of Item, int, int or None)
+            The items, the lowest revision and the era of all pages.
+        """
         items, revision, query = [], None, {'Prefix': prefix}
         while True:
-            page = self._fetch('kv-range', query, 0.0, _PAGE_DECODER)
+            page, era = self._fetch('kv-range', query, 0.0, _PAGE_DECODER)
+            if None not in (era, known_era) and era != known_era:
+                raise _ReadError('the pages are of two eras', era=era)
+            known_era = known_era if era is None else era
             items += page.items
             revision = min(revision or page.CurrentRev, page.CurrentRev)
             if not page.HasMore or not page.items:
-                return items, revision
+                return items, revision, known_era
             query = {'Prefix': prefix, 'after': page.items[-1].Key}
 
     def _fetch(self, call, query, wait_ms, decoder):
@@ -156,14 +182,29 @@
                 response.release_conn()
             else:
                 response.close()
+        era = self._read_era(response)
         if data is None:
-            raise _ReadError('the reply is too large')
+            raise _ReadError('the reply is too large', era=era)
         if response.status != 200:
-            raise _ReadError(f'status {response.status}', response.status)
+            raise _ReadError(f'status {response.status}', response.status, era)
         try:
-            return decoder.decode(data)
+            return decoder.decode(data), era
         except (ValueError, RecursionError) as error:
-            raise _ReadError(f'the reply cannot be decoded: {error}')
+            raise _ReadError(f'the reply cannot be decoded: {error}', era=era)
+
+    def _read_era(self, response):
+        """Return the era of an answer, or None if it has no valid one."""
+        text = response.headers.get(STORE_ERA_HEADER)
+        era = None
+        if text is not None and _ERA.fullmatch(text.strip()):
+            era = int(text)
+        if text != self._last_era_text:
+            self._last_era_text = text
+            if text is not None and era is None:
+                _LOG.warning('event=store_era_refused value="{!r:.40}"', text)
+            elif text is None:
+                _LOG.warning('event=store_era_missing')
+        return era
 
 
 def open_store(find_address, clock):
--- a/hawthornfold/platform/tests/soak.py
+++ b/hawthornfold/platform/tests/soak.py
@@ -4,14 +4,17 @@
 
 Callers reuse connections until they close. Faults overlap at random: links
 that delay, reset, stall, cut or lose one direction, faulty servers, a store
-that refuses or is silent, and processes that are stopped, paused, killed and
-restarted. New configurations and drains are published meanwhile. The
-guarantees are checked from what callers and servers observe.
+that refuses, is silent or returns from an older copy, and processes that are
+stopped, paused, killed and restarted. New configurations and drains are
+published meanwhile. The guarantees are checked from what callers and servers
+observe.
 """
 
 import argparse
 import contextlib
 import http.client
+import json
+import math
 import random
 import signal
 import sys
@@ -35,6 +38,10 @@
 CALLERS = 6
 # Statuses that mean that no server executed the request.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+# Names in refusals of a node that has no rule for the path, but does not know
+# whether its configuration is the newest. Like status 404, they mean that it
+# has not applied the version.
+UNAPPLIED_CODES = (b'BELIEFS_STALE', b'NOT_READY')
 # Kinds of faults; one that is listed twice is chosen twice as often.
 FAULTS = (
     'link',
@@ -42,6 +49,7 @@
     'server',
     'server',
     'store',
+    'restore',
     'pause',
     'kill',
     'terminate',
@@ -133,6 +141,18 @@
             self._environment.store.discard_history()
         self._store_fault_time = time.monotonic()
 
+    def _inject_restore(self, rng, duration_s):
+        """Take the store away; return it from a copy some seconds old."""
+        self._store_fault_time = time.monotonic() + 60.0
+        store = self._environment.store
+        store.mode = 'busy'
+        time.sleep(duration_s / 3.0)
+        store.restore(rng.uniform(0.5, 5.0))
+        store.mode = 'ok'
+        time.sleep(rng.uniform(0.2, 1.5))
+        self._environment.write_again()
+        self._store_fault_time = time.monotonic()
+
     @contextlib.contextmanager
     def _mark_random_node(self, rng):
         """Yield the number and node; it counts as faulty until the end."""
@@ -244,8 +264,11 @@
                 f'{request_id} was answered after {elapsed:.2f} s'
             )
         if kind == '/v':
+            has_applied = response.status != 404 and not any(
+                name in data for name in UNAPPLIED_CODES
+            )
             self._check_version(
-                response.status, number, incarnation, version, started
+                has_applied, number, incarnation, version, started
             )
         return not response.will_close
 
@@ -279,19 +302,22 @@
             soak_environment.SHARDS
         ):
             self._report_violation(f'{request_id} has a wrong count of parts')
-        elif len(parts) < 3:
+        elif len(parts) < math.ceil(
+            soak_environment.MIN_SHARE * len(soak_environment.SHARDS)
+        ):
             self._report_violation(f'{request_id} has too few parts')
         elif data != _merge(part[2] for part in parts):
             self._report_violation(
                 f'{request_id} is not merged from its parts'
             )
 
-    def _check_version(self, status, number, incarnation, version, started):
-        # A status of 404 means that the node has not applied the version.
+    def _check_version(
+        self, has_applied, number, incarnation, version, started
+    ):
         with self._lock:
             key = (number, incarnation)
             newest = self._newest_versions.get(key, 0)
-            if status != 404:
+            if has_applied:
                 self._newest_versions[key] = max(newest, version)
                 return
         if incarnation == self._incarnations[number] and newest >= version:
@@ -322,6 +348,7 @@
                     return
                 time.sleep(0.1)
         time.sleep(max(0.0, end - time.monotonic()))
+        self._check_positions()
         statuses = [
             node.query('/g/', f'{self._seed}-end-{number}-{n}').status
             for number, node in enumerate(self._environment.nodes)
@@ -333,6 +360,31 @@
                 f'only {served:.0%} served after the faults'
             )
 
+    def _check_positions(self):
+        """Check that all nodes hold what the store holds."""
+        store = self._environment.store
+        listed = {
+            key for key in self._environment.entries if key != 'op/config'
+        }
+        for number, node in enumerate(self._environment.nodes):
+            status = json.loads(
+                node.send_request('/status', port='ready').data
+            )
+            held = (status['store_era'], status['store_revision'])
+            if held != store.position:
+                self._report_violation(
+                    f'node {number} is at {held}, the store at '
+                    f'{store.position}'
+                )
+            if status['servers'] != len(listed):
+                self._report_violation(
+                    f'node {number} knows {status["servers"]} servers'
+                )
+            if status['version'] != self._environment.version:
+                self._report_violation(
+                    f'node {number} is at version {status["version"]}'
+                )
+
     def _check_ledger(self):
         # Slow servers may still start requests that were sent before.
         time.sleep(1.0)
--- a/hawthornfold/platform/tests/soak_environment.py
+++ b/hawthornfold/platform/tests/soak_environment.py
@@ -15,7 +15,11 @@
 from hawthornfold.gateway.tests import support as gateway_support
 from hawthornfold.platform.tests import support
 
-SHARDS = ('x1', 'x2', 'x3', 'x4')
+# Shards with an even number have their servers in the second data centre, so
+# that nodes gather groups of shards for each other.
+SHARDS = tuple(f'x{number}' for number in range(1, 11))
+DATA_CENTRES = ('hall-a', 'hall-b')
+MIN_SHARE = 0.75
 FORWARD_SERVICE = 'z'
 RECORD_LIMIT = 8
 RECORD_BYTES = 16
@@ -225,6 +229,8 @@
         self.version = 0
         # When the store had accepted each version, by `time.monotonic`.
         self.published_at = {}
+        # What the servers and the operator have written last, by key.
+        self.entries = {}
         self.servers = {}
         for service in (*SHARDS, FORWARD_SERVICE):
             for number in (1, 2):
@@ -245,7 +251,8 @@
         self.nodes = []
         for number in (1, 2, 3):
             seeds = [node.control for node in self.nodes[:1]]
-            node = support.Node(proxied_store, number, seeds)
+            zone = DATA_CENTRES[number % 2]
+            node = support.Node(proxied_store, number, seeds, zone=zone)
             stack.callback(node.close)
             self.nodes.append(node)
         for node in self.nodes:
@@ -254,17 +261,25 @@
     def register_server(self, name, **fields):
         """Write a server's entry to the store."""
         server = self.servers[name]
+        is_even = server.service[-1] in '02468'
         entry = {
             'Backend': server.service,
             'Address': self.proxy.get_address(name),
-            'Zone': 'hall-a',
+            'Zone': DATA_CENTRES[is_even],
             'MaxConcurrency': 4,
             'State': 'ready',
             'born': 1000,
             **fields,
         }
+        self.entries[f'servers/{name}'] = entry
         self.store.put(f'servers/{name}', entry)
 
+    def write_again(self):
+        """Write what a restored store has lost, as its writers do."""
+        for key, entry in list(self.entries.items()):
+            if self.store.read(key) != entry:
+                self.store.put(key, entry)
+
     def publish_configuration(self):
         """Write the next version of the configuration.
 
@@ -284,7 +299,7 @@
                 '/g/',
                 FanoutServices=list(SHARDS),
                 TopK=RECORD_LIMIT,
-                MinSuccessShare=0.75,
+                MinSuccessShare=MIN_SHARE,
             )
         )
         routes.append(
@@ -292,18 +307,17 @@
                 'pay', '/p/', 'non_idempotent', Backend=FORWARD_SERVICE
             )
         )
-        self.store.put(
-            'op/config',
-            {
-                'Version': self.version,
-                'Routes': routes,
-                'Services': [
-                    {'Name': name, 'MaxConns': 60}
-                    for name in (*SHARDS, FORWARD_SERVICE)
-                ],
-                'Limits': support.LIMITS,
-            },
-        )
+        published = {
+            'Version': self.version,
+            'Routes': routes,
+            'Services': [
+                {'Name': name, 'MaxConns': 60}
+                for name in (*SHARDS, FORWARD_SERVICE)
+            ],
+            'Limits': support.LIMITS,
+        }
+        self.entries['op/config'] = published
+        self.store.put('op/config', published)
         self.published_at[self.version] = time.monotonic()
 
 
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -20,7 +20,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 SETTINGS = """
 NodeName = "{name}"
-Zone = "hall-a"
+Zone = "{zone}"
 SeedNodes = [{seeds}]
 [Listen]
 Front = "{ip}:{front}"
@@ -63,6 +63,11 @@
         self._items = {}
         self._events = []
         self._oldest_revision = 0
+        # Raised by each restore; None for a store that reports no era. May be
+        # set to any text, to send an invalid header.
+        self.era = 1
+        # Time, revision and items after each change, to restore them.
+        self._copies = [(time.monotonic(), 100, {})]
         # How calls are answered: 'ok', 'busy' (503) or 'silent'.
         self.mode = 'ok'
         self.calls = []
@@ -102,6 +107,7 @@
             }
             self._items[key] = item
             self._events.append(item)
+            self._keep_copy()
             self._changed.notify_all()
 
     def delete(self, key):
@@ -112,6 +118,39 @@
             self._events.append(
                 {'Key': key, 'Revision': self._revision, 'Deleted': True}
             )
+            self._keep_copy()
+            self._changed.notify_all()
+
+    @property
+    def position(self):
+        """The era and the current revision."""
+        return self.era, self._revision
+
+    def read(self, key):
+        """Return the decoded value of an item, or None."""
+        with self._changed:
+            item = self._items.get(key)
+        return item and json.loads(base64.b64decode(item['Value']))
+
+    def _keep_copy(self):
+        copy = (time.monotonic(), self._revision, dict(self._items))
+        self._copies.append(copy)
+
+    def restore(self, age_s):
+        """Return from a copy that is some seconds old; raise the era."""
+        with self._changed:
+            end = time.monotonic() - age_s
+            while len(self._copies) > 1 and self._copies[-1][0] > end:
+                self._copies.pop()
+            _, self._revision, items = self._copies[-1]
+            self._items = dict(items)
+            self._events = [
+                event
+                for event in self._events
+                if event['Revision'] <= self._revision
+            ]
+            self._oldest_revision = min(self._oldest_revision, self._revision)
+            self.era += 1
             self._changed.notify_all()
 
     def discard_history(self):
@@ -141,6 +180,8 @@
             handler.send_response(status)
             handler.send_header('Content-Type', 'application/json')
             handler.send_header('Content-Length', str(len(body)))
+            if self.era is not None:
+                handler.send_header('Store-Era', str(self.era))
             handler.end_headers()
             handler.wfile.write(body)
 
@@ -164,8 +205,12 @@
         after = int(query['after'])
         end = time.monotonic() + int(query['WaitMs']) / 1000.0
         with self._changed:
+            era = self.era
             while True:
-                if after < self._oldest_revision:
+                if era != self.era:
+                    # The restore cut the connection of this watch.
+                    return 503, {}
+                if not self._oldest_revision <= after <= self._revision:
                     return 410, {}
                 events = [e for e in self._events if e['Revision'] > after]
                 left = end - time.monotonic()
@@ -213,6 +258,7 @@
             'seeds': ', '.join(f'"{seed}"' for seed in seeds),
             'cores': 1.0,
             'link_mbps': 1000.0,
+            'zone': 'hall-a',
             **fields,
         }
         self.write_settings()
--- a/hawthornfold/platform/tests/test_soak.py
+++ b/hawthornfold/platform/tests/test_soak.py
@@ -17,6 +17,10 @@
     # The run waited for a fault proxy that had ended while starting. The
     # proxy is now started again (`FaultProxyTest`).
     401,
+    # A node that had lost the store refused a path of a version that it had
+    # never held with 503, and the soak counted that as applied. The store has
+    # since then returned from a copy without the version.
+    500,
 )
 
 
--- /dev/null
+++ b/hawthornfold/platform/tests/test_store.py
@@ -0,0 +1,95 @@
+"""Reads of the platform's store over HTTP."""
+
+import unittest
+
+import logbook
+
+from hawthornfold.clock import create_system_clock
+from hawthornfold.platform.store import open_store
+from hawthornfold.platform.tests import support
+
+ENTRY = {
+    'Backend': 'portal',
+    'Address': '127.0.0.1:1',
+    'Zone': 'hall-a',
+    'State': 'ready',
+}
+
+
+class CallList(list):
+    """Calls a function when it has a number of entries."""
+
+    def __init__(self, count, on_count):
+        super().__init__()
+        self._count = count
+        self._on_count = on_count
+
+    def append(self, path):
+        super().append(path)
+        if len(self) == self._count:
+            self._on_count()
+
+
+class EraTest(unittest.TestCase):
+    def setUp(self):
+        self.stub = support.MetadataStoreStub()
+        self.addCleanup(self.stub.close)
+        self.store = open_store(
+            lambda: self.stub.address, create_system_clock()
+        )
+        for number in range(8):
+            self.stub.put(f'servers/s{number}', ENTRY)
+        self.log = self.enterContext(logbook.TestHandler().applicationbound())
+
+    def raise_era(self):
+        self.stub.era += 1
+
+    def list_events(self):
+        return [
+            record.message.split()[0].removeprefix('event=')
+            for record in self.log.records
+        ]
+
+    def test_era_of_all_answers_is_read(self):
+        self.stub.era = 3
+        self.assertEqual(self.store.read_all().ok_value.era, 3)
+        changes = self.store.wait_for_changes(104, 0.0).ok_value
+        self.assertEqual((changes.era, changes.revision), (3, 108))
+        self.stub.mode = 'busy'
+        self.assertEqual(
+            self.store.wait_for_changes(108, 0.0).err_value.era, 3
+        )
+        self.stub.mode = 'ok'
+        failure = self.store.wait_for_changes(200, 0.0).err_value
+        self.assertTrue(failure.is_history_lost)
+        self.assertEqual(failure.era, 3)
+
+    def test_pages_of_two_eras_are_no_complete_read(self):
+        # Guards against a list of servers of which one part is from before
+        # the restore and one from after it.
+        self.stub.calls = CallList(3, self.raise_era)
+        failure = self.store.read_all().err_value
+        self.assertIn('two eras', failure.detail)
+        self.assertEqual(failure.era, 2)
+        self.assertEqual(self.store.read_all().ok_value.era, 2)
+
+    def test_missing_era_is_none(self):
+        # A store that reports none has never lost a change.
+        self.stub.era = None
+        self.assertIsNone(self.store.read_all().ok_value.era)
+        self.assertEqual(self.list_events(), [])
+        self.stub.era = 1
+        self.assertEqual(self.store.read_all().ok_value.era, 1)
+        self.stub.era = None
+        self.assertIsNone(self.store.read_all().ok_value.era)
+        self.assertEqual(self.list_events(), ['store_era_missing'])
+
+    def test_invalid_era_is_logged_and_ignored(self):
+        # Guards against a crash, and a log line for each answer.
+        for text in ('x', '-1', '1.5', '', '9' * 400, '٣'.encode().hex()):
+            with self.subTest(text):
+                self.stub.era = text
+                self.log.records.clear()
+                for _ in range(2):
+                    self.assertIsNone(self.store.read_all().ok_value.era)
+                self.assertEqual(self.list_events(), ['store_era_refused'])
