Open few connections after a start and hold new ones for 2 ms

The servers reset what exceeds their limit. A request that was sent on such a connection may have run, and the repeat budget of a new process does not allow another: 70 requests ended with 502 in two seconds.

Change: one connection a server for 3 s after the start; a connection is used only 2 ms after it was accepted, so that a reset by then is no lost request; where there are more nodes than connections, the hash of node and server decides which nodes keep one idle (before, each kept one: 195 on servers that accept 120). While requests wait for a connection, the newest goes first within an urgency.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -32,6 +32,9 @@
 # Non-idempotent requests reuse a connection only within this time after its
 # last answer. A reset would leave it unknown whether they were executed.
 NON_IDEMPOTENT_IDLE_MS = 300.0
+# A new connection is used after this time. A server that has reached its limit
+# resets further connections right after it has accepted them.
+SETTLE_MS = 2.0
 _SOCKET_TYPE = _socket.SOCK_STREAM | _socket.SOCK_NONBLOCK
 
 
@@ -240,9 +243,9 @@
         if code:
             self._end_open(_describe_code(code))
             return
-        self._listen(hub.READ, self._handle_readable)
         self._answered_ms = self._clock.now_ms()
-        self._end_open(None)
+        self._listen(hub.READ, self._handle_readable)
+        self._schedule(SETTLE_MS, lambda: self._end_open(None))
 
     def _end_open(self, error):
         self._cancel_timer()
@@ -271,6 +274,9 @@
             self._fail(_describe_error(error))
 
     def _handle_readable(self, descriptor):
+        if self._on_open is not None:
+            self._end_open('ConnectionResetError: reset after it was accepted')
+            return
         if self._request is None:
             self._end_idle()
             return
--- a/hawthornfold/gateway/pools.py
+++ b/hawthornfold/gateway/pools.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections
+import typing
 
 from hawthornfold.gateway.connections import CONNECT_TIMEOUT_MS
 from hawthornfold.gateway.connections import ServerConnection
@@ -12,8 +13,25 @@
 USABLE_SHARE = 0.8
 
 
-def compute_connection_limit(limit, share):
-    """Return the number of connections that one node may open to a server.
+class ConnectionLimits(typing.NamedTuple):
+    """Limits of one node's connections to one server.
+
+    Parameters
+    ----------
+    kept : int
+        Maximum number that the node keeps open while they are idle.
+    maximum : int
+        Maximum number that are open at a time. Where there are more nodes
+        than connections, a node that may keep none opens one for a request
+        and closes it afterwards; few requests are in progress at a time.
+    """
+
+    kept: int
+    maximum: int
+
+
+def compute_connection_limits(limit, share, rank):
+    """Return the limits of one node's connections to a server.
 
     Parameters
     ----------
@@ -21,21 +39,25 @@
         Number of connections that the server accepts.
     share : float
         The node's share of them, 0 to 1.
+    rank : float
+        The node's place among all nodes for this server, evenly distributed
+        from 0 to 1. It decides which nodes keep a connection where there are
+        not enough for all.
 
     Returns
     -------
-    int
-        At least 1.
+    ConnectionLimits
 
     Examples
     --------
-    >>> (
-    ...     compute_connection_limit(26, 1 / 7),
-    ...     compute_connection_limit(26, 1 / 63),
-    ... )
-    (2, 1)
+    >>> compute_connection_limits(26, 1 / 7, 0.5)
+    ConnectionLimits(kept=3, maximum=3)
+    >>> compute_connection_limits(120, 1 / 195, 0.9)
+    ConnectionLimits(kept=0, maximum=1)
     """
-    return max(1, int(limit * USABLE_SHARE * share))
+    exact = limit * USABLE_SHARE * share
+    kept = int(exact) + (rank < exact % 1.0)
+    return ConnectionLimits(kept, max(1, kept))
 
 
 class ConnectionUser(abc.ABC):
@@ -47,6 +69,8 @@
     is_cancelled = False
     # Whether the request that the connection is for may be executed twice.
     is_idempotent = True
+    # Users with a lower priority are served first.
+    priority = (0, 0.0)
 
     @abc.abstractmethod
     def handle_connection(self, connection, reason):
@@ -69,14 +93,16 @@
 class ServerPool:
     """A pool of idle and busy connections to one server process."""
 
-    def __init__(self, address, limit, create_connection, metrics, on_connect):
+    def __init__(
+        self, address, limits, create_connection, metrics, on_connect
+    ):
         self._address = address
-        self._limit = limit
+        self._limits = limits
         self._create_connection = create_connection
         self._metrics = metrics
         self._on_connect = on_connect
         self._idle = collections.deque()
-        self._waiting = collections.deque()
+        self._waiting = []
         self._busy_count = 0
         self._is_closed = False
 
@@ -90,16 +116,17 @@
         """Whether at least one connection is idle."""
         return bool(self._idle)
 
-    def set_limit(self, limit):
-        """Set the maximum number of connections; close idle ones above it."""
-        self._limit = limit
-        self._limit_idle(limit)
+    def set_limits(self, limits):
+        """Set the `ConnectionLimits`; close idle connections above them."""
+        self._limits = limits
+        self._limit_idle(limits.maximum)
         self._serve_waiting()
 
     def acquire(self, user):
         """Get an idle connection, or open one.
 
-        Waits while all connections are busy.
+        Waits while all connections are busy; the user with the lowest priority
+        gets the next one.
 
         Parameters
         ----------
@@ -108,7 +135,7 @@
             idle, and later otherwise. A user that is cancelled while it
             waits receives none.
         """
-        if self._busy_count < self._limit:
+        if self._busy_count < self._limits.maximum:
             self._assign(user)
         else:
             self._waiting.append(user)
@@ -121,6 +148,8 @@
         else:
             connection.close()
         self._serve_waiting()
+        while len(self._idle) > self._limits.kept:
+            self._idle.popleft().close()
 
     def probe(self, on_end):
         """Open a connection to check that the server accepts it.
@@ -131,11 +160,11 @@
             Takes whether the server accepted; False also if all connections
             are in use. The connection joins the pool.
         """
-        if self._busy_count >= self._limit:
+        if self._busy_count >= self._limits.maximum:
             on_end(False)
             return
 
-        self._limit_idle(self._limit - 1)
+        self._limit_idle(self._limits.maximum - 1)
         self._open(_Probe(self, on_end))
 
     def discard_idle(self):
@@ -150,14 +179,20 @@
 
     def _limit_idle(self, limit):
         """Close the oldest idle connections until at most `limit` are open."""
-        while self._idle and self._busy_count + len(self._idle) > limit:
+        while self._idle and (
+            self._busy_count + len(self._idle) > limit
+            or len(self._idle) > self._limits.kept
+        ):
             self._idle.popleft().close()
 
     def _serve_waiting(self):
-        while self._waiting and self._busy_count < self._limit:
-            user = self._waiting.popleft()
-            if not user.is_cancelled:
-                self._assign(user)
+        if not self._waiting:
+            return
+        self._waiting = [x for x in self._waiting if not x.is_cancelled]
+        while self._waiting and self._busy_count < self._limits.maximum:
+            user = min(self._waiting, key=lambda user: user.priority)
+            self._waiting.remove(user)
+            self._assign(user)
 
     def _assign(self, user):
         while self._idle:
@@ -202,16 +237,15 @@
         self._on_connect = on_connect
         self._pools = {}
 
-    def get(self, record, compute_limit):
+    def get(self, record, compute_limits):
         """Return the pool of a server; create it if missing or outdated.
 
         Parameters
         ----------
         record : ServerRecord
             The server.
-        compute_limit : callable
-            Takes the server's service; returns the maximum number of
-            connections of a new pool.
+        compute_limits : callable
+            Takes the record; returns the `ConnectionLimits` of a new pool.
         """
         pool = self._pools.get(record.server_id)
         if pool is not None and pool.address == record.address:
@@ -220,7 +254,7 @@
             pool.close()
         pool = self._pools[record.server_id] = ServerPool(
             record.address,
-            compute_limit(record.service),
+            compute_limits(record),
             self._create_connection,
             self._metrics,
             self._on_connect,
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -75,16 +75,22 @@
         'is_cancelled',
         'is_idempotent',
         'pool',
+        'priority',
         'relay',
         'send',
         'started_ms',
     )
 
-    def __init__(self, relay, send, pool, is_idempotent, started_ms):
+    def __init__(self, relay, send, pool, decision, arrived_ms, started_ms):
+        # While requests have to wait, the newest goes first. After a backlog
+        # of requests that are late already, those that can still be answered
+        # in time would become late otherwise. All servers order the parts of a
+        # request alike, so that it is either answered or waits as a whole.
+        self.priority = (decision.urgency, -arrived_ms)
         self.relay = relay
         self.send = send
         self.pool = pool
-        self.is_idempotent = is_idempotent
+        self.is_idempotent = decision.idempotent
         self.started_ms = started_ms
         self.connection = None
         self.is_cancelled = False
@@ -160,6 +166,7 @@
         self._observer = observer
         self._running = {}
         self._faults = []
+        self._started_ms = 0.0
         self._sent_parts = 0
         self._send_ms = 0.0
         self._remote_count = 0
@@ -206,7 +213,7 @@
         )
 
     def _start(self):
-        started_ms = self._clock.now_ms()
+        started_ms = self._started_ms = self._clock.now_ms()
         actions = self._execution.start(started_ms)
         self._apply_actions(actions, started_ms)
         now_ms = self._clock.now_ms()
@@ -330,7 +337,7 @@
             self._remote_count += 1
         pool = state.get_pool(record)
         exchange = self._running[send.attempt] = _Exchange(
-            self, send, pool, self._decision.idempotent, now_ms
+            self, send, pool, self._decision, self._started_ms, now_ms
         )
         pool.acquire(exchange)
 
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -5,18 +5,24 @@
 
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
+from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
-from hawthornfold.gateway.pools import compute_connection_limit
+from hawthornfold.gateway.pools import compute_connection_limits
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.limits import create_repeat_budget
 from hawthornfold.placement import create_latency_tracker
 from hawthornfold.placement import create_placement
 from hawthornfold.placement import create_weighted_round_robin
+from hawthornfold.rendezvous import compute_score
 
 _LOG = logbook.Logger('gateway')
 
-# Maximum connections to a server whose service is not in the configuration.
-_UNKNOWN_SERVICE_CONNECTIONS = 1
+# Limits for a server whose service is not in the configuration.
+_UNKNOWN_SERVICE_CONNECTIONS = ConnectionLimits(1, 1)
+# A node that starts opens at most one connection to each server for this long:
+# it does not know all other nodes yet, and after a loss of power servers still
+# hold the connections of before.
+SETTLE_MS = 3_000.0
 
 
 class GatewayState:
@@ -47,6 +53,7 @@
         self._gatherings = {}
         self._repeat_budgets = {}
         self._started_ms = clock.now_ms()
+        self._is_settled = False
         self._is_stopping = False
         self.audit = create_audit_trail(clock)
         self.directory = create_server_directory()
@@ -103,8 +110,15 @@
             This node's share, 0 to 1, of services whose answers are
             gathered.
         """
-        if (count, gathered_share) == (self._node_count, self._gathered_share):
+        now_ms = self._clock.now_ms()
+        is_settled = now_ms - self._started_ms >= SETTLE_MS
+        if (count, gathered_share, is_settled) == (
+            self._node_count,
+            self._gathered_share,
+            self._is_settled,
+        ):
             return
+        self._is_settled = is_settled
         _LOG.notice(
             'event=shares_changed nodes_before={} nodes={} '
             'gathered_share_before={:.4f} gathered_share={:.4f}',
@@ -185,7 +199,7 @@
 
     def get_pool(self, record):
         """Return the `ServerPool` for the server of a directory record."""
-        return self.pools.get(record, self._connection_limit)
+        return self.pools.get(record, self._connection_limits)
 
     def get_repeat_budget(self, service):
         """Return the repeat budget of a service, creating it when missing."""
@@ -203,14 +217,19 @@
     def _record_connect(self, elapsed_ms):
         self.placement.record_connect(elapsed_ms)
 
-    def _connection_limit(self, service):
+    def _connection_limits(self, record):
         services = self._configuration.services if self._configuration else {}
-        known = services.get(service)
+        known = services.get(record.service)
         if known is None:
             return _UNKNOWN_SERVICE_CONNECTIONS
-        return compute_connection_limit(
-            known.max_connections, self._service_share(service)
+        limits = compute_connection_limits(
+            known.max_connections,
+            self._service_share(record.service),
+            compute_score(self._settings.node_name, record.server_id) / 2**64,
         )
+        if self._is_settled:
+            return limits
+        return ConnectionLimits(min(limits.kept, 1), 1)
 
     def _service_share(self, service):
         """Return this node's share of the limits of a service, 0 to 1."""
@@ -226,4 +245,4 @@
         for server_id, record in self.directory.records.items():
             pool = self.pools.find(server_id)
             if pool is not None:
-                pool.set_limit(self._connection_limit(record.service))
+                pool.set_limits(self._connection_limits(record))
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -391,6 +391,29 @@
         error = self.open_to(f'127.0.0.1:{address[1]}', 50.0)
         self.assertIn('timed out', error)
 
+    def test_connection_over_the_limit_of_the_server_does_not_open(self):
+        # Guards against requests that count as possibly executed, and use up
+        # the repeat budget, because the server resets connections beyond its
+        # limit. After a loss of power of all nodes, servers still hold the
+        # connections of before.
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def reset_all():
+            while True:
+                try:
+                    support.reset(listener.accept()[0])
+                except OSError:
+                    return
+
+        threading.Thread(target=reset_all, daemon=True).start()
+        for _ in range(10):
+            error = self.open_to(
+                f'127.0.0.1:{listener.getsockname()[1]}', 1000.0
+            )
+            self.assertIn('reset', error)
+            self.assertFalse(self.connection.is_reusable)
+
     def test_aborted_exchange_ends_at_once(self):
         # Guards against cancelled requests that occupy a connection.
         def script(connection, request, number):
--- a/hawthornfold/gateway/tests/test_pools.py
+++ b/hawthornfold/gateway/tests/test_pools.py
@@ -3,14 +3,17 @@
 from hawthornfold.clock import create_system_clock
 from hawthornfold.directory import ServerRecord
 from hawthornfold.gateway.names import HeaderNames
+from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ConnectionUser
 from hawthornfold.gateway.pools import ServerPools
+from hawthornfold.gateway.pools import compute_connection_limits
 from hawthornfold.gateway.tests import support
 from hawthornfold.metrics import create_metrics
 
 
 class RecordingUser(ConnectionUser):
-    def __init__(self):
+    def __init__(self, priority=(0, 0.0)):
+        self.priority = priority
         self.results = []
 
     def handle_connection(self, connection, reason):
@@ -31,8 +34,10 @@
         self.addCleanup(self.pools.close)
         self.record = ServerRecord('s1', 'portal', self.server.address, 'd', 2)
 
-    def get_pool(self, limit):
-        return self.pools.get(self.record, lambda service: limit)
+    def get_pool(self, limit, kept=None):
+        kept = limit if kept is None else kept
+        limits = ConnectionLimits(kept, limit)
+        return self.pools.get(self.record, lambda record: limits)
 
     def acquire(self, pool):
         user = RecordingUser()
@@ -58,7 +63,7 @@
         # Guards against more connections than the server accepts.
         pool = self.get_pool(1)
         first = self.acquire(pool)
-        users = [RecordingUser(), RecordingUser()]
+        users = [RecordingUser((0, 1.0)), RecordingUser((0, 2.0))]
         for user in users:
             pool.acquire(user)
         self.assertEqual([user.results for user in users], [[], []])
@@ -68,6 +73,26 @@
         self.assertEqual(users[1].results, [(first, '')])
         self.assertEqual(self.opened_count, 1)
 
+    def test_waiting_requests_are_served_by_priority(self):
+        # Guards against a backlog of late requests that makes all later ones
+        # late as well, and against ordinary requests before urgent ones.
+        pool = self.get_pool(1)
+        connection = self.acquire(pool)
+        priorities = [(1, -9.0), (0, -1.0), (0, -5.0), (1, -8.0)]
+        users = [RecordingUser(priority) for priority in priorities]
+        for user in users:
+            pool.acquire(user)
+        served = []
+        for _ in users:
+            pool.release(connection)
+            (found,) = [
+                user.priority
+                for user in users
+                if user.results and user.priority not in served
+            ]
+            served.append(found)
+        self.assertEqual(served, sorted(priorities))
+
     def test_cancelled_request_gets_no_connection(self):
         # Guards against a connection that is assigned to nobody.
         pool = self.get_pool(1)
@@ -94,7 +119,7 @@
         both = [self.acquire(pool), self.acquire(pool)]
         for connection in both:
             pool.release(connection)
-        pool.set_limit(1)
+        pool.set_limits(ConnectionLimits(1, 1))
         self.assertEqual(sum(c.is_reusable for c in both), 1)
 
     def test_probe_opens_a_new_connection_within_the_limit(self):
@@ -117,4 +142,38 @@
         # Guards against requests to the address that a server had before.
         pool = self.get_pool(1)
         moved = self.record._replace(address='127.0.0.1:1')
-        self.assertIsNot(self.pools.get(moved, lambda service: 1), pool)
+        self.assertIsNot(self.pools.get(moved, lambda record: None), pool)
+
+    def test_node_without_a_share_closes_its_connection_after_use(self):
+        # Guards against more connections than the server accepts, where there
+        # are more nodes than connections.
+        pool = self.get_pool(1, kept=0)
+        connection = self.acquire(pool)
+        pool.release(connection)
+        self.assertFalse(pool.has_idle)
+        self.assertFalse(connection.is_reusable)
+
+    def test_waiting_request_uses_a_connection_that_is_not_kept(self):
+        pool = self.get_pool(1, kept=0)
+        first = self.acquire(pool)
+        user = RecordingUser()
+        pool.acquire(user)
+        pool.release(first)
+        self.assertEqual(user.results, [(first, '')])
+
+
+class LimitsTest(unittest.TestCase):
+    def test_kept_connections_add_up_to_the_share_of_the_server(self):
+        # Guards against servers that reset connections, because each of many
+        # nodes keeps at least one.
+        for nodes, limit in ((9, 26), (86, 65), (195, 120), (300, 25)):
+            with self.subTest((nodes, limit)):
+                ranks = [(number + 0.5) / nodes for number in range(nodes)]
+                limits = [
+                    compute_connection_limits(limit, 1.0 / nodes, rank)
+                    for rank in ranks
+                ]
+                kept = sum(item.kept for item in limits)
+                self.assertLessEqual(kept, limit * 0.8 + 1.0)
+                self.assertGreaterEqual(kept, limit * 0.8 - 1.0)
+                self.assertTrue(all(item.maximum >= 1 for item in limits))
