Attribute lost requests to causes; share limits by data centre

Change: hawthornfold losses with eleven causes and plots; request_ended names the objective and the pending attempts, request_refused host and path. Where there are no delegate nodes, a node in the data centre of a shard's servers has four times the share of its limits that others have; the sum is as before.

Ruled out: nothing measured against another way of sharing.

--- a/hawthornfold/commands/explaining.py
+++ b/hawthornfold/commands/explaining.py
@@ -9,6 +9,8 @@
 from hawthornfold.codes import Failure
 from hawthornfold.codes import ResultCode
 from hawthornfold.commands import log_timeline
+from hawthornfold.commands import loss_plots
+from hawthornfold.commands import losses
 from hawthornfold.commands import output
 from hawthornfold.documents import read_file
 from hawthornfold.rules import URGENCIES
@@ -111,10 +113,7 @@
     try:
         timeline = log_timeline.find_timeline(_read_lines(paths), request_id)
     except OSError as error:
-        detail = f'{error.filename}: {error.strerror}'
-        failure = Failure(ResultCode.FILE_UNREADABLE, detail)
-        output.print_error(output.format_failure(failure))
-        return output.EXIT_INVALID
+        return _report_unreadable(error)
     if not timeline:
         failure = Failure(
             ResultCode.REQUEST_ID_UNKNOWN,
@@ -126,6 +125,37 @@
     return output.EXIT_DONE
 
 
+def print_losses(paths, plots_directory=None):
+    """Print the causes of lost requests; return the exit status.
+
+    Parameters
+    ----------
+    paths : list of str
+        Paths of log files, each from any node.
+    plots_directory : str, optional
+        Where PNG files are written.
+    """
+    try:
+        requests = losses.read_requests(_read_lines(paths))
+        print(losses.format_losses(requests))
+        if plots_directory is not None:
+            for path in loss_plots.write_plots(requests, plots_directory):
+                print(path)
+    except OSError as error:
+        return _report_unreadable(error)
+    except ImportError as error:
+        output.print_error(f'the plots need a library: {error}')
+        return output.EXIT_FAILED
+    return output.EXIT_DONE
+
+
+def _report_unreadable(error):
+    detail = f'{error.filename}: {error.strerror}'
+    failure = Failure(ResultCode.FILE_UNREADABLE, detail)
+    output.print_error(output.format_failure(failure))
+    return output.EXIT_INVALID
+
+
 def _read_lines(paths):
     """Yield the lines of log files without loading whole files."""
     for path in paths:
--- a/hawthornfold/commands/line.py
+++ b/hawthornfold/commands/line.py
@@ -249,6 +249,37 @@
         return explaining.explain_facts(self.rules, facts, self.json)
 
 
+@cappa.command(name='losses')
+@dataclasses.dataclass(frozen=True)
+class Losses:
+    """Attribute late, partial and failed requests to causes.
+
+    Reads the logs of gateway nodes. Give those of all nodes of the same time:
+    a request is logged by the node that took it from its caller.
+
+    Example: hawthornfold losses --log node-1.log --log node-2.log
+    """
+
+    log: typing.Annotated[
+        list[str],
+        cappa.Arg(
+            long=True, value_name='FILE', help='Log file; may be repeated.'
+        ),
+    ]
+    plots: typing.Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            value_name='DIRECTORY',
+            help='Also write PNG files there; needs hawthornfold[plots].',
+        ),
+    ] = None
+
+    def __call__(self):
+        """Run the command; return the exit status."""
+        return explaining.print_losses(self.log, self.plots)
+
+
 @cappa.command(name='status')
 @dataclasses.dataclass(frozen=True)
 class Status:
@@ -340,7 +371,7 @@
     """
 
     command: cappa.Subcommands[
-        Serve | Check | Explain | Status | Audit | Errors | Keys
+        Serve | Check | Explain | Losses | Status | Audit | Errors | Keys
     ]
 
 
--- a/hawthornfold/delegation/policy.py
+++ b/hawthornfold/delegation/policy.py
@@ -191,7 +191,7 @@
         """Return this node's share of the limits of gathered services.
 
         Delegate nodes divide most of the limits in proportion to their query
-        rates. If there are none, all nodes get equal shares.
+        rates; all nodes share the rest equally.
 
         Parameters
         ----------
@@ -202,8 +202,8 @@
 
         Returns
         -------
-        float
-            Between 0 and 1.
+        float or None
+            Between 0 and 1; None if there are no delegate nodes.
         """
         for name, (_, reported_ms) in list(self._query_rates.items()):
             if now_ms - reported_ms > QUERY_RATE_TTL_MS:
@@ -213,7 +213,7 @@
             own = estimate_query_rate(self._capacity)
         total = own + sum(rate for rate, _ in self._query_rates.values())
         if not total:
-            return 1.0 / node_count
+            return None
         return (
             DELEGATE_LIMIT_SHARE * own / total
             + (1.0 - DELEGATE_LIMIT_SHARE) / node_count
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -1,5 +1,6 @@
 """Membership of the gateway nodes and the messages between them."""
 
+import collections
 import contextlib
 import random
 import typing
@@ -11,6 +12,7 @@
 from hawthornfold.directory import StorePosition
 from hawthornfold.directory import assign_roles
 from hawthornfold.gateway.settings import split_address
+from hawthornfold.limits import NodeCounts
 from hawthornfold.membership import ListedVM
 from hawthornfold.membership.actions import Options
 from hawthornfold.membership.records import ALIVE
@@ -78,29 +80,33 @@
 
     def __init__(self, min_count):
         self._min_count = min_count
-        self._seen_ms = {}
+        # By name: data centre and when the node was last seen.
+        self._seen = {}
 
     def count(self, live, has_left, now_ms):
-        """Return the number of nodes, this one included.
+        """Return the `NodeCounts`, this node included.
 
         Parameters
         ----------
-        live : iterable of str
-            Names of the live members, this node included.
+        live : iterable of Member
+            The live members, this node included.
         has_left : callable
             Takes the name of a node; returns whether it has announced that
             it leaves.
         now_ms : float
             Current time.
         """
-        for name in live:
-            self._seen_ms[name] = now_ms
-        for name, seen_ms in list(self._seen_ms.items()):
+        for member in live:
+            self._seen[member.name] = (member.data_centre, now_ms)
+        for name, (_, seen_ms) in list(self._seen.items()):
             if now_ms - seen_ms > LOST_NODE_RETENTION_MS or (
                 seen_ms < now_ms and has_left(name)
             ):
-                del self._seen_ms[name]
-        return max(self._min_count, len(self._seen_ms))
+                del self._seen[name]
+        known = collections.Counter(x for x, _ in self._seen.values())
+        return NodeCounts(
+            dict(known), max(0, self._min_count - len(self._seen))
+        )
 
 
 class Fleet:
@@ -129,9 +135,9 @@
         return self._membership.version
 
     def count_nodes(self):
-        """Return the number of nodes that share the servers' limits."""
+        """Return the `NodeCounts` that share the servers' limits."""
         return self._counter.count(
-            [member.name for member in self._membership.members],
+            self._membership.members,
             self._membership.has_left,
             self._clock.now_ms(),
         )
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -33,6 +33,8 @@
 # configuration is at most this old. An older one may lack a route that was
 # just added.
 MAX_CONFIGURATION_AGE_MS = 5_000.0
+# Maximum length of host and path in a log line.
+MAX_LOGGED_TEXT = 120
 # Statuses of the node's own answers to requests that no server has executed.
 _OWN_NOT_RUN_STATUSES = frozenset((400, 404, 503))
 
@@ -109,13 +111,17 @@
         configuration = self._state.configuration
         if configuration is None:
             return self._refuse(
-                request_id, ResultCode.NOT_READY, 'no configuration yet'
+                incoming,
+                request_id,
+                ResultCode.NOT_READY,
+                'no configuration yet',
             )
         decision = configuration.rules.match(self._create_facts(incoming))
         if decision is None:
-            return self._refuse_unmatched(request_id, configuration)
+            return self._refuse_unmatched(incoming, request_id, configuration)
         if not request_id:
             return self._refuse(
+                incoming,
                 request_id,
                 ResultCode.REQUEST_MALFORMED,
                 f'the header {self._names.request_id} is missing',
@@ -386,29 +392,43 @@
 
         return GroupCalls(self._group_caller, groups, create_message)
 
-    def _refuse_unmatched(self, request_id, configuration):
+    def _refuse_unmatched(self, incoming, request_id, configuration):
         age_ms = self._watcher.age_ms(self._clock.now_ms())
         if age_ms is None or age_ms > MAX_CONFIGURATION_AGE_MS:
+            age = 'unknown' if age_ms is None else f'{age_ms:.0f} ms'
             return self._refuse(
+                incoming,
                 request_id,
                 ResultCode.BELIEFS_STALE,
-                f'no rule matches, but version {configuration.version} is '
-                f'{age_ms:.0f} ms old',
+                f'no rule matches, but the age of version '
+                f'{configuration.version} is {age}',
             )
         return self._refuse(
-            request_id, ResultCode.RULE_NOT_MATCHED, 'no rule matches', 404
+            incoming,
+            request_id,
+            ResultCode.RULE_NOT_MATCHED,
+            'no rule matches',
+            404,
         )
 
-    def _refuse(self, request_id, code, detail, status=None):
+    def _refuse(self, incoming, request_id, code, detail, status=None):
         """Refuse a request before any part is sent to a server."""
         if status is None:
             status = 503 if code in RETRY_AFTER_MS else 400
         self._metrics.count('requests', outcome='refused', code=str(int(code)))
         _LOG.info(
-            'event=request_refused request={} code={} status={} detail="{}"',
+            'event=request_refused request={} code={} status={} host="{}" '
+            'path="{}" detail="{}"',
             request_id,
             int(code),
             status,
+            _quote(incoming.host),
+            _quote(incoming.target.partition('?')[0]),
             detail,
         )
         return create_refusal(code, status, detail)
+
+
+def _quote(text):
+    """Return text of a caller for a log line, without quotes, shortened."""
+    return text[:MAX_LOGGED_TEXT].replace('"', '%22').replace('\\', '%5C')
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -409,10 +409,10 @@
             self._clock.sleep_ms(COUNT_INTERVAL_MS)
 
     def _update_shares(self):
-        count = self._fleet.count_nodes()
+        counts = self._fleet.count_nodes()
         policy = self._delegations.policy
-        share = policy.compute_limit_share(count, self._clock.now_ms())
-        self._state.set_shares(count, share)
+        share = policy.compute_limit_share(counts.total, self._clock.now_ms())
+        self._state.set_shares(counts, share)
 
     def _assign_roles(self):
         policy = self._delegations.policy
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -1,6 +1,7 @@
 """Runs the exchanges of one request until the request has a verdict."""
 
 import abc
+import itertools
 import typing
 
 from eventlet import hubs
@@ -18,7 +19,7 @@
 # Exchanges that the answer no longer needs are cancelled after this delay. A
 # server that pauses briefly can still answer, so its connection is not lost.
 CANCEL_DELAY_MS = 200.0
-# Maximum number of failed attempts in a log line.
+# Maximum number of failed attempts, and of pending ones, in a log line.
 MAX_LISTED_FAULTS = 12
 
 _LOG = logbook.Logger('request')
@@ -41,6 +42,9 @@
         Number of parts that the node sent itself at the start.
     send_ms : float
         How long that took, choosing their servers included.
+    pending : tuple of str
+        Attempts without an outcome at the end, as service/server/state/time.
+        The state is ``sent``, or ``waiting`` for a connection.
     """
 
     verdict: Verdict | None
@@ -49,6 +53,7 @@
     helpers: tuple[str, ...]
     sent_parts: int
     send_ms: float
+    pending: tuple[str, ...] = ()
 
 
 class RelayObserver(abc.ABC):
@@ -114,6 +119,17 @@
         else:
             self._end_unreachable('cancelled')
 
+    def describe(self, now_ms):
+        """Return service/server/state/time, for the log."""
+        state, since_ms = 'waiting', self.started_ms
+        if self.connection is not None:
+            state, since_ms = 'sent', self.connection.sent_ms
+        record = self.send.record
+        return (
+            f'{record.service}/{record.server_id}/{state}/'
+            f'{now_ms - since_ms:.0f}ms'
+        )
+
     def _end_unreachable(self, reason):
         self.handle_end(
             ExchangeOutcome(OutcomeKind.UNREACHABLE, None, reason), None
@@ -199,6 +215,7 @@
             verdict = self._end.wait()
         finally:
             self._end_request(None)
+            pending = self._describe_pending()
             self._cancel_running(verdict)
         helpers = ()
         if self._group_calls is not None:
@@ -210,6 +227,16 @@
             helpers,
             self._sent_parts,
             self._send_ms,
+            pending,
+        )
+
+    def _describe_pending(self):
+        now_ms = self._clock.now_ms()
+        return tuple(
+            exchange.describe(now_ms)
+            for exchange in itertools.islice(
+                self._running.values(), MAX_LISTED_FAULTS
+            )
         )
 
     def _start(self):
--- a/hawthornfold/gateway/runner.py
+++ b/hawthornfold/gateway/runner.py
@@ -171,10 +171,10 @@
         missing = execution.missing_services
         _LOG.info(
             'event=request_ended request={} rule={} version={} verdict={} '
-            'status={} for={} ms={:.1f} answer_ms={:.0f} sufficient_ms={} '
-            'deadline_ms={:.0f} parts={} remote={} missing={} hedges={} '
-            'retries={} denied={} store_age_ms={:.0f} helpers="{}" '
-            'faults="{}"',
+            'status={} for={} ms={:.1f} objective_ms={} answer_ms={:.0f} '
+            'sufficient_ms={} deadline_ms={:.0f} parts={} remote={} '
+            'missing={} hedges={} retries={} denied={} store_age_ms={:.0f} '
+            'helpers="{}" pending="{}" faults="{}"',
             plan.request_id,
             rule,
             plan.version,
@@ -182,17 +182,19 @@
             '-' if status is None else status,
             helped_node or '-',
             elapsed_ms,
+            plan.decision.objective_ms or '-',
             times.answer_ms - times.arrived_ms,
             _describe_ms(execution.sufficient_ms, times.arrived_ms),
             times.deadline_ms - times.arrived_ms,
             len(plan.services),
             result.remote,
             ','.join(missing[:8]) or '-',
-            execution.hedge_count,
+            execution.hedge_count if plan.decision.hedge else '-',
             execution.retry_count,
             execution.denied_count,
             self._watcher.age_ms(now_ms) or -1.0,
             ' '.join(result.helpers),
+            ' '.join(result.pending if missing else ()),
             ' '.join(result.faults),
         )
 
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -9,6 +9,8 @@
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
 from hawthornfold.gathering import create_answer_margin
+from hawthornfold.limits import NodeCounts
+from hawthornfold.limits import compute_service_share
 from hawthornfold.limits import create_repeat_budget
 from hawthornfold.placement import create_latency_tracker
 from hawthornfold.placement import create_placement
@@ -45,8 +47,10 @@
         self._clock = clock
         self._metrics = metrics
         self._configuration = None
-        self._node_count = 1
-        self._gathered_share = 1.0
+        self._node_counts = NodeCounts({settings.data_centre: 1})
+        self._gathered_share = None
+        # Number that increases when the shares of the limits change.
+        self._shares_version = 0
         self._gathered_services = frozenset()
         # Decisions that gather and their digests, by rule.
         self._digests = {}
@@ -83,7 +87,7 @@
     @property
     def node_count(self):
         """Number of nodes that share the servers' limits, with this one."""
-        return self._node_count
+        return self._node_counts.total
 
     def begin_stop(self):
         """Mark the node as stopping.
@@ -98,37 +102,34 @@
         self._settings = settings
         self._apply_shares()
 
-    def set_shares(self, count, gathered_share):
+    def set_shares(self, counts, gathered_share):
         """Divide the servers' limits among the nodes.
 
         Parameters
         ----------
-        count : int
-            Number of nodes in the fleet. They have equal shares of services
-            to which requests are forwarded.
-        gathered_share : float
-            This node's share, 0 to 1, of services whose answers are
-            gathered.
+        counts : NodeCounts
+            The nodes of the fleet. They have equal shares of services to which
+            requests are forwarded.
+        gathered_share : float or None
+            This node's share, 0 to 1, of services whose answers are gathered.
+            None if it depends on the data centres of nodes and servers.
         """
         now_ms = self._clock.now_ms()
         is_settled = now_ms - self._started_ms >= SETTLE_MS
-        if (count, gathered_share, is_settled) == (
-            self._node_count,
-            self._gathered_share,
-            self._is_settled,
-        ):
+        shares = (counts, gathered_share, is_settled)
+        before = (self._node_counts, self._gathered_share, self._is_settled)
+        if shares == before:
             return
-        self._is_settled = is_settled
+        self._node_counts, self._gathered_share, self._is_settled = shares
         _LOG.notice(
             'event=shares_changed nodes_before={} nodes={} '
-            'gathered_share_before={:.4f} gathered_share={:.4f}',
-            self._node_count,
-            count,
-            self._gathered_share,
-            gathered_share,
+            'gathered_share_before={} gathered_share={} settled={}',
+            before[0].total,
+            counts.total,
+            _describe_share(before[1]),
+            _describe_share(gathered_share),
+            is_settled,
         )
-        self._node_count = count
-        self._gathered_share = gathered_share
         self._apply_shares()
 
     def set_configuration(self, configuration):
@@ -203,15 +204,22 @@
 
     def get_repeat_budget(self, service):
         """Return the repeat budget of a service, creating it when missing."""
-        budget = self._repeat_budgets.get(service)
+        key = (self.directory.version, self._shares_version)
+        budget, known_key = self._repeat_budgets.get(service, (None, None))
+        if known_key == key:
+            return budget
+        settings = self._settings
+        slack = settings.repeat_slack * self._service_share(service)
         if budget is None:
-            settings = self._settings
-            budget = self._repeat_budgets[service] = create_repeat_budget(
+            budget = create_repeat_budget(
                 settings.repeat_ratio,
-                settings.repeat_slack * self._service_share(service),
+                slack,
                 settings.repeat_window_ms,
                 self._started_ms,
             )
+        else:
+            budget.set_slack(slack)
+        self._repeat_budgets[service] = (budget, key)
         return budget
 
     def _record_connect(self, elapsed_ms):
@@ -233,16 +241,26 @@
 
     def _service_share(self, service):
         """Return this node's share of the limits of a service, 0 to 1."""
-        if service in self._gathered_services:
+        if service not in self._gathered_services:
+            return 1.0 / self._node_counts.total
+        if self._gathered_share is not None:
             return self._gathered_share
-        return 1.0 / self._node_count
+        servers = self.directory.available_servers(
+            service, self._clock.now_ms()
+        )
+        return compute_service_share(
+            self._settings.data_centre,
+            self._node_counts,
+            {record.data_centre for record in servers},
+        )
 
     def _apply_shares(self):
-        for service, budget in self._repeat_budgets.items():
-            budget.set_slack(
-                self._settings.repeat_slack * self._service_share(service)
-            )
+        self._shares_version += 1
         for server_id, record in self.directory.records.items():
             pool = self.pools.find(server_id)
             if pool is not None:
                 pool.set_limits(self._connection_limits(record))
+
+
+def _describe_share(share):
+    return '-' if share is None else f'{share:.4f}'
