Keep membership, capacity queries and first reads cheap at 195 nodes

Each node also read the whole store when it started: 975 calls.

Change: a node that knows three nodes with more capacity asks one of its own data centre; a search doubles its interval; messages carry at most five reports. Four of five membership probes stay in the data centre. The first read of the store may be stale, which costs a tenth, and the node counts as loaded once it has read the changes since then or a reader has confirmed its position.

--- a/hawthornfold/directory/store.py
+++ b/hawthornfold/directory/store.py
@@ -10,9 +10,15 @@
     """
 
     @abc.abstractmethod
-    def read_all(self):
+    def read_all(self, may_be_stale=False):
         """Read all servers and the configuration.
 
+        Parameters
+        ----------
+        may_be_stale : bool
+            Whether the contents may be seconds old, which costs the store
+            less.
+
         Returns
         -------
         result.Result
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -96,6 +96,9 @@
         )
         # Whether everything has to be read before the next long poll.
         self._needs_reload = True
+        # Whether what was read first may be seconds old. The node does not
+        # count as loaded until it has read the changes since then.
+        self._may_be_stale = False
         # Whether the era may have changed since the last answer.
         self._is_era_uncertain = False
         self._snapshot_query_ms = -math.inf
@@ -111,7 +114,7 @@
     @property
     def is_loaded(self):
         """Whether servers and configuration have been loaded once."""
-        return self._last_read_ms is not None
+        return self._last_read_ms is not None and not self._may_be_stale
 
     @property
     def position(self):
@@ -139,7 +142,7 @@
     def create_heartbeat(self):
         """Return a `StoreNews` without changes, or None without the store."""
         position = self._view.position
-        if position is None or not self._is_reachable:
+        if position is None or not self._is_reachable or self._may_be_stale:
             return None
         position = max(position, self._reader_tracker.known_position)
         if position.era > self._view.position.era:
@@ -168,6 +171,7 @@
             self._directory.record_outage(now_ms - update.outage_age_ms)
         if update.after <= own.revision <= update.revision:
             self._last_read_ms = now_ms
+            self._may_be_stale = False
         if not update.after <= own.revision < update.revision:
             return
         decoded = self._decode_update(update)
@@ -215,7 +219,12 @@
             As for `encode_configuration`.
         """
         position = self._view.position
-        if position is None or not self._is_reachable or self._needs_reload:
+        if (
+            position is None
+            or not self._is_reachable
+            or self._needs_reload
+            or self._may_be_stale
+        ):
             return None
         return StoreSnapshot(
             position.revision,
@@ -244,7 +253,7 @@
             len(snapshot.servers),
         )
         self._last_read_ms = now_ms
-        self._needs_reload = False
+        self._needs_reload = self._may_be_stale = False
         self._view.apply_complete(
             StoreChanges(
                 snapshot.revision,
@@ -323,7 +332,9 @@
         position = self._view.position
         if position is None:
             return self._reload()
-        if self._reader_tracker.relies_on_readers(position, now_ms):
+        if not self._may_be_stale and self._reader_tracker.relies_on_readers(
+            position, now_ms
+        ):
             return FOLLOWER_CHECK_MS
         if self._needs_reload:
             return self._reload()
@@ -331,7 +342,7 @@
 
     def _wait_for_changes(self, position):
         wait_ms = min(self._interval_factor * LONG_POLL_MS, MAX_LONG_POLL_MS)
-        if self._is_era_uncertain:
+        if self._is_era_uncertain or self._may_be_stale:
             # The store may have returned from an older copy. An answer tells
             # its era; a long poll might wait until it is at the revision that
             # this node had reached before.
@@ -345,7 +356,7 @@
         if outcome.is_err():
             return self._record_failure(changes, self._retry_delay_ms)
         self._record_success()
-        self._is_era_uncertain = False
+        self._is_era_uncertain = self._may_be_stale = False
         held = self._view.configuration
         self._view.apply_changes(changes, self._clock.now_ms())
         after = self._view.position
@@ -386,8 +397,11 @@
         return FOLLOWER_RETRY_FACTOR * RETRY_MS
 
     def _reload(self):
-        outcome = self._store.read_all()
         own = self._view.position
+        # All nodes of a fleet may start at the same time. A read that may be
+        # stale costs the store a tenth, and the changes since then one call.
+        is_first = own is None
+        outcome = self._store.read_all(may_be_stale=is_first)
         changes = outcome.unwrap_or_else(lambda failure: failure)
         era = self._view.resolve_era(changes.era)
         if own is not None and era < own.era:
@@ -397,6 +411,7 @@
         self._record_success()
         now_ms = self._clock.now_ms()
         self._needs_reload = self._is_era_uncertain = False
+        self._may_be_stale = is_first
         if own is not None and era > own.era:
             # The followers defer removals, as this node does.
             self._record_outage(now_ms)
--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -20,15 +20,18 @@
 
 _LOG = logbook.Logger('delegation')
 
-# A node with rules that exceed its own capacity queries others for theirs at
-# the first interval until `SUFFICIENT_ROOMS` of them have spare capacity, then
-# at the second.
+# A node with rules that exceed its own capacity looks for nodes with more, at
+# an interval that doubles from the first to the second, or to the third once
+# it knows one. Of `SUFFICIENT_ROOMS` it asks one at the third interval.
 SEARCH_INTERVAL_MS = 500.0
+MAX_SEARCH_INTERVAL_MS = 8_000.0
 REFRESH_INTERVAL_MS = 3_000.0
 SUFFICIENT_ROOMS = 3
-# Number of random nodes in each round of queries. One node that is known to
-# have spare capacity is queried too; its reply names the others that it knows.
+# Number of random nodes in each round of the search.
 RANDOM_QUERY_COUNT = 3
+# Maximum number of capacity reports in a message. They inform nodes of more
+# delegate nodes than they have asked.
+MAX_SENT_ROOMS = 5
 # Maximum number of delegated requests in progress; the node declines more.
 MAX_ACCEPTED = 64
 CALLER_LEFT = 'caller-left'
@@ -114,24 +117,41 @@
         rng : random.Random
             Chooses the nodes.
         """
+        interval_ms = SEARCH_INTERVAL_MS
         while True:
-            rooms = self._policy.list_rooms(self._clock.now_ms())
-            is_sufficient = len(rooms) >= SUFFICIENT_ROOMS
-            self._clock.sleep_ms(
-                REFRESH_INTERVAL_MS if is_sufficient else SEARCH_INTERVAL_MS
-            )
+            self._clock.sleep_ms(interval_ms)
             if not any(map(self._policy.should_delegate, list_decisions())):
+                interval_ms = SEARCH_INTERVAL_MS
                 continue
-            members = self._fleet.list_others()
-            targets = rng.sample(
-                members, min(RANDOM_QUERY_COUNT, len(members))
+            rooms = self._policy.list_rooms(self._clock.now_ms())
+            if len(rooms) >= SUFFICIENT_ROOMS:
+                targets = [rng.choice(self._find_local(rooms))]
+                interval_ms = REFRESH_INTERVAL_MS
+            else:
+                targets = self._choose_search_targets(rng) + rooms
+                interval_ms = min(
+                    2.0 * interval_ms,
+                    REFRESH_INTERVAL_MS if rooms else MAX_SEARCH_INTERVAL_MS,
+                )
+            query = RoomQuery(
+                *self._policy.capacity, _sample_rooms(rooms, rng)
             )
-            if rooms:
-                targets.append(rng.choice(rooms))
-            query = RoomQuery(*self._policy.capacity, tuple(rooms))
             for member in targets:
                 self._fleet.send(member.name, member.address, query)
 
+    def _find_local(self, nodes):
+        """Return the nodes of the own data centre, or all if it has none."""
+        data_centre = self._settings.data_centre
+        return [x for x in nodes if x.data_centre == data_centre] or nodes
+
+    def _choose_search_targets(self, rng):
+        members = self._fleet.list_others()
+        if not members:
+            return []
+        local = self._find_local(members)
+        targets = rng.sample(local, min(RANDOM_QUERY_COUNT - 1, len(local)))
+        return [*targets, rng.choice(members)]
+
     def delegate_request(self, room, delegate, watch_caller):
         """Delegate a request to a node and wait for its answer.
 
@@ -157,7 +177,9 @@
         self._policy.record_delegation_start(room.name)
         reply = None
         try:
-            self._fleet.send(room.name, room.address, delegate)
+            self._fleet.send(
+                room.name, room.address, delegate, keeps_open=True
+            )
             with watch_caller(lambda: _resolve(event, CALLER_LEFT)):
                 wait_ms = max(
                     delegate.objective_left_ms + ANSWER_GRACE_MS,
@@ -185,11 +207,12 @@
         self._policy.merge_rooms(query.rooms, now_ms)
         rooms = self._policy.list_rooms(now_ms)
         own = self._policy.capacity
+        rooms = _sample_rooms(rooms)
         if own.is_larger_than(Capacity(query.link_mbps, query.cores)):
             self._policy.record_capacity_query(now_ms)
-            rooms.append(self._create_own_room())
+            rooms += (self._create_own_room(),)
         if rooms:
-            reply = RoomReply(tuple(rooms))
+            reply = RoomReply(rooms)
             self._fleet.send(sender.name, sender.address, reply)
 
     def _create_own_room(self):
@@ -246,6 +269,11 @@
             _resolve(event, reply)
 
 
+def _sample_rooms(rooms, rng=random):
+    """Return a few random capacity reports, as a tuple."""
+    return tuple(rng.sample(rooms, min(MAX_SENT_ROOMS, len(rooms))))
+
+
 def _resolve(event, value):
     if not event.ready():
         event.send(value)
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -32,6 +32,8 @@
 # that reads the revision notifies as many, so that a reader that has missed it
 # is notified with near certainty.
 HINTED_READER_COUNT = 2
+# Share of the membership probes that stay in the data centre.
+LOCAL_PROBE_SHARE = 0.8
 # Interval at which each node's share of the limits is updated.
 COUNT_INTERVAL_MS = 1_000.0
 
@@ -231,7 +233,7 @@
             ALIVE,
         )
         # No list of VMs is published, so any node may join.
-        options = Options(is_open=True)
+        options = Options(is_open=True, local_probe_share=LOCAL_PROBE_SHARE)
         state = MembershipState(own, options, random.Random(), clock.now_ms())
         membership = MembershipService(state, clock, links, audit, metrics)
         membership.set_listed_vms(_list_seeds(settings))
--- a/hawthornfold/membership/actions.py
+++ b/hawthornfold/membership/actions.py
@@ -27,6 +27,9 @@
     `is_authenticated` is true when the links accept only peers that hold a
     cluster key; otherwise only listed VMs can become members. `is_open`
     admits any node, for trusted networks where no VM list is published.
+    `local_probe_share` is the share of routine probes, 0 to 1, that go to
+    members of the own data centre where that has some: bytes between data
+    centres are expensive, and nodes rely most on those near them.
     """
 
     probe_interval_ms: float = 1000
@@ -35,3 +38,4 @@
     sync_interval_ms: float = 30_000
     is_authenticated: bool = False
     is_open: bool = False
+    local_probe_share: float = 0.0
--- a/hawthornfold/membership/prober.py
+++ b/hawthornfold/membership/prober.py
@@ -10,6 +10,9 @@
 from hawthornfold.peers import messages
 
 _RELAY_COUNT = 3
+# Number of random members among which one of the own data centre is looked
+# for.
+_LOCAL_CANDIDATES = 16
 # Maximum of the health penalty, which failed probes raise and answers lower.
 # It lengthens the suspicion timeout up to five times: a node that receives no
 # answers at all is probably faulty itself, so it removes others later.
@@ -74,7 +77,7 @@
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + self._options.probe_interval_ms
             table = self._state.table
-            for record in table.choose_live(self._random, 1):
+            for record in self._choose_routine():
                 self._probe(record, Purpose.ROUTINE, now_ms)
             if self._unverified_removals:
                 record = table.get(self._unverified_removals.popleft())
@@ -85,6 +88,16 @@
                 self._probe(suspicion.record, Purpose.SUSPECT, now_ms)
         self._remove_expired_suspects(now_ms)
 
+    def _choose_routine(self):
+        """Return the member of the next routine probe, as a list."""
+        table = self._state.table
+        if self._random.random() >= self._options.local_probe_share:
+            return table.choose_live(self._random, 1)
+        candidates = table.choose_live(self._random, _LOCAL_CANDIDATES)
+        data_centre = self._state.own.data_centre
+        local = [x for x in candidates if x.data_centre == data_centre]
+        return (local or candidates)[:1]
+
     def queue_verification(self, removed):
         """Queue a probe of a member that another table lists as removed.
 
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -137,6 +137,9 @@
         except zmq.Again:
             self._metrics.count('peer_dropped', reason='queue')
             return False
+        self._metrics.count(
+            'peer_sent_bytes', len(frame), type=type(body).__name__
+        )
         return True
 
     def register(self, body_type, handler):
@@ -196,6 +199,7 @@
         self.close_link(name)
         key_index = self._key_indexes.get(name, 0)
         link = self._links[name] = _Link(address, key_index)
+        self._metrics.count('peer_links_opened')
         self._connect(link)
         if link.monitor is not None:
             link.unconfirmed_frames = []
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -95,14 +95,15 @@
         # The era header of the last answer, to log changes only.
         self._last_era_text = None
 
-    def read_all(self):
+    def read_all(self, may_be_stale=False):
         """Read all servers and the configuration; see `PublishedStore`."""
+        options = {'AllowStale': 1} if may_be_stale else {}
         try:
             configuration_items, configuration_revision, first_era = (
-                self._read_prefix(CONFIGURATION_KEY)
+                self._read_prefix(CONFIGURATION_KEY, options)
             )
             server_items, servers_revision, era = self._read_prefix(
-                SERVERS_PREFIX, first_era
+                SERVERS_PREFIX, options, first_era
             )
         except _ReadError as error:
             return result.Err(ReadFailure(str(error), era=error.era))
@@ -139,15 +140,20 @@
             )
         )
 
-    def _read_prefix(self, prefix, known_era=None):
+    def _read_prefix(self, prefix, options, known_era=None):
         """Read all items of a prefix.
 
+        Parameters
+        ----------
+        options : dict of str to int
+            Further fields of the query.
+
         Returns
         -------
         tuple of (list of Item, int, int or None)
             The items, the lowest revision and the era of all pages.
         """
-        items, revision, query = [], None, {'Prefix': prefix}
+        items, revision, query = [], None, {'Prefix': prefix, **options}
         while True:
             page, era = self._fetch('kv-range', query, 0.0, _PAGE_DECODER)
             if None not in (era, known_era) and era != known_era:
@@ -157,7 +163,7 @@
             revision = min(revision or page.CurrentRev, page.CurrentRev)
             if not page.HasMore or not page.items:
                 return items, revision, known_era
-            query = {'Prefix': prefix, 'after': page.items[-1].Key}
+            query['after'] = page.items[-1].Key
 
     def _fetch(self, call, query, wait_ms, decoder):
         url = (
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -71,6 +71,7 @@
         # How calls are answered: 'ok', 'busy' (503) or 'silent'.
         self.mode = 'ok'
         self.calls = []
+        self.queries = []
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -164,6 +165,7 @@
         url = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(url.query, True))
         self.calls.append(url.path)
+        self.queries.append(url.query)
         if self.mode == 'silent':
             time.sleep(HANG_S)
             return
--- a/hawthornfold/platform/tests/test_store.py
+++ b/hawthornfold/platform/tests/test_store.py
@@ -64,6 +64,15 @@
         self.assertTrue(failure.is_history_lost)
         self.assertEqual(failure.era, 3)
 
+    def test_first_read_may_be_stale(self):
+        # Guards against a fleet that starts and exceeds the store's rate.
+        self.store.read_all(may_be_stale=True)
+        self.assertTrue(all('AllowStale=1' in x for x in self.stub.queries))
+        self.assertEqual(len(self.stub.queries), 4)
+        self.stub.queries.clear()
+        self.store.read_all()
+        self.assertFalse(any('AllowStale' in x for x in self.stub.queries))
+
     def test_pages_of_two_eras_are_no_complete_read(self):
         # Guards against a list of servers of which one part is from before
         # the restore and one from after it.
