Split the node's process and the group attempts into modules

Cause: gateway/node.py held assembly and the process that runs it, and gathering/execution.py kept the groups of a query in a bare dictionary.

No behaviour changes.

--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -1,9 +1,6 @@
-"""Assembles a gateway node and runs it until a stop signal."""
+"""Assembles a gateway node: its state, its ports and its loops."""
 
 import contextlib
-import gc
-import os
-import signal
 
 import eventlet
 import logbook
@@ -38,15 +35,13 @@
 from hawthornfold.gateway.snapshot_sender import SnapshotSender
 from hawthornfold.gateway.state import GatewayState
 from hawthornfold.gateway.sweep import ServerSweep
-from hawthornfold.logs import setup_logs
 from hawthornfold.metrics import create_metrics
 from hawthornfold.rules import describe_rules
 
 _LOG = logbook.Logger('gateway')
 
-# Intervals at which signals and the settings file are checked.
-POLL_INTERVAL_MS = 100.0
-SETTINGS_POLL_INTERVAL_MS = 1_000.0
+# Interval at which a stopping node checks whether requests are in progress.
+_STOP_POLL_INTERVAL_MS = 50.0
 # A node that starts waits this long before it assigns reader roles: it finds
 # the other nodes first and reads the store on their behalf only then. After
 # all machines have lost power, servers can register again in this time.
@@ -288,7 +283,7 @@
                 quiet_since_ms = now_ms
             elif now_ms - quiet_since_ms >= QUIET_MS:
                 break
-            self._clock.sleep_ms(POLL_INTERVAL_MS / 2.0)
+            self._clock.sleep_ms(_STOP_POLL_INTERVAL_MS)
         self._fleet.leave()
         return self._count_in_progress()
 
@@ -423,65 +418,3 @@
         self._watcher.set_reader(roles.is_reader)
         # This node may also be a reader.
         self._watcher.set_reader_count(len(roles.readers) + 1)
-
-
-def run_gateway(load_settings, open_store, names, ready_path, settings_path):
-    """Run a gateway node until SIGTERM or SIGINT.
-
-    Parameters
-    ----------
-    settings_path : str
-        Path of the settings file, which is read again when it changes.
-
-    Returns
-    -------
-    int
-        Exit status: 0 after a graceful stop, 1 if requests were aborted.
-    """
-    signals = []
-    node = GatewayNode(load_settings, open_store, names, ready_path)
-    # Modules and their objects stay until the process ends. Without this, each
-    # full collection examines all of them, which takes 10 ms and more.
-    gc.freeze()
-    with setup_logs(node.settings.node_name):
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda number, _: signals.append(number))
-        with node.open() as stop_accepting:
-            _LOG.notice(
-                'event=started callers={}', node.settings.caller_address
-            )
-            _wait_for_stop_signal(node, signals, settings_path)
-            cut = node.stop(stop_accepting)
-        _LOG.notice('event=stopped cut_requests={}', cut)
-    return 1 if cut else 0
-
-
-def _wait_for_stop_signal(node, signals, settings_path):
-    clock = create_system_clock()
-    file_state = _read_file_state(settings_path)
-    next_check_ms = clock.now_ms() + SETTINGS_POLL_INTERVAL_MS
-    while True:
-        clock.sleep_ms(POLL_INTERVAL_MS)
-        while signals:
-            if signals.pop(0) != signal.SIGHUP:
-                return
-            node.reload('SIGHUP')
-            file_state = _read_file_state(settings_path)
-        if clock.now_ms() >= next_check_ms:
-            next_check_ms = clock.now_ms() + SETTINGS_POLL_INTERVAL_MS
-            current = _read_file_state(settings_path)
-            if current != file_state:
-                file_state = current
-                node.reload('file')
-
-
-def _read_file_state(path):
-    """Return modification time, inode and size of a file, None if missing.
-
-    At least one of them changes when the file is written.
-    """
-    try:
-        status = os.stat(path)
-    except OSError:
-        return None
-    return status.st_mtime_ns, status.st_ino, status.st_size
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -13,6 +13,7 @@
 from hawthornfold.gathering.actions import Send
 from hawthornfold.gathering.actions import SendGroup
 from hawthornfold.gathering.actions import Verdict
+from hawthornfold.gathering.group_attempts import GroupAttempts
 from hawthornfold.gathering.hedge_schedule import HedgeSchedule
 from hawthornfold.gathering.merging import RecordMerger
 from hawthornfold.gathering.outcomes import OutcomeKind
@@ -73,8 +74,7 @@
             )
         ]
         self._groups = groups
-        # Indexes of the open parts of each running group, by attempt number.
-        self._group_parts = {}
+        self._group_attempts = GroupAttempts()
         self._part_indexes = {}
         self._attempts = itertools.count()
         self._typical_max_ms = latency_tracker.typical_max_ms(decision)
@@ -270,23 +270,17 @@
         ValueError
             If a part is not an open part of the group. Nothing is recorded.
         """
-        open_parts = self._group_parts.get(attempt, set())
-        indexes = [index for index, _ in answers]
-        if len(set(indexes)) < len(indexes) or not open_parts.issuperset(
-            indexes
-        ):
-            raise ValueError('the answers are not of open parts of the group')
+        self._group_attempts.record_answers(
+            attempt, [index for index, _ in answers]
+        )
         self._merger.add(records)
         for index, seal in answers:
-            open_parts.discard(index)
             part = self._parts[index]
             part.group_attempt = None
             part.may_have_run = True
             self._record_answer(
                 index, ServerResponse(200, (), b'', seal), now_ms
             )
-        if not open_parts:
-            del self._group_parts[attempt]
 
     def may_resend_group(self, attempt, now_ms):
         """Return whether the repeat budget allows all parts of a group.
@@ -297,7 +291,7 @@
         is_urgent = self._decision.urgency == 0
         return all(
             self._parts[index].repeat_budget.allows_repeat(now_ms, is_urgent)
-            for index in self._group_parts.get(attempt, ())
+            for index in self._group_attempts.open_parts(attempt)
         )
 
     def handle_group_end(self, attempt, end, now_ms):
@@ -319,7 +313,7 @@
             budget allow.
         """
         sends = []
-        for index in sorted(self._group_parts.pop(attempt, ())):
+        for index in self._group_attempts.end(attempt):
             part = self._parts[index]
             part.group_attempt = None
             part.next_hedge_ms = now_ms + self._typical_max_ms
@@ -365,7 +359,7 @@
         answered = self._answered_parts
         if answered == len(self._parts):
             return Verdict.COMPLETE
-        is_running = self._part_indexes or self._group_parts
+        is_running = self._part_indexes or self._group_attempts.is_any_running
         is_partial_due = (
             now_ms >= self._times.answer_ms and not self._is_helper
         )
@@ -425,7 +419,7 @@
 
     def _start_group(self, group, indexes):
         attempt = next(self._attempts)
-        self._group_parts[attempt] = set(indexes)
+        self._group_attempts.start(attempt, indexes)
         for index in indexes:
             self._parts[index].group_attempt = attempt
         return SendGroup(attempt, group, tuple(indexes))
--- a/hawthornfold/platform/__main__.py
+++ b/hawthornfold/platform/__main__.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from hawthornfold.gateway.node import run_gateway
+from hawthornfold.gateway.process import run_gateway
 from hawthornfold.platform import names
 from hawthornfold.platform.settings import load_settings
 from hawthornfold.platform.store import open_store
