Start one process per restart in the soak; name the address in use

Two overlapping stops of one node ended together and each called Node.ensure_running, which started a process each. The second replaced the first in the Node, so nothing ended the first, and it kept the addresses of node 3 for the seeds that followed.

Ruled out: a connection's port (clients use 127.0.0.1, nodes other addresses); another run (the seeds before passed with the same addresses).

Change: Node starts and kills its process under a lock. A node that cannot listen names the address, which the system's message does not.

Tests: NodeTest.test_overlapping_restarts_start_one_process (2 processes before, 1 after), ServerTest.test_error_names_the_address_in_use.

--- a/hawthornfold/callers/server.py
+++ b/hawthornfold/callers/server.py
@@ -142,6 +142,16 @@
                 connection.begin_request()
 
 
+def _listen(host, port):
+    try:
+        return eventlet.listen((host, port), backlog=512, reuse_port=False)
+    except OSError as error:
+        # The system's message does not name the address.
+        raise OSError(
+            error.errno, f'cannot listen on {host}:{port}: {error.strerror}'
+        ) from error
+
+
 @contextlib.contextmanager
 def serve_application(
     host, port, application, settings, protocol=CallerProtocol
@@ -167,7 +177,7 @@
         function returns.
     """
     clock = create_system_clock()
-    listener = eventlet.listen((host, port), backlog=512, reuse_port=False)
+    listener = _listen(host, port)
     pool = _ConnectionPool(MAX_CONNECTIONS)
     shared = CallerPort(application, settings, clock)
     server = eventlet.spawn(
--- a/hawthornfold/callers/tests/test_server.py
+++ b/hawthornfold/callers/tests/test_server.py
@@ -13,6 +13,7 @@
 import logbook
 
 from hawthornfold.callers import protocol
+from hawthornfold.callers.server import serve_application
 from hawthornfold.callers.tests.support import HANG_S
 from hawthornfold.callers.tests.support import Caller
 from hawthornfold.callers.tests.support import Server
@@ -267,6 +268,15 @@
     def test_planned_stop_serves_connections_in_the_backlog(self):
         self.check_planned_stop({'new': create_post(b'new'), 'silent': b''})
 
+    def test_error_names_the_address_in_use(self):
+        # Guards against a start that fails without saying which of the
+        # node's ports is taken.
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            port = listener.getsockname()[1]
+            with self.assertRaisesRegex(OSError, f'127.0.0.1:{port}'):
+                with serve_application('127.0.0.1', port, None, None):
+                    self.fail('the port is in use')
+
     def test_any_bytes_are_refused_or_answered(self):
         # Guards against input that crashes or hangs the server, or that ends
         # up in another connection.
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -265,6 +265,8 @@
         }
         self.write_settings()
         self.log_path = pathlib.Path(self._directory.name, 'log')
+        # Faults that overlap start and kill the process from several threads.
+        self._process_lock = threading.Lock()
         self._process = None
         self.start()
 
@@ -299,8 +301,9 @@
 
     def ensure_running(self):
         """Start the process again if it has ended."""
-        if self._process.poll() is not None:
-            self.start()
+        with self._process_lock:
+            if self._process.poll() is not None:
+                self.start()
 
     def send_signal(self, number):
         """Send a signal to the process."""
@@ -312,9 +315,10 @@
 
     def kill(self):
         """Kill the process with SIGKILL, so that it cannot clean up."""
-        if self._process.poll() is None:
-            self._process.kill()
-            self._process.wait(HANG_S)
+        with self._process_lock:
+            if self._process.poll() is None:
+                self._process.kill()
+                self._process.wait(HANG_S)
 
     def close(self):
         """Kill the process and remove its files."""
--- a/hawthornfold/platform/tests/test_soak.py
+++ b/hawthornfold/platform/tests/test_soak.py
@@ -1,6 +1,9 @@
 """Runs a short soak, with seeds that failed before."""
 
 import socket
+import subprocess
+import threading
+import time
 import unittest
 from unittest import mock
 
@@ -39,6 +42,39 @@
         self.assertEqual(proxy.ports['a'], ports[2])
 
 
+class NodeTest(unittest.TestCase):
+    def test_overlapping_restarts_start_one_process(self):
+        # Guards against a process that nothing ends, which keeps the node's
+        # addresses. In the run of seed 110 two stops of one node ended at the
+        # same time and each started it again; the nodes of seeds 401 and 500
+        # could not listen.
+        store = support.MetadataStoreStub()
+        self.addCleanup(store.close)
+        node = support.Node(store)
+        self.addCleanup(node.close)
+        node.kill()
+        processes = []
+
+        def start_slowly(*args, **options):
+            time.sleep(0.1)
+            processes.append(popen(*args, **options))
+            return processes[-1]
+
+        popen = subprocess.Popen
+        threads = [
+            threading.Thread(target=node.ensure_running) for _ in range(2)
+        ]
+        with mock.patch.object(subprocess, 'Popen', start_slowly):
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        for process in processes[:-1]:
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
+        self.assertEqual(len(processes), 1)
+
+
 class SoakTest(unittest.TestCase):
     def test_guarantees_hold_under_overlapping_faults(self):
         # Guards against guarantees that fail only under combinations of
