--- a/hawthornfold/directory/reader_tracker.py
+++ b/hawthornfold/directory/reader_tracker.py
@@ -5,6 +5,7 @@
 readers, or if a position has been reported whose changes it has not received.
 """
 
+import math
 import random
 
 from hawthornfold.directory.positions import UNKNOWN_ERA
@@ -52,6 +53,7 @@
         self._behind_since_ms = None
         self._older_since_ms = None
         self._era_grace_ms = 0.0
+        self._snapshot_query_ms = -math.inf
 
     @property
     def is_reader(self):
@@ -97,6 +99,41 @@
             )
         )
 
+    def try_query_snapshot(self, own_position, is_cut_off, now_ms):
+        """Record a query of a reader for a snapshot, if one is due now.
+
+        It is due for a node that is behind and that the store refuses, and for
+        a follower of an earlier era.
+
+        Parameters
+        ----------
+        own_position : StorePosition or None
+            What the node has applied.
+        is_cut_off : bool
+            Whether its last read of the store failed.
+        now_ms : float
+            Current time on the node's clock.
+
+        Returns
+        -------
+        bool
+            Whether it is due.
+        """
+        known = self._known_position
+        if own_position is None:
+            is_behind, is_older = known.revision > 0, False
+        else:
+            is_behind = known > own_position
+            is_older = known.era > own_position.era and not self._is_reader
+        if (
+            not is_behind
+            or not (is_cut_off or is_older)
+            or now_ms - self._snapshot_query_ms < SNAPSHOT_QUERY_INTERVAL_MS
+        ):
+            return False
+        self._snapshot_query_ms = now_ms
+        return True
+
     def _update_lag(self, own_position, now_ms):
         known = self._known_position
         if known.era > own_position.era:
--- a/hawthornfold/directory/tests/test_restore.py
+++ b/hawthornfold/directory/tests/test_restore.py
@@ -455,7 +455,7 @@
         self.restore()
         self.send_heartbeat()
         reads = self.store.reads
-        self.assertTrue(self.follower.watcher.should_query_snapshot())
+        self.assertTrue(self.follower.watcher.try_query_snapshot())
         self.follower.read()
         self.assertEqual(self.store.reads, reads)
         snapshot = self.reader.watcher.create_snapshot()
@@ -526,7 +526,7 @@
         )
         self.follower.watcher.apply_update(news)
         self.assertEqual(self.follower.watcher.position, StorePosition(1, 102))
-        self.assertTrue(self.follower.watcher.should_query_snapshot())
+        self.assertTrue(self.follower.watcher.try_query_snapshot())
 
     def test_configuration_in_relation_to_an_unknown_version_is_not_applied(
         self,
@@ -657,7 +657,7 @@
             return
         if isinstance(message, StoreNews):
             self.follower.watcher.apply_update(message)
-            if self.follower.watcher.should_query_snapshot():
+            if self.follower.watcher.try_query_snapshot():
                 snapshot = sender.watcher.create_snapshot()
                 if snapshot is not None:
                     self.messages.append((snapshot, sender))
@@ -720,7 +720,7 @@
         message, sender = self.messages.pop(0)
         if isinstance(message, StoreNews):
             self.follower.watcher.apply_update(message)
-            if self.follower.watcher.should_query_snapshot():
+            if self.follower.watcher.try_query_snapshot():
                 snapshot = sender.watcher.create_snapshot()
                 if snapshot is not None:
                     self.follower.watcher.apply_snapshot(snapshot)
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -19,11 +19,11 @@
 from hawthornfold.directory import create_server_directory
 from hawthornfold.directory import create_store_watcher
 from hawthornfold.directory.directory import REMOVAL_GRACE_MS
+from hawthornfold.directory.read_intervals import LONG_POLL_MS
 from hawthornfold.directory.reader_tracker import MISSED_UPDATE_GRACE_MS
 from hawthornfold.directory.reader_tracker import READER_TIMEOUT_MS
 from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
 from hawthornfold.directory.watcher import FOLLOWER_CHECK_MS
-from hawthornfold.directory.watcher import LONG_POLL_MS
 from hawthornfold.directory.watcher import REVISION_GRACE_MS
 from hawthornfold.metrics import create_metrics
 from hawthornfold.peers import codec
@@ -309,17 +309,17 @@
         )
         snapshot = self.watcher.create_snapshot()
         self.follow(result.Err(ReadFailure('status 503')))
-        self.assertFalse(self.watcher.should_query_snapshot())
+        self.assertFalse(self.watcher.try_query_snapshot())
         self.watcher.apply_update(StoreNews(20, 20))
-        self.assertTrue(self.watcher.should_query_snapshot())
-        self.assertFalse(self.watcher.should_query_snapshot())
+        self.assertTrue(self.watcher.try_query_snapshot())
+        self.assertFalse(self.watcher.try_query_snapshot())
         self.watcher.apply_snapshot(snapshot)
         self.assertEqual(self.watcher.position.revision, 20)
         self.assertEqual(self.versions, [4])
         self.assertEqual([e.kind for e in self.events], ['added'])
         self.assertTrue(self.watcher.is_loaded)
         self.clock.advance(SNAPSHOT_QUERY_INTERVAL_MS)
-        self.assertFalse(self.watcher.should_query_snapshot())
+        self.assertFalse(self.watcher.try_query_snapshot())
 
     def test_older_snapshot_changes_nothing(self):
         # Guards against servers and configuration that revert.
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -1,49 +1,29 @@
 """Keeps the server directory and the configuration up to date."""
 
-import math
 import random
 
 import eventlet
 import greenlet
 import logbook
 
-from hawthornfold.directory.directory import REMOVAL_GRACE_MS
 from hawthornfold.directory.positions import StorePosition
-from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
+from hawthornfold.directory.reachability import StoreReachability
+from hawthornfold.directory.read_intervals import ReadIntervals
 from hawthornfold.directory.reader_tracker import create_reader_tracker
 from hawthornfold.directory.records import ServerChange
 from hawthornfold.directory.records import StoreChanges
+from hawthornfold.directory.update_codec import UpdateDecoder
+from hawthornfold.directory.update_codec import create_update
 from hawthornfold.directory.updates import StoreNews
 from hawthornfold.directory.updates import StoreSnapshot
-from hawthornfold.directory.updates import decode_change
-from hawthornfold.directory.updates import decode_configuration
-from hawthornfold.directory.updates import encode_change
 from hawthornfold.directory.updates import encode_configuration
 from hawthornfold.directory.view import StoreView
 
 _LOG = logbook.Logger('directory')
 
-# Duration of a long poll. A poll that spans an outage of the store may never
-# be answered, and a change must be in force 4 s after the end of an outage. In
-# larger fleets longer polls suffice: some node reads the change in time and
-# notifies the others, which then poll again.
-LONG_POLL_MS = 3_000.0
-MAX_LONG_POLL_MS = 12_000.0
-# Delay of the next read after one that returned server changes. Changes come
-# in groups and each read of the store is counted, so they are read in batches.
-BATCH_DELAY_MS = 250.0
-MAX_BATCH_DELAY_MS = 750.0
-# With more readers than this in the fleet, polls and batch delays grow in
-# proportion to the number of readers.
-FULL_RATE_READERS = 10
 # When another node reports a newer revision, a long poll that started less
 # than this long ago is kept: its answer may contain the change.
 REVISION_GRACE_MS = 400.0
-# Interval between reads after a failure. Refused calls also count as reads.
-RETRY_MS = 400.0
-# Factor on `RETRY_MS` for a node that is not a reader and whose own read
-# failed while it could not rely on its readers.
-FOLLOWER_RETRY_FACTOR = 4.0
 # A reader that learns of a new era from the store reads everything within this
 # time, at random.
 ERA_RELOAD_SPREAD_MS = 200.0
@@ -101,20 +81,18 @@
         self._may_be_stale = False
         # Whether the era may have changed since the last answer.
         self._is_era_uncertain = False
-        self._snapshot_query_ms = -math.inf
-        self._is_reachable = None
-        self._last_read_ms = None
-        self._interval_factor = 1.0
+        self._intervals = ReadIntervals()
         self._read_thread = None
         self._waiting_since_ms = None
         self._reader_tracker = create_reader_tracker(clock.now_ms())
-        self._last_outage_ms = None
+        self._reachability = StoreReachability(directory, metrics)
+        self._decoder = UpdateDecoder(metrics)
         self._rng = random.Random()
 
     @property
     def is_loaded(self):
         """Whether servers and configuration have been loaded once."""
-        return self._last_read_ms is not None and not self._may_be_stale
+        return self._reachability.has_data and not self._may_be_stale
 
     @property
     def position(self):
@@ -127,13 +105,11 @@
         A read of the store or an update from a reader confirms that the data
         is current.
         """
-        return (
-            None if self._last_read_ms is None else now_ms - self._last_read_ms
-        )
+        return self._reachability.age_ms(now_ms)
 
     def set_reader_count(self, count):
         """Set the read intervals for a fleet with `count` readers."""
-        self._interval_factor = max(1.0, count / FULL_RATE_READERS)
+        self._intervals.set_reader_count(count)
 
     def set_reader(self, is_reader):
         """Set whether the node reads the store for others."""
@@ -142,7 +118,7 @@
     def create_heartbeat(self):
         """Return a `StoreNews` without changes, or None without the store."""
         position = self._view.position
-        if position is None or not self._is_reachable or self._may_be_stale:
+        if not self._can_vouch_for(position):
             return None
         position = max(position, self._reader_tracker.known_position)
         if position.era > self._view.position.era:
@@ -151,7 +127,9 @@
         return StoreNews(
             position.revision,
             position.revision,
-            outage_age_ms=self._last_outage_age_ms(),
+            outage_age_ms=self._reachability.outage_age_ms(
+                self._clock.now_ms()
+            ),
             era=position.era,
         )
 
@@ -170,45 +148,32 @@
         if update.outage_age_ms is not None:
             self._directory.record_outage(now_ms - update.outage_age_ms)
         if update.after <= own.revision <= update.revision:
-            self._last_read_ms = now_ms
+            self._reachability.confirm(now_ms)
             self._may_be_stale = False
         if not update.after <= own.revision < update.revision:
             return
-        decoded = self._decode_update(update)
+        decoded = self._decoder.decode_update(update, self._view.configuration)
         if decoded.is_err():
             return
         self._metrics.count('store_news', outcome='taken')
         changes = StoreChanges(
-            update.revision,
-            update.servers,
-            decoded.ok_value,
-            era=update.era,
+            update.revision, update.servers, decoded.ok_value, era=update.era
         )
         self._view.apply_changes(changes, now_ms)
 
-    def should_query_snapshot(self):
-        """Return whether to query a reader for a snapshot now.
+    def try_query_snapshot(self):
+        """Record a query of a reader for a snapshot, if one is due now.
 
-        Records the time of the query if so.
+        Returns
+        -------
+        bool
+            Whether it is due.
         """
-        now_ms = self._clock.now_ms()
-        own = self._view.position
-        known = self._reader_tracker.known_position
-        is_behind = known.revision > 0 if own is None else known > own
-        is_cut_off = self._is_reachable is False
-        is_older_follower = (
-            own is not None
-            and known.era > own.era
-            and not self._reader_tracker.is_reader
+        return self._reader_tracker.try_query_snapshot(
+            self._view.position,
+            self._reachability.is_reachable is False,
+            self._clock.now_ms(),
         )
-        if (
-            not is_behind
-            or not (is_cut_off or is_older_follower)
-            or now_ms - self._snapshot_query_ms < SNAPSHOT_QUERY_INTERVAL_MS
-        ):
-            return False
-        self._snapshot_query_ms = now_ms
-        return True
 
     def create_snapshot(self, as_msgpack=True):
         """Return a `StoreSnapshot`, or None if it would be stale.
@@ -219,12 +184,7 @@
             As for `encode_configuration`.
         """
         position = self._view.position
-        if (
-            position is None
-            or not self._is_reachable
-            or self._needs_reload
-            or self._may_be_stale
-        ):
+        if self._needs_reload or not self._can_vouch_for(position):
             return None
         return StoreSnapshot(
             position.revision,
@@ -241,7 +201,7 @@
         own = self._view.position
         if own is not None and snapshot.position <= own:
             return
-        decoded = self._decode_configuration(snapshot.configuration)
+        decoded = self._decoder.decode_configuration(snapshot.configuration)
         if decoded.is_err():
             return
         now_ms = self._clock.now_ms()
@@ -252,35 +212,15 @@
             snapshot.position,
             len(snapshot.servers),
         )
-        self._last_read_ms = now_ms
+        self._reachability.confirm(now_ms)
         self._needs_reload = self._may_be_stale = False
-        self._view.apply_complete(
-            StoreChanges(
-                snapshot.revision,
-                snapshot.servers,
-                decoded.ok_value,
-                era=snapshot.era,
-            ),
-            now_ms,
-        )
-
-    def _decode_update(self, update):
-        if update.change is None:
-            return self._decode_configuration(update.configuration)
-        return self._check_decoded(
-            decode_change(self._view.configuration, update.change)
+        changes = StoreChanges(
+            snapshot.revision,
+            snapshot.servers,
+            decoded.ok_value,
+            era=snapshot.era,
         )
-
-    def _decode_configuration(self, published):
-        return self._check_decoded(decode_configuration(published))
-
-    def _check_decoded(self, decoded):
-        if decoded.is_err():
-            # The node falls behind its readers and then reads the store
-            # itself.
-            self._metrics.count('store_news', outcome='refused')
-            _LOG.warning('event=news_refused detail="{}"', decoded.err_value)
-        return decoded
+        self._view.apply_complete(changes, now_ms)
 
     def handle_position(self, position):
         """Record that the store has reached a `StorePosition`.
@@ -341,7 +281,7 @@
         return self._wait_for_changes(position)
 
     def _wait_for_changes(self, position):
-        wait_ms = min(self._interval_factor * LONG_POLL_MS, MAX_LONG_POLL_MS)
+        wait_ms = self._intervals.long_poll_ms
         if self._is_era_uncertain or self._may_be_stale:
             # The store may have returned from an older copy. An answer tells
             # its era; a long poll might wait until it is at the revision that
@@ -355,46 +295,29 @@
             return self._handle_other_era(changes.era)
         if outcome.is_err():
             return self._record_failure(changes, self._retry_delay_ms)
-        self._record_success()
+        now_ms = self._clock.now_ms()
+        self._reachability.record_success(position, now_ms)
         self._is_era_uncertain = self._may_be_stale = False
         held = self._view.configuration
-        self._view.apply_changes(changes, self._clock.now_ms())
-        after = self._view.position
-        if after > position:
-            self._on_update(self._create_update(position, changes, held))
-        if not changes.servers:
-            return 0.0
-        return min(self._interval_factor * BATCH_DELAY_MS, MAX_BATCH_DELAY_MS)
-
-    def _create_update(self, position, changes, held):
-        """Create the update for followers that are at a position.
+        self._view.apply_changes(changes, now_ms)
+        if self._view.position > position:
+            outage_age_ms = self._reachability.outage_age_ms(now_ms)
+            self._on_update(
+                create_update(position, changes, held, outage_age_ms)
+            )
+        return self._intervals.batch_delay_ms if changes.servers else 0.0
 
-        Parameters
-        ----------
-        held : RoutingConfiguration or None
-            The configuration that was in force before the changes.
-        """
-        published, change = None, None
-        if changes.configuration is not None:
-            if held is None:
-                published = encode_configuration(changes.configuration, True)
-            else:
-                change = encode_change(held, changes.configuration)
-        return StoreNews(
-            position.revision,
-            changes.revision,
-            changes.servers,
-            published,
-            self._last_outage_age_ms(),
-            position.era,
-            change,
+    def _can_vouch_for(self, position):
+        """Return whether this node may pass on what it holds of the store."""
+        return (
+            position is not None
+            and self._reachability.is_reachable
+            and not self._may_be_stale
         )
 
     @property
     def _retry_delay_ms(self):
-        if self._reader_tracker.is_reader:
-            return RETRY_MS
-        return FOLLOWER_RETRY_FACTOR * RETRY_MS
+        return self._intervals.retry_delay_ms(self._reader_tracker.is_reader)
 
     def _reload(self):
         own = self._view.position
@@ -408,13 +331,13 @@
             return self._handle_other_era(era)
         if outcome.is_err():
             return self._record_failure(changes, RELOAD_RETRY_MS)
-        self._record_success()
         now_ms = self._clock.now_ms()
+        self._reachability.record_success(own, now_ms)
         self._needs_reload = self._is_era_uncertain = False
         self._may_be_stale = is_first
         if own is not None and era > own.era:
             # The followers defer removals, as this node does.
-            self._record_outage(now_ms)
+            self._reachability.record_outage(now_ms)
         self._view.apply_complete(changes, now_ms)
         if own is not None and era > own.era:
             # Followers ask for a snapshot when they learn of the new era.
@@ -442,47 +365,17 @@
         self._reader_tracker.record_position(StorePosition(era, 0))
         return ERA_RELOAD_SPREAD_MS * self._rng.random()
 
-    def _last_outage_age_ms(self):
-        if self._last_outage_ms is None:
-            return None
-        age_ms = self._clock.now_ms() - self._last_outage_ms
-        return age_ms if age_ms < REMOVAL_GRACE_MS else None
-
-    def _record_success(self):
-        self._last_read_ms = self._clock.now_ms()
-        self._metrics.count('store_reads', outcome='ok')
-        if self._is_reachable is False:
-            _LOG.notice(
-                'event=store_regained position={}', self._view.position
-            )
-            # Records may have expired during the outage.
-            self._record_outage(self._last_read_ms)
-        self._is_reachable = True
-
-    def _record_outage(self, now_ms):
-        self._last_outage_ms = now_ms
-        self._directory.record_outage(now_ms)
-
     def _record_failure(self, failure, delay_ms):
-        now_ms = self._clock.now_ms()
+        position = self._view.position
         if failure.is_history_lost:
             self._metrics.count('store_reads', outcome='history_lost')
-            _LOG.notice(
-                'event=store_history_lost position={}', self._view.position
-            )
+            _LOG.notice('event=store_history_lost position={}', position)
             self._needs_reload = True
             return 0.0
-        self._metrics.count('store_reads', outcome='failed')
         self._is_era_uncertain = True
-        self._record_outage(now_ms)
-        if self._is_reachable is not False:
-            _LOG.warning(
-                'event=store_lost position={} age_ms={} detail="{}"',
-                self._view.position,
-                self.age_ms(now_ms),
-                failure.detail,
-            )
-        self._is_reachable = False
+        self._reachability.record_failure(
+            position, failure.detail, self._clock.now_ms()
+        )
         return delay_ms
 
 
--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -76,9 +76,9 @@
         return None
     if verdict in (Verdict.COMPLETE, Verdict.PARTIAL):
         if decision.gather is None:
-            return _pass_on(execution.answers[0])
-        return _merge_answers(execution, names)
-    failure = execution.failure
+            return _pass_on(execution.collected.answers[0])
+        return _merge_answers(execution.collected, names)
+    failure = execution.collected.failure
     if (
         verdict is Verdict.PASSED_FAILURE
         and failure.status not in _NOT_EXECUTED_STATUSES
@@ -97,14 +97,13 @@
     )
 
 
-def _merge_answers(execution, names):
-    answers = execution.answers
+def _merge_answers(collected, names):
     headers = (
-        (names.part_seals, ', '.join(a.seal for a in answers)),
-        (names.missing_parts, str(execution.missing_count)),
+        (names.part_seals, ', '.join(a.seal for a in collected.answers)),
+        (names.missing_parts, str(collected.missing_count)),
         ('Content-Type', 'application/octet-stream'),
     )
-    return GatewayAnswer(200, headers, execution.merged_records)
+    return GatewayAnswer(200, headers, collected.merged_records)
 
 
 def _pass_on(response):
--- /dev/null
+++ b/hawthornfold/gateway/attempts.py
@@ -0,0 +1,88 @@
+"""One attempt of a request at a server."""
+
+from hawthornfold.gateway.pools import ConnectionUser
+from hawthornfold.gathering import ExchangeOutcome
+from hawthornfold.gathering import OutcomeKind
+
+
+class ServerAttempt(ConnectionUser):
+    """A running attempt, which waits for a connection or occupies one.
+
+    Parameters
+    ----------
+    relay : Relay
+        Sends the request once there is a connection; is notified of the end.
+    send : Send
+        The server, part and number of the attempt.
+    pool : ServerPool
+        Connections to the server.
+    decision : Decision
+        The rule of the request.
+    arrived_ms : float
+        When the node started the request.
+    started_ms : float
+        When the attempt starts.
+    """
+
+    __slots__ = (
+        'connection',
+        'is_cancelled',
+        'is_idempotent',
+        'pool',
+        'priority',
+        'relay',
+        'send',
+        'started_ms',
+    )
+
+    def __init__(self, relay, send, pool, decision, arrived_ms, started_ms):
+        # While requests have to wait, the newest goes first. After a backlog
+        # of requests that are late already, those that can still be answered
+        # in time would become late otherwise. All servers order the parts of a
+        # request alike, so that it is either answered or waits as a whole.
+        self.priority = (decision.urgency, -arrived_ms)
+        self.relay = relay
+        self.send = send
+        self.pool = pool
+        self.is_idempotent = decision.idempotent
+        self.started_ms = started_ms
+        self.connection = None
+        self.is_cancelled = False
+
+    def handle_connection(self, connection, reason):
+        """Send the request, or end the attempt without a connection."""
+        if connection is None:
+            self._end_unreachable(reason)
+            return
+        self.connection = connection
+        self.relay.send_request(self)
+
+    def handle_end(self, outcome, waiting_count):
+        """Release the connection and report the end of the exchange."""
+        if self.connection is not None:
+            self.pool.release(self.connection)
+        self.relay.handle_end(self, outcome, waiting_count)
+
+    def cancel(self):
+        """Break the exchange off, or stop waiting for a connection."""
+        self.is_cancelled = True
+        if self.connection is not None:
+            self.connection.abort()
+        else:
+            self._end_unreachable('cancelled')
+
+    def describe(self, now_ms):
+        """Return service/server/state/time, for the log."""
+        state, since_ms = 'waiting', self.started_ms
+        if self.connection is not None:
+            state, since_ms = 'sent', self.connection.sent_ms
+        record = self.send.record
+        return (
+            f'{record.service}/{record.server_id}/{state}/'
+            f'{now_ms - since_ms:.0f}ms'
+        )
+
+    def _end_unreachable(self, reason):
+        self.handle_end(
+            ExchangeOutcome(OutcomeKind.UNREACHABLE, None, reason), None
+        )
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -1,25 +1,19 @@
 """Answers one request: matches a rule, executes it, builds the answer."""
 
-import itertools
 import typing
 
 import logbook
 
 from hawthornfold.codes import ResultCode
 from hawthornfold.delegation import Capacity
-from hawthornfold.delegation import Delegate
-from hawthornfold.delegation import Delegated
 from hawthornfold.delegation import GatherParts
 from hawthornfold.delegation.capacity import estimate_answer_transfer_ms
-from hawthornfold.delegation.policy import HOP_MS
 from hawthornfold.gateway.answers import RETRY_AFTER_MS
-from hawthornfold.gateway.answers import GatewayAnswer
 from hawthornfold.gateway.answers import create_answer
 from hawthornfold.gateway.answers import create_refusal
-from hawthornfold.gateway.delegations import CALLER_LEFT
-from hawthornfold.gateway.delegations import describe_outcome
 from hawthornfold.gateway.exchange import create_outgoing_request
 from hawthornfold.gateway.group_calls import GroupCalls
+from hawthornfold.gateway.offers import QueryOffers
 from hawthornfold.gateway.runner import RequestPlan
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.rules import RequestFacts
@@ -85,6 +79,7 @@
         self._metrics = metrics
         self._runner = runner
         self._delegations = None
+        self._offers = None
         self._division = None
         self._group_caller = None
         settings = state.settings
@@ -134,11 +129,9 @@
             configuration.version,
         )
         if incoming.objective_left_ms is None and self._delegations:
-            answer, is_final = self._delegate_query(
-                plan, incoming, watch_caller
-            )
-            if is_final:
-                return answer
+            ended = self._offers.offer(plan, incoming, watch_caller)
+            if ended is not None:
+                return ended.answer
         return self._execute(plan, incoming, watch_caller)
 
     def set_delegations(self, delegations):
@@ -147,6 +140,13 @@
         Without it, the node runs every query itself.
         """
         self._delegations = delegations
+        self._offers = QueryOffers(
+            delegations,
+            self._names,
+            self._capacity,
+            self._clock,
+            self._metrics,
+        )
 
     def set_division(self, division, group_caller):
         """Set the `FleetDivision` and `GroupCaller` that divide queries.
@@ -215,91 +215,6 @@
             decision, delegations.accepted_count - 1, delegate.limit_ms
         )
 
-    def _delegate_query(self, plan, incoming, watch_caller):
-        """Delegate a query to a node with more spare capacity.
-
-        Returns
-        -------
-        tuple of (GatewayAnswer or None, bool)
-            The answer, and whether it is final. False means that this node
-            has to run the query. A final None means that the caller has
-            disconnected.
-        """
-        for declined_count in itertools.count():
-            offer = self._delegations.choose_offer(
-                plan.decision, declined_count
-            )
-            if offer is None:
-                return None, False
-            reply = self._send_offer(offer, plan, incoming, watch_caller)
-            if not isinstance(reply, Delegated) or reply.status:
-                break
-        done_ms = self._clock.now_ms()
-        elapsed_ms = done_ms - incoming.arrived_ms
-        if reply is None:
-            self._metrics.count('requests', outcome='unknown')
-            answer = create_refusal(
-                ResultCode.PEER_UNREACHABLE, 502, 'it may have run'
-            )
-            return answer, True
-        if reply == CALLER_LEFT:
-            return None, True
-        due_ms = None
-        if (self._names.missing_parts, '0') not in reply.headers:
-            due_ms = plan.times.answer_ms + reply.overdue_ms
-        self._metrics.count('requests', outcome='delegated')
-        self._metrics.observe_ms(
-            'request', elapsed_ms, rule=plan.decision.rule
-        )
-        answer = GatewayAnswer(
-            reply.status, reply.headers, reply.body, due_ms=due_ms
-        )
-        return answer, True
-
-    def _send_offer(self, offer, plan, incoming, watch_caller):
-        """Send a delegation offer to a node and wait for its reply.
-
-        Returns
-        -------
-        Delegated, `CALLER_LEFT` or None
-            As `Delegations.delegate_request` returns it.
-        """
-        now_ms = self._clock.now_ms()
-        # The delegate's answer passes this node's link twice: in from the
-        # delegate and out to the caller. `answer_ms` covers only the second.
-        objective_left_ms = plan.times.answer_ms - now_ms - HOP_MS
-        objective_left_ms -= estimate_answer_transfer_ms(
-            self._capacity, plan.decision
-        )
-        delegate = Delegate(
-            0,
-            plan.version,
-            incoming.method,
-            incoming.target,
-            incoming.host,
-            incoming.headers,
-            incoming.body,
-            objective_left_ms,
-            plan.times.deadline_ms - now_ms,
-            offer.limit_ms,
-        )
-        reply = self._delegations.delegate_request(
-            offer.node, delegate, watch_caller
-        )
-        _LOG.info(
-            'event=request_delegated request={} rule={} node={} '
-            'room_age_ms={:.0f} objective_left_ms={:.0f} ms={:.1f} '
-            'outcome={}',
-            plan.request_id,
-            plan.decision.rule,
-            offer.node.name,
-            offer.node.age_ms,
-            objective_left_ms,
-            self._clock.now_ms() - incoming.arrived_ms,
-            describe_outcome(reply),
-        )
-        return reply
-
     def _create_facts(self, incoming):
         return RequestFacts(
             '',
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -85,7 +85,7 @@
         self._report(execution, 'finished')
 
     def _report(self, execution, status):
-        answers, records = execution.take_new_answers()
+        answers, records = execution.collected.take_new_answers()
         if answers or status == 'finished':
             self._send_reply(
                 status,
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -11,16 +11,10 @@
 from hawthornfold.delegation import QueryCostModel
 from hawthornfold.delegation import create_delegation_policy
 from hawthornfold.delegation import create_division_policy
-from hawthornfold.directory import SnapshotQuery
-from hawthornfold.directory import StoreNews
-from hawthornfold.directory import StoreSnapshot
 from hawthornfold.directory import create_store_watcher
-from hawthornfold.directory.reader_tracker import HEARTBEAT_INTERVAL_MS
-from hawthornfold.directory.updates import limit_update
 from hawthornfold.gateway.delegations import Delegations
 from hawthornfold.gateway.division import FleetDivision
 from hawthornfold.gateway.fleet import COUNT_INTERVAL_MS
-from hawthornfold.gateway.fleet import StoreRevision
 from hawthornfold.gateway.fleet import open_fleet
 from hawthornfold.gateway.group_calls import GroupCaller
 from hawthornfold.gateway.handler import GatewayHandler
@@ -32,8 +26,8 @@
 from hawthornfold.gateway.readiness import ReadyLimits
 from hawthornfold.gateway.runner import RequestRunner
 from hawthornfold.gateway.settings import split_address
-from hawthornfold.gateway.snapshot_sender import SnapshotSender
 from hawthornfold.gateway.state import GatewayState
+from hawthornfold.gateway.store_exchange import StoreExchange
 from hawthornfold.gateway.sweep import ServerSweep
 from hawthornfold.metrics import create_metrics
 from hawthornfold.rules import describe_rules
@@ -92,7 +86,8 @@
             self._metrics,
             self._state.handle_server_events,
             self._state.set_configuration,
-            self._send_store_updates,
+            # The exchange with other nodes exists once the node is open.
+            lambda update: self._store_exchange.send_update(update),
         )
         self._capacity = Capacity(
             self._settings.link_mbps, self._settings.cores
@@ -181,16 +176,9 @@
                     settings, self._clock, self._metrics, self._state.audit
                 )
             )
-            self._snapshot_sender = SnapshotSender(
-                self._fleet,
-                self._watcher.create_snapshot,
-                self._clock,
-                self._settings.link_mbps,
+            self._store_exchange = StoreExchange(
+                self._fleet, self._watcher, self._clock, settings.link_mbps
             )
-            self._fleet.register(StoreRevision, self._on_store_revision)
-            self._fleet.register(StoreNews, self._on_store_news)
-            self._fleet.register(SnapshotQuery, self._on_snapshot_query)
-            self._fleet.register(StoreSnapshot, self._on_snapshot)
             self._delegations = self._create_delegations()
             self._handler.set_delegations(self._delegations)
             self._group_helper = self._create_division()
@@ -199,12 +187,12 @@
                 for loop in (
                     self._watcher.run,
                     self._watcher.run_expiry,
-                    self._run_beats,
+                    self._store_exchange.run_heartbeats,
                     ServerSweep(self._state, self._clock, self._metrics).run,
                     self._run_count,
                     self._run_room_queries,
                     self._run_links,
-                    self._snapshot_sender.run,
+                    self._store_exchange.run_snapshots,
                 )
             ]
             stack.callback(lambda: [loop.kill() for loop in loops])
@@ -297,39 +285,6 @@
                 _LOG.exception('event=loop_failed loop={}', loop.__name__)
             self._clock.sleep_ms(RESTART_DELAY_MS)
 
-    def _send_store_updates(self, store_update):
-        self._fleet.send_to_followers(
-            limit_update(
-                store_update,
-                len(self._fleet.roles.followers),
-                self._settings.link_mbps,
-            )
-        )
-        self._fleet.send_to_readers(
-            StoreRevision(store_update.revision, store_update.era)
-        )
-
-    def _run_beats(self):
-        while True:
-            heartbeat = self._watcher.create_heartbeat()
-            if heartbeat is not None:
-                self._fleet.send_to_followers(heartbeat)
-            self._clock.sleep_ms(HEARTBEAT_INTERVAL_MS)
-
-    def _on_store_news(self, sender, store_update):
-        self._watcher.apply_update(store_update)
-        if self._watcher.should_query_snapshot():
-            self._fleet.send(sender.name, sender.address, SnapshotQuery(True))
-
-    def _on_snapshot_query(self, sender, query):
-        self._snapshot_sender.request(sender, query.accepts_msgpack)
-
-    def _on_snapshot(self, sender, snapshot):
-        self._watcher.apply_snapshot(snapshot)
-
-    def _on_store_revision(self, sender, message):
-        self._watcher.handle_position(message.position)
-
     def _create_delegations(self):
         settings = self._settings
         policy = create_delegation_policy(
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -8,9 +8,8 @@
 import eventlet.event
 import logbook
 
-from hawthornfold.gateway.pools import ConnectionUser
+from hawthornfold.gateway.attempts import ServerAttempt
 from hawthornfold.gathering import Cancel
-from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import Send
 from hawthornfold.gathering import SendGroup
@@ -72,70 +71,6 @@
         """Return when a report is due, or None."""
 
 
-class _Exchange(ConnectionUser):
-    """A running attempt, which waits for a connection or occupies one."""
-
-    __slots__ = (
-        'connection',
-        'is_cancelled',
-        'is_idempotent',
-        'pool',
-        'priority',
-        'relay',
-        'send',
-        'started_ms',
-    )
-
-    def __init__(self, relay, send, pool, decision, arrived_ms, started_ms):
-        # While requests have to wait, the newest goes first. After a backlog
-        # of requests that are late already, those that can still be answered
-        # in time would become late otherwise. All servers order the parts of a
-        # request alike, so that it is either answered or waits as a whole.
-        self.priority = (decision.urgency, -arrived_ms)
-        self.relay = relay
-        self.send = send
-        self.pool = pool
-        self.is_idempotent = decision.idempotent
-        self.started_ms = started_ms
-        self.connection = None
-        self.is_cancelled = False
-
-    def handle_connection(self, connection, reason):
-        if connection is None:
-            self._end_unreachable(reason)
-            return
-        self.connection = connection
-        self.relay.send_request(self)
-
-    def handle_end(self, outcome, waiting_count):
-        if self.connection is not None:
-            self.pool.release(self.connection)
-        self.relay.handle_end(self, outcome, waiting_count)
-
-    def cancel(self):
-        self.is_cancelled = True
-        if self.connection is not None:
-            self.connection.abort()
-        else:
-            self._end_unreachable('cancelled')
-
-    def describe(self, now_ms):
-        """Return service/server/state/time, for the log."""
-        state, since_ms = 'waiting', self.started_ms
-        if self.connection is not None:
-            state, since_ms = 'sent', self.connection.sent_ms
-        record = self.send.record
-        return (
-            f'{record.service}/{record.server_id}/{state}/'
-            f'{now_ms - since_ms:.0f}ms'
-        )
-
-    def _end_unreachable(self, reason):
-        self.handle_end(
-            ExchangeOutcome(OutcomeKind.UNREACHABLE, None, reason), None
-        )
-
-
 class Relay:
     """Performs the exchanges that one `Execution` asks for.
 
@@ -363,7 +298,7 @@
         if record.data_centre != self._data_centre:
             self._remote_count += 1
         pool = state.get_pool(record)
-        exchange = self._running[send.attempt] = _Exchange(
+        exchange = self._running[send.attempt] = ServerAttempt(
             self, send, pool, self._decision, self._started_ms, now_ms
         )
         pool.acquire(exchange)
--- a/hawthornfold/gateway/runner.py
+++ b/hawthornfold/gateway/runner.py
@@ -134,7 +134,7 @@
         An answer is partial before it is due only if no further part can
         arrive. It then says nothing about the delay of the node.
         """
-        due_ms = run.execution.partial_due_ms
+        due_ms = run.execution.collected.partial_due_ms
         if (
             run.result.verdict is not Verdict.PARTIAL
             or self._clock.now_ms() < due_ms
@@ -168,7 +168,7 @@
             self._metrics.count('requests', outcome=verdict)
         if status is not None:
             self._metrics.observe_ms('request', elapsed_ms, rule=rule)
-        missing = execution.missing_services
+        missing = execution.collected.missing_services
         _LOG.info(
             'event=request_ended request={} rule={} version={} verdict={} '
             'status={} for={} ms={:.1f} objective_ms={} answer_ms={:.0f} '
@@ -184,7 +184,7 @@
             elapsed_ms,
             plan.decision.objective_ms or '-',
             times.answer_ms - times.arrived_ms,
-            _describe_ms(execution.sufficient_ms, times.arrived_ms),
+            _describe_ms(execution.collected.sufficient_ms, times.arrived_ms),
             times.deadline_ms - times.arrived_ms,
             len(plan.services),
             result.remote,
@@ -199,8 +199,8 @@
         )
 
     def _record_costs(self, plan, execution, result):
-        samples = [x for x in execution.answers if x.body][:_SIZE_SAMPLES]
-        for response in samples:
+        samples = [x for x in execution.collected.answers if x.body]
+        for response in samples[:_SIZE_SAMPLES]:
             self._cost_model.record_body_size(
                 plan.decision, len(response.body)
             )
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -208,12 +208,11 @@
         plan = RequestPlan('r1', decision, ('a',), times, 1)
         incoming = IncomingRequest('GET', '/', 'h', (), b'', 0.0, 0.0)
         with logbook.NullHandler().applicationbound():
-            answer, is_final = handler._delegate_query(
-                plan, incoming, ignore_caller
-            )
+            ended = handler._offers.offer(plan, incoming, ignore_caller)
+        answer = ended and ended.answer
         if answer is not None:
             handler.record_sent(answer)
-        return answer, is_final
+        return answer, ended is not None
 
     def test_query_without_answer_is_not_run_again(self):
         # Guards against a query that runs both at the delegate and locally,
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -1,9 +1,8 @@
 """Decides which attempts a request needs and when it has ended.
 
 A forwarded request has one part; a gathered request has one part per shard.
-Other nodes may gather groups of the parts. `Execution` is a state machine: it
-receives outcomes and times, and returns what to send and what to cancel. It
-uses no sockets or green threads.
+Other nodes may gather groups of the parts. `Execution` is a state machine
+without sockets: it receives outcomes and times, and returns what to send.
 """
 
 import itertools
@@ -12,13 +11,13 @@
 from hawthornfold.gathering.actions import GroupEnd
 from hawthornfold.gathering.actions import Send
 from hawthornfold.gathering.actions import SendGroup
-from hawthornfold.gathering.actions import Verdict
+from hawthornfold.gathering.collected_answer import CollectedAnswer
 from hawthornfold.gathering.group_attempts import GroupAttempts
 from hawthornfold.gathering.hedge_schedule import HedgeSchedule
-from hawthornfold.gathering.merging import RecordMerger
 from hawthornfold.gathering.outcomes import OutcomeKind
 from hawthornfold.gathering.outcomes import ServerResponse
 from hawthornfold.gathering.parts import Part
+from hawthornfold.gathering.server_choice import ServerChoice
 
 # Delay before another try to hedge a part for which there was no repeat budget
 # or no server.
@@ -47,8 +46,7 @@
     groups : sequence of tuple of int
         Indexes of the parts that other nodes gather, by node.
     is_helper : bool
-        Whether the node gathers the parts for another node. It then tries all
-        of them until the deadline, however few it gets.
+        As for `CollectedAnswer`.
     """
 
     def __init__(
@@ -65,8 +63,7 @@
     ):
         self._decision = decision
         self._times = times
-        self._directory = directory
-        self._placement = placement
+        self._server_choice = ServerChoice(decision, directory, placement)
         self._parts = [
             Part(service, repeat_budget)
             for service, repeat_budget in zip(
@@ -85,17 +82,9 @@
             latency_tracker.typical_ms(decision),
             self._typical_max_ms,
         )
-        self._is_helper = is_helper
-        self._needed_parts = 0
-        if not is_helper:
-            self._needed_parts = _count_needed_parts(decision, len(services))
-        self._merger = None
-        if decision.gather is not None:
-            self._merger = RecordMerger(decision.gather.limit)
-        self._new_answers = []
-        self._answered_parts = 0
-        self._has_abandoned_parts = False
-        self._sufficient_ms = times.arrived_ms
+        self._collected = CollectedAnswer(
+            decision, self._parts, times, is_helper
+        )
         self._hedge_count = 0
         self._retry_count = 0
         self._denied_count = 0
@@ -116,67 +105,14 @@
         return self._denied_count
 
     @property
-    def partial_due_ms(self):
-        """When a partial answer was due, on the node's clock.
-
-        This is the time that meets the objective, or the time at which the
-        minimum share of the parts was answered, whichever is later.
-        """
-        return max(self._times.answer_ms, self._sufficient_ms)
-
-    @property
-    def answers(self):
-        """The `ServerResponse` of each answered part, in order of parts."""
-        return [part.answer for part in self._parts if part.answer is not None]
-
-    @property
-    def merged_records(self):
-        """The greatest records of all answered parts of a gathered query."""
-        return self._merger.merged
-
-    @property
-    def sufficient_ms(self):
-        """When the minimum share of the parts was answered.
-
-        On the node's clock; None if it was not.
-        """
-        if self._answered_parts < self._needed_parts:
-            return None
-        return self._sufficient_ms
-
-    @property
-    def missing_count(self):
-        """Number of parts without an answer."""
-        return len(self._parts) - self._answered_parts
-
-    @property
-    def failure(self):
-        """The server's failure response to pass on, or None."""
-        return self._parts[0].failure
-
-    @property
-    def missing_services(self):
-        """The services of the parts without an answer."""
-        return [p.service for p in self._parts if p.answer is None]
+    def collected(self):
+        """The `CollectedAnswer` to the parts so far."""
+        return self._collected
 
     def attempt_key(self, attempt):
         """Return a key of an attempt that is unique among all requests."""
         return (id(self), attempt)
 
-    def take_new_answers(self):
-        """Return the answers since the last call, to report them.
-
-        Returns
-        -------
-        tuple of (list of (int, str), bytes)
-            Index and seal of each newly answered part, and the greatest
-            records of these parts.
-        """
-        answers, self._new_answers = self._new_answers, []
-        records = self._merger.merged
-        self._merger = RecordMerger(self._decision.gather.limit)
-        return answers, records
-
     def start(self, now_ms):
         """Start the first attempt of each part that has a server.
 
@@ -190,20 +126,20 @@
         grouped = set(itertools.chain.from_iterable(self._groups))
         own = [i for i in range(len(self._parts)) if i not in grouped]
         chosen = [
-            (index, self._choose_server(self._parts[index], now_ms))
+            (index, self._server_choice.choose(self._parts[index], now_ms))
             for index in own
         ]
         self.record_sent(now_ms)
         for index in own:
             self._parts[index].repeat_budget.record_request(now_ms)
         found = sum(1 for _, record in chosen if record is not None)
-        is_possible = found + len(grouped) >= self._needed_parts
+        is_possible = self._collected.is_sufficient(found + len(grouped))
         for index, record in chosen:
             if record is None or not is_possible:
-                self._abandon(self._parts[index])
+                self._collected.abandon(self._parts[index])
         if not is_possible:
             for index in grouped:
-                self._abandon(self._parts[index])
+                self._collected.abandon(self._parts[index])
             return []
         actions = [
             self._start_group(group, parts)
@@ -242,10 +178,9 @@
         if part.answer is not None:
             return []
         if outcome.kind is OutcomeKind.ANSWERED:
-            if self._merger is not None:
-                self._merger.add(outcome.response.body)
+            self._collected.add_records(outcome.response.body)
             self._hedge_schedule.record_answer(now_ms)
-            self._record_answer(index, outcome.response, now_ms)
+            self._collected.record_answer(index, outcome.response, now_ms)
             return [Cancel(other) for other in part.running]
         if outcome.kind is OutcomeKind.FAILED:
             part.failure = outcome.response
@@ -273,12 +208,12 @@
         self._group_attempts.record_answers(
             attempt, [index for index, _ in answers]
         )
-        self._merger.add(records)
+        self._collected.add_records(records)
         for index, seal in answers:
             part = self._parts[index]
             part.group_attempt = None
             part.may_have_run = True
-            self._record_answer(
+            self._collected.record_answer(
                 index, ServerResponse(200, (), b'', seal), now_ms
             )
 
@@ -323,7 +258,7 @@
             part.may_have_run = True
             part.sent_count += 1
             if end is GroupEnd.FINISHED:
-                self._abandon(part)
+                self._collected.abandon(part)
             else:
                 sends += self._retry_part(
                     index, part, OutcomeKind.LOST, now_ms
@@ -340,7 +275,7 @@
         is_due = schedule.is_due(now_ms)
         for index, part in enumerate(self._parts):
             if part.can_be_hedged(now_ms) and (
-                is_due or self._has_blocked_server(part)
+                is_due or self._server_choice.has_blocked_server(part)
             ):
                 sends += self._hedge_part(index, part, now_ms)
         return sends
@@ -356,66 +291,10 @@
 
     def determine_verdict(self, now_ms):
         """Return the `Verdict`, or None while the request is in progress."""
-        answered = self._answered_parts
-        if answered == len(self._parts):
-            return Verdict.COMPLETE
-        is_running = self._part_indexes or self._group_attempts.is_any_running
-        is_partial_due = (
-            now_ms >= self._times.answer_ms and not self._is_helper
-        )
-        if answered >= self._needed_parts and (
-            is_partial_due or not is_running
-        ):
-            return Verdict.PARTIAL
-        if now_ms >= self._times.deadline_ms:
-            has_sent = any(
-                part.sent_count or part.group_attempt is not None
-                for part in self._parts
-            )
-            return Verdict.TIMED_OUT if has_sent else Verdict.NOT_RUN
-        if not self._has_abandoned_parts:
-            return None
-        achievable = sum(1 for part in self._parts if part.is_achievable)
-        if achievable >= self._needed_parts:
-            return None
-        return self._failure_verdict()
-
-    def _record_answer(self, index, response, now_ms):
-        self._parts[index].answer = response
-        self._answered_parts += 1
-        if self._is_helper:
-            self._new_answers.append((index, response.seal))
-        if self._answered_parts == self._needed_parts:
-            self._sufficient_ms = now_ms
-
-    def _abandon(self, part):
-        part.is_abandoned = True
-        self._has_abandoned_parts = True
-
-    def _failure_verdict(self):
-        if len(self._parts) == 1 and self.failure is not None:
-            return Verdict.PASSED_FAILURE
-        if any(
-            part.may_have_run or part.running or part.group_attempt is not None
-            for part in self._parts
-        ):
-            return Verdict.UNKNOWN
-        return Verdict.NOT_RUN
-
-    def _choose_server(self, part, now_ms):
-        servers = self._directory.available_servers(part.service, now_ms)
-        if not part.tried_server_ids:
-            return self._placement.choose_first_server(
-                part.service, servers, self._decision, now_ms
-            )
-        candidates = [
-            record
-            for record in servers
-            if record.server_id not in part.tried_server_ids
-        ]
-        return self._placement.choose_server(
-            candidates, self._decision, now_ms
+        is_running = (
+            bool(self._part_indexes) or self._group_attempts.is_any_running
         )
+        return self._collected.determine_verdict(is_running, now_ms)
 
     def _start_group(self, group, indexes):
         attempt = next(self._attempts)
@@ -427,9 +306,9 @@
     def _start_part(self, index, part, now_ms):
         """Start the first attempt of a part that no node has started."""
         part.repeat_budget.record_request(now_ms)
-        record = self._choose_server(part, now_ms)
+        record = self._server_choice.choose(part, now_ms)
         if record is None:
-            self._abandon(part)
+            self._collected.abandon(part)
             return []
         return [self._start_attempt(index, record, now_ms)]
 
@@ -440,18 +319,15 @@
         part.tried_server_ids.add(record.server_id)
         part.sent_count += 1
         self._part_indexes[attempt] = index
-        self._placement.record_start(
-            record.server_id,
-            self.attempt_key(attempt),
-            self._decision,
-            now_ms,
+        self._server_choice.record_start(
+            record, self.attempt_key(attempt), now_ms
         )
         return Send(attempt, index, record)
 
     def _retry_part(self, index, part, kind, now_ms):
         """Start another attempt after a failure if rule and budget allow."""
         if kind.may_have_run and not self._decision.idempotent:
-            self._abandon(part)
+            self._collected.abandon(part)
             return []
         if not kind.may_have_run:
             part.not_executed_count += 1
@@ -462,12 +338,13 @@
             part.may_send_again(self._decision.max_servers)
             and now_ms < self._times.deadline_ms
         ):
-            record = self._choose_server(part, now_ms)
+            record = self._server_choice.choose(part, now_ms)
+        # With several attempts, an earlier one may have reached its server.
+        may_have_arrived = kind.may_have_arrived or part.sent_count > 1
         if record is None or (
-            self._may_have_arrived(part, kind)
-            and not self._try_record_repeat(part, now_ms)
+            may_have_arrived and not self._try_record_repeat(part, now_ms)
         ):
-            self._abandon(part)
+            self._collected.abandon(part)
             return []
         self._retry_count += 1
         return [self._start_attempt(index, record, now_ms)]
@@ -475,36 +352,19 @@
     def _hedge_part(self, index, part, now_ms):
         if not part.may_send_again(self._decision.max_servers):
             return []
-        record = self._choose_server(part, now_ms)
+        record = self._server_choice.choose(part, now_ms)
         if record is None or not self._try_record_repeat(part, now_ms):
             part.next_hedge_ms = now_ms + _HEDGE_RETRY_MS
             return []
         self._hedge_count += 1
         return [self._start_attempt(index, record, now_ms)]
 
-    def _may_have_arrived(self, part, kind):
-        # With several attempts, an earlier one may have reached its server.
-        return kind.may_have_arrived or part.sent_count > 1
-
     def _try_record_repeat(self, part, now_ms):
         is_urgent = self._decision.urgency == 0
-        is_allowed = part.repeat_budget.try_record_repeat(now_ms, is_urgent)
-        if not is_allowed:
-            self._denied_count += 1
-        return is_allowed
-
-    def _has_blocked_server(self, part):
-        return any(
-            self._placement.health(server_id).is_blocked
-            for server_id in part.running.values()
-        )
-
-
-def _count_needed_parts(decision, count):
-    """Return the minimum number of parts that an answer must have."""
-    share = decision.coverage_percent
-    # Rounds up. The small constant compensates for binary rounding errors.
-    return max(1, int(-(-(count * share - 1e-6) // 100)))
+        if part.repeat_budget.try_record_repeat(now_ms, is_urgent):
+            return True
+        self._denied_count += 1
+        return False
 
 
 def create_execution(
--- /dev/null
+++ b/hawthornfold/gathering/server_choice.py
@@ -0,0 +1,63 @@
+"""Chooses the servers of the parts of one request."""
+
+
+class ServerChoice:
+    """Chooses among the servers that a part has not been sent to.
+
+    Parameters
+    ----------
+    decision : Decision
+        What the rules decided for the request.
+    directory : ServerDirectory
+        Lists the servers of each service.
+    placement : Placement
+        Chooses one of these servers.
+    """
+
+    def __init__(self, decision, directory, placement):
+        self._decision = decision
+        self._directory = directory
+        self._placement = placement
+
+    def choose(self, part, now_ms):
+        """Return the `ServerRecord` for the next attempt at a part, or None.
+
+        Parameters
+        ----------
+        part : Part
+            The part to be sent.
+        now_ms : float
+            Current time on the node's clock.
+        """
+        servers = self._directory.available_servers(part.service, now_ms)
+        if not part.tried_server_ids:
+            return self._placement.choose_first_server(
+                part.service, servers, self._decision, now_ms
+            )
+        candidates = [
+            record
+            for record in servers
+            if record.server_id not in part.tried_server_ids
+        ]
+        return self._placement.choose_server(
+            candidates, self._decision, now_ms
+        )
+
+    def record_start(self, record, key, now_ms):
+        """Record that an attempt starts on a server.
+
+        Parameters
+        ----------
+        key : tuple
+            Unique among the attempts of all requests.
+        """
+        self._placement.record_start(
+            record.server_id, key, self._decision, now_ms
+        )
+
+    def has_blocked_server(self, part):
+        """Return whether a running attempt is on a blocked server."""
+        return any(
+            self._placement.health(server_id).is_blocked
+            for server_id in part.running.values()
+        )
--- a/hawthornfold/gathering/tests/test_execution.py
+++ b/hawthornfold/gathering/tests/test_execution.py
@@ -102,7 +102,7 @@
         self.assertIsNone(execution.determine_verdict(10.0))
         self.finish_attempts(sends[3:], ANSWERED)
         self.assertIs(execution.determine_verdict(10.0), Verdict.COMPLETE)
-        self.assertEqual(execution.missing_count, 0)
+        self.assertEqual(execution.collected.missing_count, 0)
 
     def test_partial_answer_is_sent_in_time_for_the_objective(self):
         # Guards against answers that miss the objective because they wait
@@ -112,7 +112,7 @@
         self.finish_attempts(sends[:3], ANSWERED)
         self.assertIsNone(execution.determine_verdict(ANSWER_MS - 1.0))
         self.assertIs(execution.determine_verdict(ANSWER_MS), Verdict.PARTIAL)
-        self.assertEqual(execution.missing_count, 1)
+        self.assertEqual(execution.collected.missing_count, 1)
 
     def test_answer_below_the_minimum_share_waits_for_more_parts(self):
         # Guards against an answer with fewer parts than the rule requires.
@@ -131,10 +131,10 @@
         # earlier, with more and more parts missing.
         execution = self.create()
         sends = execution.start(0.0)
-        self.assertEqual(execution.partial_due_ms, ANSWER_MS)
+        self.assertEqual(execution.collected.partial_due_ms, ANSWER_MS)
         self.finish_attempts(sends[:2], ANSWERED)
         self.finish_attempts(sends[2:3], ANSWERED, ANSWER_MS + 50.0)
-        self.assertEqual(execution.partial_due_ms, ANSWER_MS + 50.0)
+        self.assertEqual(execution.collected.partial_due_ms, ANSWER_MS + 50.0)
 
     def test_request_times_out_at_its_deadline(self):
         execution = self.create()
@@ -177,7 +177,7 @@
         sends = execution.start(0.0)
         self.finish_attempts(sends[:3], ANSWERED)
         self.finish_attempts(sends[3:], FAILED)
-        self.assertEqual(len(execution.answers), 3)
+        self.assertEqual(len(execution.collected.answers), 3)
         self.assertIs(execution.determine_verdict(10.0), Verdict.PARTIAL)
 
     def test_minimum_share_is_rounded_up_to_whole_parts(self):
@@ -274,7 +274,7 @@
         cancels = self.finish_attempts(hedges, ANSWERED)
         self.assertEqual(cancels, [Cancel(sends[0].attempt)])
         self.finish_attempts(sends, ANSWERED)
-        self.assertEqual(len(execution.answers), 1)
+        self.assertEqual(len(execution.collected.answers), 1)
 
     def test_hedge_needs_repeat_budget(self):
         execution = self.create(slack=0.0)
@@ -388,10 +388,10 @@
         answered = ExchangeOutcome(OutcomeKind.ANSWERED, response)
         self.finish_attempts(self.sends, answered)
         self.assertIs(execution.determine_verdict(20.0), Verdict.COMPLETE)
-        self.assertEqual(len(execution.answers), 12)
-        self.assertEqual(execution.missing_count, 0)
+        self.assertEqual(len(execution.collected.answers), 12)
+        self.assertEqual(execution.collected.missing_count, 0)
         expected = b'd' * 16 + b'c' * 16 + b'b' * 16
-        self.assertEqual(execution.merged_records, expected)
+        self.assertEqual(execution.collected.merged_records, expected)
 
     def test_partial_answer_counts_the_parts_of_groups(self):
         execution = self.start_groups()
@@ -400,7 +400,7 @@
         self.assertIsNone(execution.determine_verdict(ANSWER_MS))
         self.answer_group(1, (3,))
         self.assertIs(execution.determine_verdict(ANSWER_MS), Verdict.PARTIAL)
-        self.assertEqual(execution.missing_count, 3)
+        self.assertEqual(execution.collected.missing_count, 3)
 
     def test_parts_of_a_group_are_not_hedged_here(self):
         # Guards against a part that two nodes hedge, on more servers than the
@@ -446,7 +446,7 @@
             self.answer_group(1, (1, 8))
         with self.assertRaises(ValueError):
             self.answer_group(1, (1, 1))
-        self.assertEqual(self.execution.answers, [])
+        self.assertEqual(self.execution.collected.answers, [])
 
     def test_request_whose_group_may_have_run_is_not_reported_as_not_run(self):
         # Guards against the verdict NOT_RUN for a request that ran in part.
@@ -493,11 +493,11 @@
         response = ServerResponse(200, (), b'b' * 16, 'x')
         answered = ExchangeOutcome(OutcomeKind.ANSWERED, response)
         self.finish_attempts(sends[1:3], answered)
-        taken = execution.take_new_answers()
+        taken = execution.collected.take_new_answers()
         self.assertEqual(taken, ([(1, 'x'), (2, 'x')], b'b' * 32))
-        self.assertEqual(execution.take_new_answers(), ([], b''))
+        self.assertEqual(execution.collected.take_new_answers(), ([], b''))
         self.finish_attempts(sends[:1], answered)
-        taken = execution.take_new_answers()
+        taken = execution.collected.take_new_answers()
         self.assertEqual(taken, ([(0, 'x')], b'b' * 16))
 
     def test_helper_without_servers_ends_at_once(self):
