--- a/hawthornfold/platform/tests/test_soak.py
+++ b/hawthornfold/platform/tests/test_soak.py
@@ -1,7 +1,6 @@
 """Runs a short soak, with seeds that failed before."""
 
 import socket
-import subprocess
 import threading
 import time
 import unittest
@@ -53,26 +52,22 @@
         node = support.Node(store)
         self.addCleanup(node.close)
         node.kill()
-        processes = []
 
-        def start_slowly(*args, **options):
+        def start_slowly():
             time.sleep(0.1)
-            processes.append(popen(*args, **options))
-            return processes[-1]
+            support.Node.start(node)
 
-        popen = subprocess.Popen
         threads = [
             threading.Thread(target=node.ensure_running) for _ in range(2)
         ]
-        with mock.patch.object(subprocess, 'Popen', start_slowly):
+        with mock.patch.object(
+            node, 'start', side_effect=start_slowly
+        ) as start:
             for thread in threads:
                 thread.start()
             for thread in threads:
                 thread.join()
-        for process in processes[:-1]:
-            self.addCleanup(process.wait)
-            self.addCleanup(process.kill)
-        self.assertEqual(len(processes), 1)
+        self.assertEqual(start.call_count, 1)
 
 
 class SoakTest(unittest.TestCase):
--- a/tools/tests/test_vary_site.py
+++ b/tools/tests/test_vary_site.py
@@ -9,11 +9,22 @@
 from tools.vary_site import SHAPES
 from tools.vary_site import write_site
 
+CAPACITY = {
+    'cpu_share': 0.7,
+    'cores': 3,
+    'memory_mb': 552,
+    'fds': 8192,
+    'link_mbps': 140.0,
+}
 SITE = {
     'name': 'small',
     'wire': 'wire.json',
     'zones': [{'name': 'a'}, {'name': 'b'}],
-    'machines': [{'zone': 'a', 'count': 3}, {'zone': 'b', 'count': 2}],
+    'machines': [
+        {'zone': 'a', 'count': 3, **CAPACITY},
+        {'zone': 'b', 'count': 2, **CAPACITY, 'cpu_share': 0.5},
+    ],
+    'traffic': [{'zone': 'a', 'per_s': 9.0}, {'zone': 'b', 'per_s': 3.0}],
     'services': [
         {
             'name': 'portal',
@@ -24,6 +35,7 @@
         {'name': 'desk', 'servers': [{'zone': 'a', 'count': 1}]},
     ],
     'net': {'cross_zone_ms': 0.5},
+    'bounds': {'budget_ratio': 0.2},
 }
 
 
--- a/tools/vary_site.py
+++ b/tools/vary_site.py
@@ -50,6 +50,77 @@
     site['net']['cross_zone_ms'] = 6.0
 
 
+def use_small_nodes(site):
+    """Give all nodes the capacity of the smallest, so that none delegates."""
+    machines = site['machines']
+    smallest = min(machines, key=lambda machine: machine['cpu_share'])
+    capacity = ('cpu_share', 'cores', 'memory_mb', 'fds', 'link_mbps')
+    for machine in machines:
+        machine.update({field: smallest[field] for field in capacity})
+
+
+def use_slow_machines(site):
+    """Limit the links of all nodes to 7 Mbit/s as played."""
+    for machine in site['machines']:
+        machine['link_mbps'] = 7.0 / site.get('thin', 1.0)
+
+
+def use_small_budget(site):
+    """Allow repeat attempts for 5 in 100 requests only."""
+    site['bounds']['budget_ratio'] = 0.05
+
+
+def use_medium_connections(site):
+    """Limit the connections to a server of a shard to 25."""
+    for service in _list_sharded_services(site):
+        service['conn_cap'] = 25
+
+
+def use_one_data_centre(site):
+    """Move all machines, servers and callers to the first data centre."""
+    first = site['zones'][0]['name']
+    site['zones'] = site['zones'][:1]
+    _move(site, first)
+
+
+def use_five_data_centres(site):
+    """Move the last machines and half of their callers to a new one."""
+    source = site['zones'][-1]
+    added = {**source, 'name': f'{source["name"]}-5'}
+    site['zones'].append(added)
+    for entries, field in _list_placed_entries(site):
+        local = [e for e in entries if e['zone'] == source['name']]
+        for entry in local:
+            half = entry[field] / 2
+            kept = half if field == 'per_s' else entry[field] // 2
+            entries.append(
+                {**entry, 'zone': added['name'], field: entry[field] - kept}
+            )
+            entry[field] = kept
+
+
+def _list_placed_entries(site):
+    """Return pairs of entries with a data centre and the field of amounts."""
+    places = [(site['machines'], 'count'), (site['traffic'], 'per_s')]
+    return places + [
+        (day['traffic'], 'per_s')
+        for day in site.get('day', ())
+        if 'traffic' in day
+    ]
+
+
+def _move(value, data_centre):
+    """Set the data centre of all entries in a value, at any depth."""
+    if isinstance(value, dict):
+        if isinstance(value.get('zone'), str):
+            value['zone'] = data_centre
+        for inner in value.values():
+            _move(inner, data_centre)
+    elif isinstance(value, list):
+        for inner in value:
+            _move(inner, data_centre)
+
+
 def use_few_nodes(site):
     """Set the number of nodes to four."""
     _distribute_nodes(site, 4)
@@ -72,6 +143,12 @@
     'uneven-servers': use_uneven_servers,
     'few-connections': use_few_connections,
     'slow-links': use_slow_links,
+    'small-nodes': use_small_nodes,
+    'slow-machines': use_slow_machines,
+    'small-budget': use_small_budget,
+    'medium-connections': use_medium_connections,
+    'one-data-centre': use_one_data_centre,
+    'five-data-centres': use_five_data_centres,
     'four-nodes': use_few_nodes,
     'fourteen-nodes': use_many_nodes,
 }
