Log the servers whose removal is deferred

Change: event=removals_deferred, one line per read or update that adds some, at most eight servers named.

Test: test_outage_seen_by_the_reader_defers_removals checks the line.

--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -287,8 +287,14 @@
         # the outage.
         self.follow(result.Ok(StoreChanges(10, (WRITTEN,))))
         removal = ServerChange('s1', None, 11)
-        self.watcher.apply_update(StoreNews(10, 11, (removal,), None, 50.0))
+        with logbook.TestHandler().applicationbound() as log:
+            self.watcher.apply_update(
+                StoreNews(10, 11, (removal,), None, 50.0)
+            )
         self.assertEqual([e.kind for e in self.events], ['added'])
+        # Guards against a belief that changes without a log line.
+        (line,) = [r.message for r in log.records if 'deferred' in r.message]
+        self.assertIn('count=1 servers=s1', line)
 
     def test_reader_without_the_store_sends_no_heartbeat(self):
         # Guards against followers that rely on a reader that cannot reach the
--- a/hawthornfold/directory/view.py
+++ b/hawthornfold/directory/view.py
@@ -11,6 +11,9 @@
 
 _LOG = logbook.Logger('directory')
 
+# Maximum number of servers in a log line.
+_MAX_LISTED_SERVERS = 8
+
 
 class StoreView:
     """Servers and configuration of the store, up to a position.
@@ -37,6 +40,8 @@
         self._position = None
         self._configuration = None
         self._configuration_era = UNKNOWN_ERA
+        # Servers whose removal is deferred, as last reported.
+        self._deferred_ids = set()
 
     @property
     def position(self):
@@ -106,6 +111,9 @@
     def expire(self, now_ms):
         """Carry out what has been deferred and is due."""
         self._notify_servers(self._directory.expire_removals(now_ms))
+        self._deferred_ids.intersection_update(
+            self._directory.pending_removal_ids
+        )
 
     def _commit(self, changes, era, events):
         for failure in changes.failures:
@@ -123,6 +131,19 @@
         if changes.configuration is not None:
             self._offer_configuration(changes.configuration, era)
         self._notify_servers(events)
+        self._report_deferred()
+
+    def _report_deferred(self):
+        pending = set(self._directory.pending_removal_ids)
+        added = sorted(pending - self._deferred_ids)
+        self._deferred_ids = pending
+        if added:
+            _LOG.notice(
+                'event=removals_deferred position={} count={} servers={}',
+                self._position,
+                len(added),
+                ','.join(added[:_MAX_LISTED_SERVERS]),
+            )
 
     def _offer_configuration(self, configuration, era):
         before = self._configuration
