Report before the first repeat of a group also without answers

Change: the first report of each kind is sent also without answers.

Tests: three in test_groups fail before. The existing one expects the new status and, as before, which parts are reported before the repeat.

--- a/hawthornfold/delegation/messages.py
+++ b/hawthornfold/delegation/messages.py
@@ -180,8 +180,9 @@
     call : int
         The `call` of the `GatherParts` message.
     status : str
-        ``declined``, ``accepted``, ``answers`` or ``finished``. No reply
-        follows the first and the last.
+        ``declined``, ``accepted``, ``repeating`` before parts are repeated,
+        ``answers`` from the time at which they are due, or ``finished``. No
+        reply follows the first and the last.
     parts : tuple of int
         Indexes of the parts that were answered since the last reply.
     seals : tuple of str
--- a/hawthornfold/gateway/group_calls.py
+++ b/hawthornfold/gateway/group_calls.py
@@ -1,7 +1,7 @@
 """Has other nodes gather groups of the parts of a query.
 
 A node that is asked replies at once whether it accepts. It reports answers
-before it sends hedges, when they are due, and at the end.
+before it repeats a part, when they are due, and at the end.
 """
 
 import itertools
@@ -189,8 +189,9 @@
         self._policy.record_silence(call.node.name, now_ms)
         self._end(call, 'silent')
         self._send_cancel(call)
-        # After its first report the node may have sent hedges, so that another
-        # attempt could exceed the number of servers that the rule allows.
+        # After its first report the node may have repeated parts, so that
+        # another attempt could exceed the number of servers that the rule
+        # allows.
         end = GroupEnd.FINISHED if call.has_reported else GroupEnd.SILENT
         call.listener.handle_group_end(call.attempt, end)
 
@@ -209,8 +210,9 @@
             call.accept_ms = now_ms - call.started_ms
             self._accept_timeout.record(call.accept_ms)
             self._schedule(call, call.reply_due_ms + REPLY_GRACE_MS - now_ms)
-        if reply.parts:
+        if reply.status != 'accepted':
             call.has_reported = True
+        if reply.parts:
             call.answered_count += len(reply.parts)
             call.listener.handle_group_answers(call.attempt, reply)
         if reply.status == 'finished':
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -62,6 +62,7 @@
         self._send_reply = send_reply
         self._parts = parts
         self._due_ms = due_ms
+        self._reported_statuses = set()
 
     def handle_progress(self, execution, now_ms):
         """Report the new answers if they are due."""
@@ -69,12 +70,12 @@
             self._report(execution, 'answers')
 
     def handle_hedges(self, execution):
-        """Report before the first hedge.
+        """Report before a part is repeated.
 
         If this node fails later, the other one still has these answers and
         knows that it must not send the other parts again.
         """
-        self._report(execution, 'answers')
+        self._report(execution, 'repeating')
 
     def next_report_ms(self, now_ms):
         """Return when the answers are due, or None if that has passed."""
@@ -86,7 +87,10 @@
 
     def _report(self, execution, status):
         answers, records = execution.collected.take_new_answers()
-        if answers or status == 'finished':
+        # The first report of a status tells the other node something also if
+        # it has no answers.
+        if answers or status not in self._reported_statuses:
+            self._reported_statuses.add(status)
             self._send_reply(
                 status,
                 tuple(self._parts[index] for index, _ in answers),
--- a/hawthornfold/gateway/tests/test_groups.py
+++ b/hawthornfold/gateway/tests/test_groups.py
@@ -12,6 +12,7 @@
 from hawthornfold.delegation import Capacity
 from hawthornfold.delegation import GatherCancel
 from hawthornfold.delegation import GatherParts
+from hawthornfold.delegation import PartsReply
 from hawthornfold.delegation import PlannedGroup
 from hawthornfold.delegation import QueryCostModel
 from hawthornfold.delegation import create_division_policy
@@ -30,6 +31,7 @@
 from hawthornfold.gateway.settings import GatewaySettings
 from hawthornfold.gateway.state import GatewayState
 from hawthornfold.gateway.tests import support
+from hawthornfold.gathering import GroupEnd
 from hawthornfold.membership.records import Member
 from hawthornfold.metrics import create_metrics
 from hawthornfold.rules import Gather
@@ -333,17 +335,15 @@
                 (reply,) = self.left.fleet.sent
                 self.assertEqual(reply.status, 'declined')
 
-    def test_helper_reports_before_it_repeats_a_part(self):
-        # Guards against a part on too many servers: after a failure of the
-        # helper, the entry sends parts again only if the helper cannot have
-        # repeated any.
+    def gather_with_reset(self, parts):
+        """Return status and parts of the replies if part 2 is repeated."""
         budget = self.left.state.get_repeat_budget(SHARDS[2])
 
         def fail(connection, request, number):
             # The repeat budget grows from zero after the start of a node.
-            while self.left.count_answers() < 2 or not budget.allows_repeat(
-                self.left.clock.now_ms()
-            ):
+            while self.left.count_answers() < len(
+                parts
+            ) - 1 or not budget.allows_repeat(self.left.clock.now_ms()):
                 time.sleep(0.002)
             support.reset(connection)
             return False
@@ -361,12 +361,40 @@
         for node in (self.entry, self.left):
             node.configure(SHARDS, hedge=False)
         message = self.create_message(
-            parts=(0, 2, 4), objective_left_ms=1e5, deadline_left_ms=1e6
+            parts=parts, objective_left_ms=1e5, deadline_left_ms=1e6
         )
         self.left.fleet.deliver('entry', message)
         support.wait_until(lambda: not self.left.helper.running_count)
-        replies = [(x.status, set(x.parts)) for x in self.left.fleet.sent]
+        return [(x.status, set(x.parts)) for x in self.left.fleet.sent]
+
+    def test_helper_reports_before_it_repeats_a_part(self):
+        # Guards against a part on too many servers: after a failure of the
+        # helper, the entry sends parts again only if the helper cannot have
+        # repeated any.
+        self.assertEqual(
+            self.gather_with_reset((0, 2, 4)),
+            [('accepted', set()), ('repeating', {0, 4}), ('finished', {2})],
+        )
+
+    def test_helper_without_answers_reports_before_it_repeats_a_part(self):
+        # Guards against the same if the first part fails before any answer.
         self.assertEqual(
-            replies,
-            [('accepted', set()), ('answers', {0, 4}), ('finished', {2})],
+            self.gather_with_reset((2,)),
+            [('accepted', set()), ('repeating', set()), ('finished', {2})],
         )
+
+    def test_parts_that_may_have_been_repeated_are_not_sent_again(self):
+        # Guards against the same at the entry, also without an answer yet.
+        ends = []
+        listener = types.SimpleNamespace(
+            may_resend_group=lambda attempt: True,
+            handle_group_end=lambda attempt, end: ends.append(end),
+        )
+        self.left.fleet.deliver = lambda *_: None
+        message = self.create_message(objective_left_ms=20.0)
+        node = Member('left', 'left', 'dc', 1, 'live')
+        call = self.entry.caller.start(node, message, 1, listener).call
+        for status in ('accepted', 'repeating'):
+            self.entry.fleet.deliver('left', PartsReply(call, status))
+        support.wait_until(lambda: ends)
+        self.assertEqual(ends, [GroupEnd.FINISHED])
