--- a/hawthornfold/gateway/tests/test_loads.py
+++ b/hawthornfold/gateway/tests/test_loads.py
@@ -55,7 +55,9 @@
             self.assertGreaterEqual(compute_share(results), TARGET_SHARE)
 
     def test_burst_serves_urgent_callers_first_and_then_all(self):
-        # 1.8 times what the slots execute; then clients repeat at once.
+        # 1.8 times what the slots execute, half of it urgent; then clients
+        # repeat at once. The slots suffice for all urgent callers and for a
+        # ninth of the others.
         for load in self.play_each_seed():
             burst = load.play(1.8, 1_500.0)
             burst += load.play(1.8, 500.0, repeats=1)
