Remove duplicates and dead code of the change

Read once more against; no behaviour changes: * dead since exchanges run on callbacks and records merge as they arrive: merge_records, sockets.receive, QueryCostModel.part_cpu_ms, ServerHealth.failure_share, the cause 'own link' that nothing found; * what the end of an attempt shows about a server was decided twice, in Relay and in the played loads: ServerAttempt.record_outcome serves both; * the deferred removals that were reported are derived, not kept; * the nodes of the fleet are no longer listed for rules that cannot be divided, for each forwarded request and every 5 s for each rule; * handle_hedges is handle_repeats, for it is called before retries, too; one function limits the connections of varied sites; a shape is named after the links that it changes.

Tests of gateway, gathering, directory, delegation, placement, commands, limits, documentation and the node: 350 passed.

--- a/hawthornfold/commands/losses.py
+++ b/hawthornfold/commands/losses.py
@@ -37,7 +37,6 @@
 
     NODE_STARTING = 'node starting'
     OWN_PROCESSOR = "node's own processor"
-    OWN_LINK = "node's own link"
     NODE_SILENT = 'another node silent'
     SERVER_DEAD = 'server dead and not yet known'
     SERVER_SLOW = 'server slow or mute'
--- a/hawthornfold/delegation/capacity.py
+++ b/hawthornfold/delegation/capacity.py
@@ -146,11 +146,6 @@
         self._body_sizes = {}
         self._part_cpu_ms = PART_CPU_MS
 
-    @property
-    def part_cpu_ms(self):
-        """Processor time per part on one core, in milliseconds."""
-        return self._part_cpu_ms
-
     def record_body_size(self, decision, body_bytes):
         """Update a rule's average body size from a shard's response."""
         size = self._body_sizes.get(decision.rule, body_bytes)
--- a/hawthornfold/delegation/division.py
+++ b/hawthornfold/delegation/division.py
@@ -38,8 +38,7 @@
 # Number of nodes among which a group's node is chosen. A node keeps links to
 # these only; other nodes prefer others.
 PREFERRED_NODES = 2
-# A node that did not reply gets no groups for this long, and one that declined
-# for the second time.
+# A node that did not reply, or that declined, gets no groups for this long.
 SILENT_BACKOFF_MS = 2_000.0
 DECLINED_BACKOFF_MS = 200.0
 
@@ -91,6 +90,14 @@
         # By rule: the version of the directory and the division.
         self._divisions = {}
 
+    def may_divide(self, decision):
+        """Return whether a rule's queries have enough shards to be divided."""
+        return (
+            decision.gather is not None
+            and decision.objective_ms is not None
+            and len(decision.gather.shards) >= 2 * MIN_GROUP_PARTS
+        )
+
     def plan(self, decision, directory, members, now_ms):
         """Return the groups of a query that other nodes gather.
 
@@ -110,11 +117,7 @@
         tuple of PlannedGroup
             Empty if the node gathers all parts itself.
         """
-        if (
-            decision.gather is None
-            or decision.objective_ms is None
-            or len(decision.gather.shards) < 2 * MIN_GROUP_PARTS
-        ):
+        if not self.may_divide(decision):
             return ()
         nodes = self._list_nodes(members, now_ms)
         if not nodes:
--- a/hawthornfold/directory/view.py
+++ b/hawthornfold/directory/view.py
@@ -40,8 +40,6 @@
         self._position = None
         self._configuration = None
         self._configuration_era = UNKNOWN_ERA
-        # Servers whose removal is deferred, as last reported.
-        self._deferred_ids = set()
 
     @property
     def position(self):
@@ -73,6 +71,7 @@
         before = self._position
         era = self.resolve_era(changes.era)
         is_restored = before is not None and era > before.era
+        deferred = set(self._directory.pending_removal_ids)
         events = self._directory.replace_all(
             changes.servers, now_ms, is_restored
         )
@@ -87,6 +86,7 @@
                 len(changes.servers),
             )
         self._commit(changes, era, events)
+        self._report_deferred(deferred)
 
     def apply_changes(self, changes, now_ms):
         """Apply changes that follow on the position.
@@ -105,15 +105,14 @@
             for change in changes.servers
             if not 0 < change.revision <= self._position.revision
         ]
+        deferred = set(self._directory.pending_removal_ids)
         events = self._directory.apply(newer, now_ms)
         self._commit(changes, self._position.era, events)
+        self._report_deferred(deferred)
 
     def expire(self, now_ms):
         """Carry out what has been deferred and is due."""
         self._notify_servers(self._directory.expire_removals(now_ms))
-        self._deferred_ids.intersection_update(
-            self._directory.pending_removal_ids
-        )
 
     def _commit(self, changes, era, events):
         for failure in changes.failures:
@@ -131,12 +130,10 @@
         if changes.configuration is not None:
             self._offer_configuration(changes.configuration, era)
         self._notify_servers(events)
-        self._report_deferred()
 
-    def _report_deferred(self):
-        pending = set(self._directory.pending_removal_ids)
-        added = sorted(pending - self._deferred_ids)
-        self._deferred_ids = pending
+    def _report_deferred(self, known_ids):
+        """Log the servers whose removal was deferred by the last changes."""
+        added = sorted(set(self._directory.pending_removal_ids) - known_ids)
         if added:
             _LOG.notice(
                 'event=removals_deferred position={} count={} servers={}',
--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -71,15 +71,58 @@
         else:
             self._end_unreachable('cancelled')
 
+    def elapsed_ms(self, now_ms):
+        """Return how long the attempt has taken, in milliseconds.
+
+        Once there is a connection, neither the node's own work nor opening the
+        connection counts.
+        """
+        if self.connection is None:
+            return now_ms - self.started_ms
+        return now_ms - self.connection.sent_ms
+
+    def record_outcome(
+        self, placement, key, decision, outcome, waiting_count, now_ms
+    ):
+        """Record in a `Placement` what the end of the attempt shows.
+
+        Parameters
+        ----------
+        placement : Placement
+            Tracks the health of the servers.
+        key : tuple
+            Unique among the attempts of all requests.
+        decision : Decision
+            The rule of the request.
+        outcome, waiting_count : ExchangeOutcome, int or None
+            As for `handle_end`.
+        now_ms : float
+            Current time on the node's clock.
+        """
+        server_id = self.send.record.server_id
+        elapsed_ms = self.elapsed_ms(now_ms)
+        kind = outcome.kind
+        if self.is_cancelled:
+            placement.record_cancelled(
+                server_id, key, decision, elapsed_ms, now_ms
+            )
+        elif kind is OutcomeKind.ANSWERED:
+            placement.record_answer(
+                server_id, key, decision, elapsed_ms, waiting_count, now_ms
+            )
+        elif kind is OutcomeKind.WRONG_SERVER:
+            placement.health(server_id).mark_replaced(key)
+        else:
+            is_absent = kind in (OutcomeKind.UNREACHABLE, OutcomeKind.LOST)
+            placement.health(server_id).record_failure(key, is_absent, now_ms)
+
     def describe(self, now_ms):
         """Return service/server/state/time, for the log."""
-        state, since_ms = 'waiting', self.started_ms
-        if self.connection is not None:
-            state, since_ms = 'sent', self.connection.sent_ms
+        state = 'waiting' if self.connection is None else 'sent'
         record = self.send.record
         return (
             f'{record.service}/{record.server_id}/{state}/'
-            f'{now_ms - since_ms:.0f}ms'
+            f'{self.elapsed_ms(now_ms):.0f}ms'
         )
 
     def _end_unreachable(self, reason):
--- a/hawthornfold/gateway/division.py
+++ b/hawthornfold/gateway/division.py
@@ -29,6 +29,9 @@
 
     def plan(self, decision, now_ms):
         """Return the `PlannedGroup` tuples of a query."""
+        if not self._policy.may_divide(decision):
+            # Most rules forward; listing the nodes is not needed for them.
+            return ()
         return self._policy.plan(
             decision, self._directory, self._list_peers(now_ms), now_ms
         )
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -69,7 +69,7 @@
         if now_ms >= self._due_ms:
             self._report(execution, 'answers')
 
-    def handle_hedges(self, execution):
+    def handle_repeats(self, execution):
         """Report before a part is repeated.
 
         If this node fails later, the other one still has these answers and
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -63,7 +63,7 @@
         """Handle that answers have arrived, or that a report may be due."""
 
     @abc.abstractmethod
-    def handle_hedges(self, execution):
+    def handle_repeats(self, execution):
         """Handle that parts are about to be sent a second time."""
 
     @abc.abstractmethod
@@ -335,7 +335,7 @@
         if self._observer is not None and any(
             isinstance(action, Send) for action in actions
         ):
-            self._observer.handle_hedges(self._execution)
+            self._observer.handle_repeats(self._execution)
         self._apply_actions(actions, now_ms)
 
     def _cancel_running(self, verdict):
@@ -360,39 +360,25 @@
             exchange.cancel()
 
     def _record_outcome(self, exchange, outcome, waiting_count, now_ms):
-        placement = self._state.placement
-        server_id = exchange.send.record.server_id
-        key = self._execution.attempt_key(exchange.send.attempt)
-        kind = outcome.kind
-        elapsed_ms = now_ms - exchange.started_ms
-        if exchange.connection is not None:
-            # Neither the node's own work nor opening a connection counts.
-            elapsed_ms = now_ms - exchange.connection.sent_ms
+        exchange.record_outcome(
+            self._state.placement,
+            self._execution.attempt_key(exchange.send.attempt),
+            self._decision,
+            outcome,
+            waiting_count,
+            now_ms,
+        )
         if exchange.is_cancelled:
             self._metrics.count('exchanges', outcome='cancelled')
-            placement.record_cancelled(
-                server_id, key, self._decision, elapsed_ms, now_ms
-            )
             return
+        kind = outcome.kind
         self._metrics.count('exchanges', outcome=kind.value)
-        if kind is OutcomeKind.ANSWERED:
-            placement.record_answer(
-                server_id,
-                key,
-                self._decision,
-                elapsed_ms,
-                waiting_count,
-                now_ms,
-            )
-            return
-        if len(self._faults) < MAX_LISTED_FAULTS:
+        if (
+            kind is not OutcomeKind.ANSWERED
+            and len(self._faults) < MAX_LISTED_FAULTS
+        ):
+            record = exchange.send.record
             self._faults.append(
-                f'{exchange.send.record.service}/{server_id}/{kind.value}/'
-                f'{outcome.detail}/{elapsed_ms:.0f}ms'
+                f'{record.service}/{record.server_id}/{kind.value}/'
+                f'{outcome.detail}/{exchange.elapsed_ms(now_ms):.0f}ms'
             )
-        health = placement.health(server_id)
-        if kind is OutcomeKind.WRONG_SERVER:
-            health.mark_replaced(key)
-            return
-        is_absent = kind in (OutcomeKind.UNREACHABLE, OutcomeKind.LOST)
-        health.record_failure(key, is_absent, now_ms)
--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -225,32 +225,20 @@
         number = attempt.send.attempt
         if self._running.pop(number, None) is None:
             return
-        self._record_outcome(attempt, outcome, waiting)
+        attempt.record_outcome(
+            self._node.placement,
+            self._execution.attempt_key(number),
+            self._decision,
+            outcome,
+            waiting,
+            now_ms,
+        )
         if not self._has_ended:
             self._apply(
                 self._execution.handle_outcome(number, outcome, now_ms)
             )
             self._check()
 
-    def _record_outcome(self, attempt, outcome, waiting):
-        now_ms, placement = self._simulation.now_ms, self._node.placement
-        server_id = attempt.send.record.server_id
-        key = self._execution.attempt_key(attempt.send.attempt)
-        elapsed_ms = 0.0
-        if attempt.connection is not None:
-            elapsed_ms = now_ms - attempt.connection.sent_ms
-        if attempt.is_cancelled:
-            placement.record_cancelled(
-                server_id, key, self._decision, elapsed_ms, now_ms
-            )
-        elif outcome.kind is OutcomeKind.ANSWERED:
-            placement.record_answer(
-                server_id, key, self._decision, elapsed_ms, waiting, now_ms
-            )
-        else:
-            is_absent = outcome.kind is OutcomeKind.UNREACHABLE
-            placement.health(server_id).record_failure(key, is_absent, now_ms)
-
     def _apply(self, actions):
         now_ms = self._simulation.now_ms
         for action in actions:
--- a/hawthornfold/gathering/merging.py
+++ b/hawthornfold/gathering/merging.py
@@ -55,24 +55,3 @@
             records += self._records
             records.sort(reverse=True)
             self._records = records[: self._limit]
-
-
-def merge_records(bodies, limit):
-    """Return the greatest records in descending bytewise order.
-
-    Parameters
-    ----------
-    bodies : iterable of bytes
-        As for `RecordMerger.add`.
-    limit : int
-        Maximum number of records to return.
-
-    Returns
-    -------
-    bytes
-        The records, concatenated.
-    """
-    merger = RecordMerger(limit)
-    for body in bodies:
-        merger.add(body)
-    return merger.merged
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -76,10 +76,6 @@
         """Return the exchange time as a multiple of the typical latency."""
         return self.estimate(now_ms)[0]
 
-    def failure_share(self, now_ms):
-        """Return the smoothed share of failed exchanges, from 0 to 1."""
-        return self.estimate(now_ms)[1]
-
     def estimate(self, now_ms):
         """Return slowness and failure share, with one computation of decay.
 
--- a/hawthornfold/sockets/__init__.py
+++ b/hawthornfold/sockets/__init__.py
@@ -2,7 +2,6 @@
 
 from hawthornfold.sockets.bodies import read_body
 from hawthornfold.sockets.readiness import is_readable
-from hawthornfold.sockets.receiving import receive
 from hawthornfold.sockets.round_trip import read_round_trip_ms
 
-__all__ = ['is_readable', 'read_body', 'read_round_trip_ms', 'receive']
+__all__ = ['is_readable', 'read_body', 'read_round_trip_ms']
--- a/tools/vary_site.py
+++ b/tools/vary_site.py
@@ -41,8 +41,7 @@
 
 def use_few_connections(site):
     """Limit the connections to a server to fewer than there are nodes."""
-    for service in _list_sharded_services(site):
-        service['conn_cap'] = 6
+    _limit_connections(site, 6)
 
 
 def use_slow_links(site):
@@ -59,7 +58,7 @@
         machine.update({field: smallest[field] for field in capacity})
 
 
-def use_slow_machines(site):
+def use_narrow_links(site):
     """Limit the links of all nodes to 7 Mbit/s as played."""
     for machine in site['machines']:
         machine['link_mbps'] = 7.0 / site.get('thin', 1.0)
@@ -72,8 +71,12 @@
 
 def use_medium_connections(site):
     """Limit the connections to a server of a shard to 25."""
+    _limit_connections(site, 25)
+
+
+def _limit_connections(site, limit):
     for service in _list_sharded_services(site):
-        service['conn_cap'] = 25
+        service['conn_cap'] = limit
 
 
 def use_one_data_centre(site):
@@ -144,7 +147,7 @@
     'few-connections': use_few_connections,
     'slow-links': use_slow_links,
     'small-nodes': use_small_nodes,
-    'slow-machines': use_slow_machines,
+    'narrow-links': use_narrow_links,
     'small-budget': use_small_budget,
     'medium-connections': use_medium_connections,
     'one-data-centre': use_one_data_centre,
