Let restrictions withhold requests from available servers

Cause: a server that is healthy but may receive nothing for now (cold, pausing on request) can only be blocked today, which blames it and probes it. Change: the package eligibility asks restrictions whether a server may receive a request, when it is chosen and again right before the request is written. A withheld attempt sends nothing, costs no repeat budget and moves to another server; a request that nothing can serve for now is refused with the time at which a server is expected. No restriction is registered yet. Responses carry the signals of their server; settings and services the new fields.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -131,6 +131,13 @@
             and now_ms - leaving.since_ms < LAST_RESORT_MS
         )
 
+    def is_available(self, record, now_ms):
+        """Return whether a server may receive new work."""
+        return any(
+            other.server_id == record.server_id
+            for other in self.available_servers(record.service, now_ms)
+        )
+
     def record_outage(self, now_ms):
         """Record that the store did not answer; defer removals."""
         until_ms = now_ms + REMOVAL_GRACE_MS
--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -51,11 +51,17 @@
         Path of the health check.
     max_connections : int
         Maximum number of connections to a server.
+    warmup_ms : float
+        How long a server remains cold after its start.
+    warmup_per_s : float
+        Requests a second that a cold server accepts; 0 if no limit is given.
     """
 
     name: str
     health_path: str
     max_connections: int
+    warmup_ms: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class CallerLimits(typing.NamedTuple):
--- /dev/null
+++ b/hawthornfold/eligibility/eligibility.py
@@ -0,0 +1,60 @@
+"""Combines all restrictions of the servers of a node."""
+
+import math
+
+
+class ServerEligibility:
+    """Asks all restrictions whether a server may receive a request.
+
+    Parameters
+    ----------
+    restrictions : sequence of SendRestriction
+        Each of them can refuse.
+    """
+
+    def __init__(self, restrictions):
+        self._restrictions = tuple(restrictions)
+
+    def allows(self, record, now_ms):
+        """Return whether a request may be sent to a server now."""
+        for restriction in self._restrictions:
+            if restriction.refuses(record, now_ms):
+                return False
+        return True
+
+    def free_ms(self, record, now_ms):
+        """Return when a server is expected to be allowed.
+
+        Returns
+        -------
+        float
+            A time on the node's clock, not before `now_ms`; infinity if it
+            is unknown.
+        """
+        free_ms = now_ms
+        for restriction in self._restrictions:
+            if restriction.refuses(record, now_ms):
+                end_ms = restriction.free_ms(record, now_ms)
+                free_ms = max(free_ms, math.inf if end_ms is None else end_ms)
+        return free_ms
+
+    def record_send(self, record, now_ms):
+        """Record that a request is written to a server."""
+        for restriction in self._restrictions:
+            restriction.record_send(record, now_ms)
+
+    def remove_server(self, server_id):
+        """Remove what is known of a server that left or restarted."""
+        for restriction in self._restrictions:
+            restriction.remove_server(server_id)
+
+
+def create_server_eligibility(restrictions=()):
+    """Create the eligibility of a node's servers.
+
+    Examples
+    --------
+    >>> create_server_eligibility().allows(None, 0.0)
+    True
+    """
+    return ServerEligibility(restrictions)
--- /dev/null
+++ b/hawthornfold/eligibility/restrictions.py
@@ -0,0 +1,41 @@
+"""Defines what may keep a node from sending requests to a server."""
+
+import abc
+
+
+class SendRestriction(abc.ABC):
+    """A reason for which a healthy server receives no request for now.
+
+    A restriction is not a fault of the server: it neither blocks the server
+    nor makes it more expensive to choose once it ends.
+    """
+
+    @abc.abstractmethod
+    def refuses(self, record, now_ms):
+        """Return whether no request may be sent to a server now.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            The server.
+        now_ms : float
+            Current time on the node's clock.
+        """
+
+    @abc.abstractmethod
+    def free_ms(self, record, now_ms):
+        """Return when a refused server is expected to be allowed again.
+
+        Returns
+        -------
+        float or None
+            A time on the node's clock; None if it is unknown.
+        """
+
+    @abc.abstractmethod
+    def record_send(self, record, now_ms):
+        """Record that a request is written to a server."""
+
+    @abc.abstractmethod
+    def remove_server(self, server_id):
+        """Remove what is known of a server that left or restarted."""
--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -53,7 +53,7 @@
         return f'{self.status} {reason}'
 
 
-def create_answer(decision, execution, verdict, names):
+def create_answer(decision, execution, verdict, names, retry_after_ms=None):
     """Create the answer to a request that has ended.
 
     Parameters
@@ -66,6 +66,8 @@
         How it ended; None if the caller has disconnected.
     names : HeaderNames
         The deployment's header names.
+    retry_after_ms : float or None
+        As for `create_refusal`, if no server has executed the request.
 
     Returns
     -------
@@ -86,7 +88,10 @@
         return _pass_on(failure)
     if verdict is Verdict.NOT_RUN:
         return create_refusal(
-            ResultCode.BACKEND_UNREACHABLE, 503, 'no server can run it'
+            ResultCode.BACKEND_UNREACHABLE,
+            503,
+            'no server can run it',
+            retry_after_ms,
         )
     if verdict is Verdict.TIMED_OUT:
         return create_refusal(
@@ -115,7 +120,7 @@
     return GatewayAnswer(response.status, headers, response.body)
 
 
-def create_refusal(code, status, detail):
+def create_refusal(code, status, detail, retry_after_ms=None):
     """Create a plain-text refusal; with status 503 it has Retry-After.
 
     Parameters
@@ -126,13 +131,17 @@
         HTTP status.
     detail : str
         Reason, for the body.
+    retry_after_ms : float or None
+        Time until the request can be served, if it is known; None for the
+        usual time of the code.
 
     Returns
     -------
     GatewayAnswer
     """
     headers = [('Content-Type', 'text/plain')]
-    retry_after_ms = RETRY_AFTER_MS.get(code)
+    if retry_after_ms is None:
+        retry_after_ms = RETRY_AFTER_MS.get(code)
     if status == 503 and retry_after_ms is not None:
         headers.append(('Retry-After', f'{retry_after_ms / 1000.0:.2f}'))
     body = f'{int(code)} {code.name}: {detail}\n'.encode()
--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -57,6 +57,14 @@
         self.connection = connection
         self.relay.send_request(self)
 
+    def withhold(self, detail):
+        """End the attempt, which has a connection, before it is sent."""
+        connection, self.connection = self.connection, None
+        self.pool.release(connection)
+        self.handle_end(
+            ExchangeOutcome(OutcomeKind.WITHHELD, None, detail), None
+        )
+
     def handle_end(self, outcome, waiting_count):
         """Release the connection and report the end of the exchange."""
         if self.connection is not None:
@@ -110,6 +118,8 @@
             placement.record_answer(
                 server_id, key, decision, elapsed_ms, waiting_count, now_ms
             )
+        elif kind is OutcomeKind.WITHHELD:
+            placement.health(server_id).record_withheld(key)
         elif kind is OutcomeKind.WRONG_SERVER:
             placement.health(server_id).mark_replaced(key)
         else:
--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -7,9 +7,11 @@
 
 import typing
 
+from hawthornfold.gathering import NO_SIGNALS
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import ServerResponse
+from hawthornfold.gathering import ServerSignals
 
 _HOP_BY_HOP = frozenset(
     (
@@ -108,6 +110,9 @@
         self._not_executed = names.not_executed.lower().encode()
         self._seal = names.seal.lower().encode()
         self._request_id = names.request_id.lower().encode()
+        self._warmup = names.warmup.lower().encode()
+        self._leaving = names.leaving.lower().encode()
+        self._retry_after = names.retry_after.lower().encode()
 
     def classify(self, request, reader):
         """Return the outcome of an exchange.
@@ -132,9 +137,10 @@
             ), None
         fields = reader.read_fields()
         waiting_count = _parse_waiting_count(fields.get(self._load, b''))
+        signals = self._read_signals(status, fields)
         if fields.get(self._not_executed):
             outcome = ExchangeOutcome(
-                OutcomeKind.NOT_EXECUTED, None, f'status {status}'
+                OutcomeKind.NOT_EXECUTED, None, f'status {status}', signals
             )
             return outcome, waiting_count
         seal = fields.get(self._seal, b'').decode('latin-1')
@@ -145,13 +151,27 @@
             status, tuple(reader.raw_headers), reader.body, seal
         )
         if 200 <= status < 300:
-            outcome = ExchangeOutcome(OutcomeKind.ANSWERED, response)
+            outcome = ExchangeOutcome(
+                OutcomeKind.ANSWERED, response, '', signals
+            )
         else:
             outcome = ExchangeOutcome(
-                OutcomeKind.FAILED, response, f'status {status}'
+                OutcomeKind.FAILED, response, f'status {status}', signals
             )
         return outcome, waiting_count
 
+    def _read_signals(self, status, fields):
+        is_leaving = fields.get(self._leaving) == b'1'
+        warmup = fields.get(self._warmup, b'')
+        retry_after = b''
+        if status == 503:
+            retry_after = fields.get(self._retry_after, b'')
+        if not (is_leaving or warmup or retry_after):
+            return NO_SIGNALS
+        return ServerSignals(
+            is_leaving, warmup.decode('latin-1'), retry_after.decode('latin-1')
+        )
+
     def _find_fault(self, request, status, fields, seal):
         """Return why a response cannot belong to the request, or ''."""
         echoed = fields.get(self._request_id)
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -16,6 +16,7 @@
 from hawthornfold.gateway.offers import QueryOffers
 from hawthornfold.gateway.runner import RequestPlan
 from hawthornfold.gathering import ExecutionTimes
+from hawthornfold.gathering import Verdict
 from hawthornfold.rules import RequestFacts
 
 _LOG = logbook.Logger('request')
@@ -266,8 +267,18 @@
             plan, outgoing, watch_caller, self._plan_groups(plan, outgoing)
         )
         verdict = run.result.verdict
+        retry_after_ms = None
+        if verdict is Verdict.NOT_RUN:
+            now_ms = self._clock.now_ms()
+            free_ms = run.execution.free_ms(now_ms)
+            if free_ms is not None:
+                retry_after_ms = free_ms - now_ms
         answer = create_answer(
-            plan.decision, run.execution, verdict, self._names
+            plan.decision,
+            run.execution,
+            verdict,
+            self._names,
+            retry_after_ms,
         )
         due_ms = self._runner.find_due_ms(run)
         if answer is not None and due_ms is not None:
--- a/hawthornfold/gateway/names.py
+++ b/hawthornfold/gateway/names.py
@@ -24,6 +24,12 @@
         Marks the answer of a server that did not execute the request.
     load : str
         A server's load: requests running, requests waiting, slots.
+    warmup : str
+        How long a server remains cold, in milliseconds.
+    leaving : str
+        Marks the answers of a server that leaves, with the value 1.
+    retry_after : str
+        With status 503: for how long the sender wants no request, in seconds.
     """
 
     request_id: str = 'X-Request-Id'
@@ -34,3 +40,6 @@
     missing_parts: str = 'X-Missing-Parts'
     not_executed: str = 'X-Not-Executed'
     load: str = 'X-Load'
+    warmup: str = 'X-Warmup-Left'
+    leaving: str = 'X-Leaving'
+    retry_after: str = 'Retry-After'
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -9,6 +9,7 @@
 import logbook
 
 from hawthornfold.gateway.attempts import ServerAttempt
+from hawthornfold.gathering import NO_SIGNALS
 from hawthornfold.gathering import Cancel
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import Send
@@ -304,10 +305,23 @@
         pool.acquire(exchange)
 
     def send_request(self, exchange):
-        """Send the request on the connection of an exchange."""
+        """Send the request on the connection of an exchange.
+
+        It may have waited for the connection, so the server is checked again.
+        """
+        record = exchange.send.record
+        now_ms = self._clock.now_ms()
+        if not self._state.may_send(record, now_ms):
+            # Releasing the connection at once would serve the next request
+            # that waits for it within this call, and so on for all of them.
+            self._hub.schedule_call_global(
+                0, exchange.withhold, 'not available now'
+            )
+            return
+        self._state.eligibility.record_send(record, now_ms)
         exchange.connection.start_exchange(
             self._request,
-            exchange.send.record.server_id,
+            record.server_id,
             self._deadline_ms,
             exchange.handle_end,
         )
@@ -368,6 +382,10 @@
             waiting_count,
             now_ms,
         )
+        if outcome.signals is not NO_SIGNALS:
+            self._state.handle_signals(
+                exchange.send.record, outcome.signals, now_ms
+            )
         if exchange.is_cancelled:
             self._metrics.count('exchanges', outcome='cancelled')
             return
--- a/hawthornfold/gateway/settings.py
+++ b/hawthornfold/gateway/settings.py
@@ -36,6 +36,20 @@
         Speed of the VM's link, in megabits per second.
     cores : float
         Processor share of the VM, in cores.
+    memory_bytes : int
+        Memory that the process may use before it is killed.
+    region : str
+        The region of the node's data centre.
+    regions : dict of str to str
+        The region of each data centre.
+    drain_ms : float
+        Time after which no request may reach a server that has announced that
+        it leaves.
+    warmup_overage, warmup_slack : float
+        A cold server accepts this multiple of its rate, plus the slack, in
+        one second from all nodes together.
+    evacuate_ms : float
+        Time after which no request may reach an evacuated data centre.
     travel_ms : float
         Network time of a request and its answer together, assumed where the
         kernel does not provide the round-trip time.
@@ -55,6 +69,13 @@
     stop_grace_ms: float
     link_mbps: float = 1_000.0
     cores: float = 1.0
+    memory_bytes: int = 300 << 20
+    region: str = ''
+    regions: dict[str, str] = {}
+    drain_ms: float = 3_000.0
+    warmup_overage: float = 1.0
+    warmup_slack: float = 0.0
+    evacuate_ms: float = 5_000.0
     travel_ms: float = 12.0
 
 
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -5,6 +5,7 @@
 
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
+from hawthornfold.eligibility import create_server_eligibility
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
@@ -63,8 +64,12 @@
         self.directory = create_server_directory()
         self.latency_tracker = create_latency_tracker()
         self.pools = ServerPools(names, clock, metrics, self._record_connect)
+        self.eligibility = create_server_eligibility()
         self.placement = create_placement(
-            settings.data_centre, self.latency_tracker, self.pools.has_idle
+            settings.data_centre,
+            self.latency_tracker,
+            self.pools.has_idle,
+            eligibility=self.eligibility,
         )
         self.service_rotation = create_weighted_round_robin()
         self.answer_margin = create_answer_margin()
@@ -188,16 +193,33 @@
             )
             if event.kind in ('restarted', 'moved'):
                 # The id now belongs to another process.
-                self.pools.close_pool(server_id)
-                self.placement.remove_server(server_id)
+                self._remove_server(server_id)
             elif event.kind == 'removed':
-                self.pools.close_pool(server_id)
-                self.placement.remove_server(server_id)
+                self._remove_server(server_id)
             elif event.kind == 'draining':
                 pool = self.pools.find(server_id)
                 if pool is not None:
                     pool.discard_idle()
 
+    def handle_signals(self, record, signals, now_ms):
+        """Apply what a response says about its server.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            The server.
+        signals : ServerSignals
+            What it says.
+        now_ms : float
+            Current time on the node's clock.
+        """
+
+    def may_send(self, record, now_ms):
+        """Return whether a request may be sent to a server now."""
+        return self.directory.is_available(
+            record, now_ms
+        ) and self.eligibility.allows(record, now_ms)
+
     def get_pool(self, record):
         """Return the `ServerPool` for the server of a directory record."""
         return self.pools.get(record, self._connection_limits)
@@ -222,6 +244,11 @@
         self._repeat_budgets[service] = (budget, key)
         return budget
 
+    def _remove_server(self, server_id):
+        self.pools.close_pool(server_id)
+        self.placement.remove_server(server_id)
+        self.eligibility.remove_server(server_id)
+
     def _record_connect(self, elapsed_ms):
         self.placement.record_connect(elapsed_ms)
 
--- a/hawthornfold/gathering/__init__.py
+++ b/hawthornfold/gathering/__init__.py
@@ -12,11 +12,14 @@
 from hawthornfold.gathering.margin import create_answer_margin
 from hawthornfold.gathering.margin import estimate_travel_ms
 from hawthornfold.gathering.merging import RecordMerger
+from hawthornfold.gathering.outcomes import NO_SIGNALS
 from hawthornfold.gathering.outcomes import ExchangeOutcome
 from hawthornfold.gathering.outcomes import OutcomeKind
 from hawthornfold.gathering.outcomes import ServerResponse
+from hawthornfold.gathering.outcomes import ServerSignals
 
 __all__ = [
+    'NO_SIGNALS',
     'AnswerMargin',
     'Cancel',
     'ExchangeOutcome',
@@ -28,6 +31,7 @@
     'Send',
     'SendGroup',
     'ServerResponse',
+    'ServerSignals',
     'Verdict',
     'create_answer_margin',
     'create_execution',
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 
 from hawthornfold.gathering.actions import Cancel
 from hawthornfold.gathering.actions import GroupEnd
@@ -289,6 +290,24 @@
             due.append(self._times.answer_ms)
         return min(due)
 
+    def free_ms(self, now_ms):
+        """Return when enough parts are expected to have a server.
+
+        Returns
+        -------
+        float or None
+            A time on the node's clock; None if it is unknown.
+        """
+        missing = [part for part in self._parts if not part.is_achievable]
+        achievable_count = len(self._parts) - len(missing)
+        times = sorted(
+            self._server_choice.free_ms(part, now_ms) for part in missing
+        )
+        for count, free_ms in enumerate(times, achievable_count + 1):
+            if self._collected.is_sufficient(count):
+                return free_ms if math.isfinite(free_ms) else None
+        return None
+
     def determine_verdict(self, now_ms):
         """Return the `Verdict`, or None while the request is in progress."""
         is_running = (
@@ -329,7 +348,9 @@
         if kind.may_have_run and not self._decision.idempotent:
             self._collected.abandon(part)
             return []
-        if not kind.may_have_run:
+        if kind is OutcomeKind.WITHHELD:
+            part.sent_count -= 1
+        elif not kind.may_have_run:
             part.not_executed_count += 1
         if part.running:
             return []
--- a/hawthornfold/gathering/outcomes.py
+++ b/hawthornfold/gathering/outcomes.py
@@ -17,6 +17,8 @@
     WRONG_SERVER = 'wrong-server'
     # There was no connection, so nothing was sent.
     UNREACHABLE = 'unreachable'
+    # The node sent nothing, because the server may receive no request now.
+    WITHHELD = 'withheld'
     # The request was sent without a usable answer; it may have run.
     LOST = 'lost'
 
@@ -28,12 +30,13 @@
     @property
     def may_have_arrived(self):
         """Whether the request may have reached the server."""
-        return self is not OutcomeKind.UNREACHABLE
+        return self not in _NOT_SENT
 
 
 _MAY_HAVE_RUN = frozenset(
     (OutcomeKind.ANSWERED, OutcomeKind.FAILED, OutcomeKind.LOST)
 )
+_NOT_SENT = frozenset((OutcomeKind.UNREACHABLE, OutcomeKind.WITHHELD))
 
 
 class ServerResponse(typing.NamedTuple):
@@ -65,6 +68,30 @@
         )
 
 
+class ServerSignals(typing.NamedTuple):
+    """What a response says about its server, beside the answer.
+
+    The texts are header values as received; empty if the header is missing.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether the server announces that it leaves.
+    warmup : str
+        How long the server remains cold, in milliseconds.
+    retry_after : str
+        For how long a server that is full wants no request of this node, in
+        seconds.
+    """
+
+    is_leaving: bool = False
+    warmup: str = ''
+    retry_after: str = ''
+
+
+NO_SIGNALS = ServerSignals()
+
+
 class ExchangeOutcome(typing.NamedTuple):
     """The outcome of one exchange.
 
@@ -76,8 +103,11 @@
         The response, if a complete one was received.
     detail : str
         The reason of a failure, for the log.
+    signals : ServerSignals
+        What the response says about the server.
     """
 
     kind: OutcomeKind
     response: ServerResponse | None = None
     detail: str = ''
+    signals: ServerSignals = NO_SIGNALS
--- a/hawthornfold/gathering/server_choice.py
+++ b/hawthornfold/gathering/server_choice.py
@@ -43,6 +43,17 @@
             candidates, self._decision, now_ms
         )
 
+    def free_ms(self, part, now_ms):
+        """Return when a server of a part is expected to be allowed.
+
+        Returns
+        -------
+        float
+            A time on the node's clock; infinity if it is unknown.
+        """
+        servers = self._directory.available_servers(part.service, now_ms)
+        return self._placement.free_ms(servers, now_ms)
+
     def record_start(self, record, key, now_ms):
         """Record that an attempt starts on a server.
 
--- a/hawthornfold/gathering/tests/test_execution.py
+++ b/hawthornfold/gathering/tests/test_execution.py
@@ -33,6 +33,7 @@
 NOT_EXECUTED = ExchangeOutcome(OutcomeKind.NOT_EXECUTED)
 UNREACHABLE = ExchangeOutcome(OutcomeKind.UNREACHABLE)
 LOST = ExchangeOutcome(OutcomeKind.LOST)
+WITHHELD = ExchangeOutcome(OutcomeKind.WITHHELD)
 
 
 def create_decision(**fields):
@@ -344,6 +345,20 @@
         self.assertEqual(len(sends), 1)
         self.assertEqual(self.finish_attempts(sends, LOST), [])
 
+    def test_withheld_request_moves_on_without_budget_or_attempt(self):
+        # Guards against a server that may receive nothing for now and uses
+        # up the repeat budget or the servers of the rule, also of a request
+        # that may run only once.
+        self.create(
+            shards=1, servers=4, slack=0.0, max_servers=1, idempotent=False
+        )
+        sends = self.execution.start(0.0)
+        for _ in range(3):
+            sends = self.finish_attempts(sends, WITHHELD)
+            self.assertEqual(len(sends), 1)
+        self.assertEqual(self.finish_attempts(sends, WITHHELD), [])
+        self.assertIs(self.execution.determine_verdict(10.0), Verdict.NOT_RUN)
+
     def test_request_without_servers_is_reported_as_not_run(self):
         self.create(shards=1, servers=0)
         self.assertEqual(self.execution.start(0.0), [])
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -145,6 +145,10 @@
             self._is_undisturbed = False
             self._record_ratio(ratio, now_ms)
 
+    def record_withheld(self, attempt):
+        """Record that an exchange ended before anything was sent."""
+        self._running.pop(attempt, None)
+
     def record_answer(self, attempt, ratio, waiting, now_ms):
         """Record an answer.
 
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -1,7 +1,9 @@
 """Chooses the server of a request by its estimated cost in time."""
 
+import math
 import random
 
+from hawthornfold.eligibility import create_server_eligibility
 from hawthornfold.placement.health import MIN_SILENCE_MS
 from hawthornfold.placement.health import ServerHealth
 from hawthornfold.placement.health import compute_silence_limit_ms
@@ -41,11 +43,14 @@
 class Placement:
     """Tracks the health of all servers and chooses among them."""
 
-    def __init__(self, data_centre, latency_tracker, has_connection, rng):
+    def __init__(
+        self, data_centre, latency_tracker, has_connection, rng, eligibility
+    ):
         self._data_centre = data_centre
         self._latency_tracker = latency_tracker
         self._has_connection = has_connection
         self._rng = rng
+        self._eligibility = eligibility
         self._connect_ms = INITIAL_CONNECT_MS
         self._health = {}
         # By service: the candidates, the chosen server and its expiry time.
@@ -96,6 +101,7 @@
                 and now_ms < expiry_ms
                 and self._health[record.server_id].is_undisturbed
                 and self._has_connection(record.server_id)
+                and self._eligibility.allows(record, now_ms)
             ):
                 return record
         record = self.choose_server(candidates, decision, now_ms)
@@ -127,7 +133,8 @@
         Returns
         -------
         ServerRecord or None
-            None if there is no candidate or all of them are blocked.
+            None if there is no candidate, or all of them are blocked or may
+            receive no request now.
         """
         typical_ms = self._latency_tracker.typical_ms(decision)
         remote_ms = REMOTE_COST_MS
@@ -138,6 +145,8 @@
             health = self.health(record.server_id)
             if health.is_blocked:
                 continue
+            if not self._eligibility.allows(record, now_ms):
+                continue
             cost = self._estimate_cost_ms(record, health, typical_ms, now_ms)
             if record.data_centre != self._data_centre:
                 cost += remote_ms
@@ -147,6 +156,25 @@
                 best, best_cost = record, cost
         return best
 
+    def free_ms(self, candidates, now_ms):
+        """Return when one of the candidates is expected to be allowed.
+
+        Blocked candidates are left out: it is unknown when they recover.
+
+        Returns
+        -------
+        float
+            A time on the node's clock; infinity if it is unknown.
+        """
+        return min(
+            (
+                self._eligibility.free_ms(record, now_ms)
+                for record in candidates
+                if not self.health(record.server_id).is_blocked
+            ),
+            default=math.inf,
+        )
+
     def _estimate_cost_ms(self, record, health, typical_ms, now_ms):
         slowness, failure_share = health.estimate(now_ms)
         cost = typical_ms * slowness
@@ -244,6 +272,7 @@
     latency_tracker,
     has_connection=lambda server_id: True,
     rng=None,
+    eligibility=None,
 ):
     """Create the placement of a node.
 
@@ -258,7 +287,13 @@
         server is open.
     rng : random.Random, optional
         Source of randomness for the choice among equal servers.
+    eligibility : ServerEligibility, optional
+        Decides which servers may receive a request now.
     """
     return Placement(
-        data_centre, latency_tracker, has_connection, rng or random.Random()
+        data_centre,
+        latency_tracker,
+        has_connection,
+        rng or random.Random(),
+        eligibility or create_server_eligibility(),
     )
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -80,6 +80,10 @@
     Name: str
     HealthPath: str = '/health'
     MaxConns: int = 1
+    # How long a server remains cold after its start, in seconds.
+    WarmupS: float = 0.0
+    # Requests a second that a cold server accepts; 0 if no limit is given.
+    WarmupPerS: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -234,7 +238,11 @@
             compile_document(rules, wire.Version, self._previous),
             {
                 service.Name: ServiceRecord(
-                    service.Name, service.HealthPath, service.MaxConns
+                    service.Name,
+                    service.HealthPath,
+                    service.MaxConns,
+                    1_000.0 * service.WarmupS,
+                    service.WarmupPerS,
                 )
                 for service in wire.Services
             },
--- a/hawthornfold/platform/names.py
+++ b/hawthornfold/platform/names.py
@@ -19,4 +19,7 @@
     missing_parts='X-Missing-Parts',
     not_executed='X-Not-Executed',
     load='X-Server-Load',
+    warmup='X-Warmup-Ms',
+    leaving='Server-Leaving',
+    retry_after='Retry-After',
 )
--- a/hawthornfold/platform/settings.py
+++ b/hawthornfold/platform/settings.py
@@ -27,6 +27,12 @@
     BudgetWindowS: float
     # Time from SIGTERM to SIGKILL.
     GraceS: float
+    DrainMs: float = 3_000.0
+    # In one second all nodes together may send a cold server its rate times
+    # the overage, plus the slack.
+    WarmupOverage: float = 1.0
+    WarmupSlack: float = 0.0
+    EvacuateMs: float = 5_000.0
 
 
 class _Limits(msgspec.Struct):
@@ -35,6 +41,7 @@
     CpuShare: float = 1.0
     CpuCores: float = 1.0
     LinkMbps: float = 1_000.0
+    MemoryMb: float = 300.0
 
 
 class _Platform(msgspec.Struct):
@@ -52,6 +59,9 @@
     # Control addresses of other nodes.
     SeedNodes: list[str] = []
     Limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Region of the node, and of each data centre.
+    Region: str = ''
+    Zones: dict[str, str] = {}
 
 
 def load_settings(path):
@@ -98,4 +108,11 @@
         stop_grace_ms=node.Bounds.GraceS * 1000.0,
         link_mbps=node.Limits.LinkMbps,
         cores=node.Limits.CpuShare * node.Limits.CpuCores,
+        memory_bytes=int(node.Limits.MemoryMb * (1 << 20)),
+        region=node.Region,
+        regions=node.Zones,
+        drain_ms=node.Bounds.DrainMs,
+        warmup_overage=node.Bounds.WarmupOverage,
+        warmup_slack=node.Bounds.WarmupSlack,
+        evacuate_ms=node.Bounds.EvacuateMs,
     )
