--- a/tools/vary_site.py
+++ b/tools/vary_site.py
@@ -69,6 +69,13 @@
     site['bounds']['budget_ratio'] = 0.05
 
 
+def use_limited_cold_servers(site):
+    """Limit the requests that a cold server accepts to 6 a second."""
+    for service in site['services']:
+        service['cold_s'] = 4.0
+        service['cold_per_s'] = 6.0
+
+
 def use_medium_connections(site):
     """Limit the connections to a server of a shard to 25."""
     _limit_connections(site, 25)
@@ -144,6 +151,7 @@
 SHAPES = {
     'one-server': use_one_server,
     'uneven-servers': use_uneven_servers,
+    'cold-limits': use_limited_cold_servers,
     'few-connections': use_few_connections,
     'slow-links': use_slow_links,
     'small-nodes': use_small_nodes,
