--- a/hawthornfold/directory/tests/test_changes.py
+++ b/hawthornfold/directory/tests/test_changes.py
@@ -9,7 +9,7 @@
 from hawthornfold.directory import CallerLimits
 from hawthornfold.directory import RoutingConfiguration
 from hawthornfold.directory import ServiceRecord
-from hawthornfold.directory import updates
+from hawthornfold.directory import configuration_codec
 from hawthornfold.rules import ForwardTarget
 from hawthornfold.rules import Gather
 from hawthornfold.rules import Rule
@@ -75,8 +75,8 @@
         target = create_configuration(
             5, [RULES[n] for n in second], sorted(services), limits
         )
-        change = send(updates.encode_change(base, target))
-        found = updates.decode_change(base, change).unwrap()
+        change = send(configuration_codec.encode_change(base, target))
+        found = configuration_codec.decode_change(base, change).unwrap()
         self.assertEqual(get_contents(found), get_contents(target))
 
     def test_size_depends_on_what_changed(self):
@@ -87,15 +87,17 @@
         ]
         base = create_configuration(1, rules)
         rules[700] = rules[700]._replace(then=Then(deadline_ms=77))
-        change = updates.encode_change(base, create_configuration(2, rules))
+        change = configuration_codec.encode_change(
+            base, create_configuration(2, rules)
+        )
         self.assertLess(len(msgspec.msgpack.encode(change)), 400)
 
     def test_unchanged_rules_are_not_compiled_again(self):
         base = create_configuration(1, RULES)
-        change = updates.encode_change(
+        change = configuration_codec.encode_change(
             base, create_configuration(2, RULES[:5])
         )
-        found = updates.decode_change(base, send(change)).unwrap()
+        found = configuration_codec.decode_change(base, send(change)).unwrap()
         for before, after in zip(
             base.rules.rules, found.rules.rules, strict=False
         ):
@@ -104,23 +106,29 @@
     def test_change_of_another_version_is_refused(self):
         # Guards against rules of two versions in one configuration.
         base = create_configuration(1, RULES)
-        change = updates.encode_change(base, create_configuration(2, RULES))
+        change = configuration_codec.encode_change(
+            base, create_configuration(2, RULES)
+        )
         for held in (None, create_configuration(7, RULES)):
-            self.assertTrue(updates.decode_change(held, change).is_err())
+            self.assertTrue(
+                configuration_codec.decode_change(held, change).is_err()
+            )
 
     def test_complete_configuration_survives_as_msgpack(self):
         configuration = create_configuration(4, RULES)
-        published = send(updates.encode_configuration(configuration, True))
-        found = updates.decode_configuration(published).unwrap()
+        published = send(
+            configuration_codec.encode_configuration(configuration, True)
+        )
+        found = configuration_codec.decode_configuration(published).unwrap()
         self.assertEqual(get_contents(found), get_contents(configuration))
 
     def test_damaged_rules_are_refused(self):
         # Guards against a crash by a faulty node.
-        published = updates.encode_configuration(
+        published = configuration_codec.encode_configuration(
             create_configuration(4, RULES), True
         )
         for rules in (b'', b'\xc0', published.rules[:-3], b'\x92\x91\x01\xc0'):
             with self.subTest(rules[:8]):
                 damaged = published._replace(rules=rules)
-                decoded = updates.decode_configuration(damaged)
+                decoded = configuration_codec.decode_configuration(damaged)
                 self.assertTrue(decoded.is_err())
--- a/hawthornfold/directory/update_codec.py
+++ b/hawthornfold/directory/update_codec.py
@@ -2,11 +2,11 @@
 
 import logbook
 
+from hawthornfold.directory.configuration_codec import decode_change
+from hawthornfold.directory.configuration_codec import decode_configuration
+from hawthornfold.directory.configuration_codec import encode_change
+from hawthornfold.directory.configuration_codec import encode_configuration
 from hawthornfold.directory.updates import StoreNews
-from hawthornfold.directory.updates import decode_change
-from hawthornfold.directory.updates import decode_configuration
-from hawthornfold.directory.updates import encode_change
-from hawthornfold.directory.updates import encode_configuration
 
 _LOG = logbook.Logger('directory')
 
--- a/hawthornfold/directory/updates.py
+++ b/hawthornfold/directory/updates.py
@@ -3,21 +3,15 @@
 import typing
 
 import msgspec
-import result
 
 from hawthornfold.directory.positions import UNKNOWN_ERA
 from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.records import CallerLimits
-from hawthornfold.directory.records import RoutingConfiguration
 from hawthornfold.directory.records import ServerChange
 from hawthornfold.directory.records import ServiceRecord
 from hawthornfold.rules import Rule
-from hawthornfold.rules import RulesDocument
 from hawthornfold.rules import Then
 from hawthornfold.rules import When
-from hawthornfold.rules import compile_document
-from hawthornfold.rules import describe_rules
-from hawthornfold.rules import parse_rules
 
 # An update that would occupy the reader's link for longer than this is only
 # announced by its revision; the followers then read the store themselves.
@@ -53,22 +47,6 @@
         return Rule(self.name, When(*self.when), self.then)
 
 
-class _RulesArray(typing.NamedTuple):
-    """A `RulesDocument` as nodes send it, without a limit of its length."""
-
-    rules: tuple[SentRule, ...]
-    default: Then | None = None
-
-    def to_document(self):
-        """Return the `RulesDocument`."""
-        return RulesDocument(
-            tuple(rule.to_rule() for rule in self.rules), self.default
-        )
-
-
-_RULES_DECODER = msgspec.msgpack.Decoder(_RulesArray)
-
-
 class PublishedConfiguration(typing.NamedTuple):
     """A `RoutingConfiguration` in the form in which nodes send it.
 
@@ -264,137 +242,3 @@
     if snapshot.configuration is not None:
         size += len(snapshot.configuration.rules)
     return size
-
-
-def encode_configuration(configuration, as_msgpack=False):
-    """Convert a `RoutingConfiguration` to a `PublishedConfiguration`.
-
-    Returns None for None.
-
-    Parameters
-    ----------
-    as_msgpack : bool
-        Whether the rules are encoded as msgpack, which takes a tenth of the
-        time to decode but is not understood by older releases.
-    """
-    if configuration is None:
-        return None
-    if as_msgpack:
-        rules = msgspec.msgpack.encode(configuration.document)
-    else:
-        rules = msgspec.json.encode(describe_rules(configuration.document))
-    return PublishedConfiguration(
-        configuration.version,
-        rules,
-        tuple(configuration.services.values()),
-        configuration.limits,
-    )
-
-
-def decode_configuration(published):
-    """Convert a `PublishedConfiguration` to a `RoutingConfiguration`.
-
-    Returns
-    -------
-    result.Result
-        Ok with the configuration, or with None for None; Err with the reason,
-        or with the list of `Failure` of its rules.
-    """
-    if published is None:
-        return result.Ok(None)
-    if published.rules.startswith(b'{'):
-        parsed = parse_rules(published.rules)
-    else:
-        try:
-            document = _RULES_DECODER.decode(published.rules).to_document()
-        except (msgspec.DecodeError, RecursionError) as error:
-            return result.Err(str(error))
-        parsed = result.Ok(document)
-    return parsed.map(
-        lambda document: RoutingConfiguration(
-            published.version,
-            compile_document(document, published.version),
-            {service.name: service for service in published.services},
-            published.limits,
-            document,
-        )
-    )
-
-
-def encode_change(base, configuration):
-    """Describe a configuration in relation to an earlier version.
-
-    Parameters
-    ----------
-    base : RoutingConfiguration
-        The earlier version. Rules that did not change have to be the same
-        objects, as `ConfigurationDecoder` returns them.
-
-    Returns
-    -------
-    ConfigurationChange
-    """
-    positions = {id(r): n for n, r in enumerate(base.document.rules)}
-    edits = [RulesEdit(0, 0)]
-    for rule in configuration.document.rules:
-        position = positions.get(id(rule))
-        last = edits[-1]
-        if position is None:
-            sent = SentRule(rule.name, SentWhen(*rule.when), rule.then)
-            edits[-1] = last._replace(rules=(*last.rules, sent))
-        elif position == last.end and not last.rules:
-            edits[-1] = last._replace(end=position + 1)
-        else:
-            edits.append(RulesEdit(position, position + 1))
-    return ConfigurationChange(
-        base.version,
-        configuration.version,
-        tuple(edits),
-        configuration.document.default,
-        tuple(set(base.services) - set(configuration.services)),
-        tuple(
-            service
-            for name, service in configuration.services.items()
-            if base.services.get(name) != service
-        ),
-        configuration.limits,
-    )
-
-
-def decode_change(base, change):
-    """Apply a `ConfigurationChange` to the version that it is based on.
-
-    Returns
-    -------
-    result.Result
-        Ok with the `RoutingConfiguration`; Err with the reason if the node
-        holds another version.
-    """
-    held_version = None if base is None else base.version
-    if held_version != change.base_version:
-        return result.Err(
-            f'the change is based on version {change.base_version}, not '
-            f'{held_version}'
-        )
-    rules = []
-    for edit in change.edits:
-        rules += base.document.rules[edit.start : edit.end]
-        rules += [rule.to_rule() for rule in edit.rules]
-    document = RulesDocument(tuple(rules), change.default)
-    services = {
-        name: service
-        for name, service in base.services.items()
-        if name not in change.removed_services
-    }
-    services.update((service.name, service) for service in change.services)
-    return result.Ok(
-        RoutingConfiguration(
-            change.version,
-            compile_document(
-                document, change.version, (base.document, base.rules)
-            ),
-            services,
-            change.limits,
-            document,
-        )
-    )
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -6,6 +6,7 @@
 import greenlet
 import logbook
 
+from hawthornfold.directory.configuration_codec import encode_configuration
 from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.reachability import StoreReachability
 from hawthornfold.directory.read_intervals import ReadIntervals
@@ -16,7 +17,6 @@
 from hawthornfold.directory.update_codec import create_update
 from hawthornfold.directory.updates import StoreNews
 from hawthornfold.directory.updates import StoreSnapshot
-from hawthornfold.directory.updates import encode_configuration
 from hawthornfold.directory.view import StoreView
 
 _LOG = logbook.Logger('directory')
