Exclude servers in evacuated data centres

The store adapter reads the prefix op/ in place of op/config, at no further call. Evacuations is a state machine that keeps the list with its position: an older one never undoes a newer one, and an evacuation that a restored copy lacks is held for REMOVAL_GRACE_MS. ServerDirectory leaves the servers out of its cached lists and of the last resort, so that a query costs nothing. A node closes idle connections to them and withholds the requests that wait for one. Replies with a key that is not UTF-8 no longer fail as a whole.

--- a/hawthornfold/directory/__init__.py
+++ b/hawthornfold/directory/__init__.py
@@ -2,6 +2,9 @@
 
 from hawthornfold.directory.directory import ServerDirectory
 from hawthornfold.directory.directory import create_server_directory
+from hawthornfold.directory.evacuations import EvacuationChange
+from hawthornfold.directory.evacuations import EvacuationEvent
+from hawthornfold.directory.evacuations import EvacuationList
 from hawthornfold.directory.positions import UNKNOWN_ERA
 from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.readers import ReaderRoles
@@ -24,6 +27,9 @@
 __all__ = [
     'UNKNOWN_ERA',
     'CallerLimits',
+    'EvacuationChange',
+    'EvacuationEvent',
+    'EvacuationList',
     'ItemFailure',
     'PublishedStore',
     'ReadFailure',
--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -9,6 +9,7 @@
 import typing
 
 from hawthornfold.directory.departures import Departures
+from hawthornfold.directory.evacuations import create_evacuations
 from hawthornfold.directory.records import ServerRecord
 
 # Removals are deferred until this long after an outage. Servers write expired
@@ -47,9 +48,16 @@
 
 
 class ServerDirectory:
-    """The servers of all services, by server id."""
+    """The servers of all services, by server id.
 
-    def __init__(self):
+    Parameters
+    ----------
+    on_evacuations : callable
+        Called with a list of `EvacuationEvent` after the evacuated data
+        centres changed.
+    """
+
+    def __init__(self, on_evacuations):
         self._records = {}
         self._ready_by_service = {}
         # The ready servers of a service, until one of them changes.
@@ -60,6 +68,10 @@
         self._pending_removals = {}
         self._removals_deferred_until_ms = 0.0
         self._departures = Departures()
+        self._on_evacuations = on_evacuations
+        self._evacuations = create_evacuations(
+            REMOVAL_GRACE_MS, self._handle_evacuations
+        )
 
     @property
     def version(self):
@@ -97,6 +109,11 @@
         """The ids of listed servers that are not used for now."""
         return tuple(self._departures.list_distrusted())
 
+    @property
+    def evacuations(self):
+        """The `Evacuations`, whose servers receive no new work."""
+        return self._evacuations
+
     def get(self, server_id):
         """Return the record of a server, or None."""
         return self._records.get(server_id)
@@ -116,12 +133,16 @@
         tuple of ServerRecord
             The ready servers, as the same object while they do not change;
             if there are none, the servers that began to leave less than
-            `LAST_RESORT_MS` ago.
+            `LAST_RESORT_MS` ago. Never a server in an evacuated data centre.
         """
         ready = self._ready_lists.get(service)
         if ready is None:
             servers = self._ready_by_service.get(service, {})
-            ready = self._ready_lists[service] = tuple(servers.values())
+            ready = self._ready_lists[service] = tuple(
+                record
+                for record in servers.values()
+                if record.data_centre not in self._evacuations.in_force
+            )
         if ready:
             return ready
         return tuple(
@@ -129,6 +150,7 @@
             for leaving in self._leaving.values()
             if leaving.record.service == service
             and now_ms - leaving.since_ms < LAST_RESORT_MS
+            and leaving.record.data_centre not in self._evacuations.in_force
         )
 
     def is_available(self, record, now_ms):
@@ -279,6 +301,11 @@
         servers.pop(record.server_id, None)
         self._forget_ready_list(record.service)
 
+    def _handle_evacuations(self, events):
+        self._ready_lists.clear()
+        self._version += 1
+        self._on_evacuations(events)
+
     def _forget_ready_list(self, service):
         self._ready_lists.pop(service, None)
         self._version += 1
@@ -296,9 +323,14 @@
     return None
 
 
-def create_server_directory():
+def create_server_directory(on_evacuations=lambda events: None):
     """Create an empty directory.
 
+    Parameters
+    ----------
+    on_evacuations : callable, optional
+        As for `ServerDirectory`.
+
     Examples
     --------
     >>> from hawthornfold.directory.records import ServerChange
@@ -309,4 +341,4 @@
     >>> [x.server_id for x in directory.available_servers('portal', 1.0)]
     ['s1']
     """
-    return ServerDirectory()
+    return ServerDirectory(on_evacuations)
--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from hawthornfold.directory.evacuations import EvacuationChange
 from hawthornfold.rules import RulesDocument
 from hawthornfold.rules import RuleSet
 
@@ -155,6 +156,8 @@
         Items that were ignored.
     era : int or None
         Era of the store; None if it reports none.
+    evacuations : tuple of EvacuationChange or None
+        Evacuations that were written or deleted; None if they are unknown.
     """
 
     revision: int
@@ -162,6 +165,7 @@
     configuration: RoutingConfiguration | None = None
     failures: tuple[ItemFailure, ...] = ()
     era: int | None = None
+    evacuations: tuple[EvacuationChange, ...] | None = None
 
 
 class ReadFailure(typing.NamedTuple):
--- a/hawthornfold/directory/store.py
+++ b/hawthornfold/directory/store.py
@@ -4,14 +4,14 @@
 
 
 class PublishedStore(abc.ABC):
-    """Reads and watches servers and configuration.
+    """Reads and watches servers, evacuations and configuration.
 
     Each platform has its own implementation.
     """
 
     @abc.abstractmethod
     def read_all(self, may_be_stale=False):
-        """Read all servers and the configuration.
+        """Read all servers, the evacuations and the configuration.
 
         Parameters
         ----------
@@ -22,8 +22,8 @@
         Returns
         -------
         result.Result
-            Ok with `StoreChanges` that contain all servers of the store, or
-            Err with a `ReadFailure`.
+            Ok with `StoreChanges` that contain all servers and evacuations of
+            the store, or Err with a `ReadFailure`.
         """
 
     @abc.abstractmethod
--- a/hawthornfold/directory/update_codec.py
+++ b/hawthornfold/directory/update_codec.py
@@ -6,12 +6,15 @@
 from hawthornfold.directory.configuration_codec import decode_configuration
 from hawthornfold.directory.configuration_codec import encode_change
 from hawthornfold.directory.configuration_codec import encode_configuration
+from hawthornfold.directory.records import ServerChange
+from hawthornfold.directory.records import StoreChanges
 from hawthornfold.directory.updates import StoreNews
+from hawthornfold.directory.updates import StoreSnapshot
 
 _LOG = logbook.Logger('directory')
 
 
-def create_update(position, changes, held, outage_age_ms):
+def create_update(position, changes, held, outage_age_ms, evacuations):
     """Create the update for followers that are at a position.
 
     Parameters
@@ -24,6 +27,8 @@
         The configuration that was in force before the changes.
     outage_age_ms : float or None
         Time since the last outage of the store.
+    evacuations : EvacuationList or None
+        The evacuations after the changes.
 
     Returns
     -------
@@ -43,11 +48,64 @@
         outage_age_ms,
         position.era,
         change,
+        evacuations,
+    )
+
+
+def create_heartbeat(position, outage_age_ms, evacuations):
+    """Create a `StoreNews` that reports a `StorePosition`, without changes.
+
+    Parameters
+    ----------
+    outage_age_ms, evacuations : float or None, EvacuationList or None
+        As for `create_update`.
+    """
+    return StoreNews(
+        position.revision,
+        position.revision,
+        outage_age_ms=outage_age_ms,
+        era=position.era,
+        evacuations=evacuations,
+    )
+
+
+def create_snapshot(
+    position, directory, configuration, as_msgpack, evacuations
+):
+    """Create the snapshot of a node at a position.
+
+    Parameters
+    ----------
+    directory : ServerDirectory
+        Lists the servers.
+    configuration : RoutingConfiguration or None
+        The configuration in force.
+    as_msgpack : bool
+        As for `encode_configuration`.
+    evacuations : EvacuationList or None
+        The evacuations.
+
+    Returns
+    -------
+    StoreSnapshot
+    """
+    return StoreSnapshot(
+        position.revision,
+        tuple(
+            ServerChange(record.server_id, record)
+            for record in directory.listed_records
+        ),
+        encode_configuration(configuration, as_msgpack),
+        position.era,
+        evacuations,
     )
 
 
 class UpdateDecoder:
-    """Decodes the configurations in messages of readers.
+    """Decodes the messages of readers to `StoreChanges`.
+
+    These leave the evacuations out, which are applied at a position of their
+    own.
 
     Parameters
     ----------
@@ -59,7 +117,7 @@
         self._metrics = metrics
 
     def decode_update(self, update, held):
-        """Decode the configuration of a `StoreNews`.
+        """Decode a `StoreNews`.
 
         Parameters
         ----------
@@ -69,20 +127,31 @@
         Returns
         -------
         result.Ok or result.Err
-            Ok of the `RoutingConfiguration` or None, Err of a reason.
+            Ok of the `StoreChanges`, Err of a reason.
         """
         if update.change is None:
-            return self.decode_configuration(update.configuration)
-        return self._check(decode_change(held, update.change))
-
-    def decode_configuration(self, published):
-        """Decode a complete configuration; results as `decode_update`."""
-        return self._check(decode_configuration(published))
-
-    def _check(self, decoded):
+            return self._decode(
+                update, decode_configuration(update.configuration)
+            )
+        return self._decode(update, decode_change(held, update.change))
+
+    def decode_snapshot(self, snapshot):
+        """Decode a `StoreSnapshot`; results as `decode_update`."""
+        return self._decode(
+            snapshot, decode_configuration(snapshot.configuration)
+        )
+
+    def _decode(self, message, decoded):
         if decoded.is_err():
             # The node falls behind its readers and then reads the store
             # itself.
             self._metrics.count('store_news', outcome='refused')
             _LOG.warning('event=news_refused detail="{}"', decoded.err_value)
-        return decoded
+        return decoded.map(
+            lambda configuration: StoreChanges(
+                message.revision,
+                message.servers,
+                configuration,
+                era=message.era,
+            )
+        )
--- a/hawthornfold/directory/updates.py
+++ b/hawthornfold/directory/updates.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hawthornfold.directory.evacuations import EvacuationList
 from hawthornfold.directory.positions import UNKNOWN_ERA
 from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.records import CallerLimits
@@ -141,6 +142,9 @@
     change : ConfigurationChange or None
         The newest configuration among the changes, if it is sent in relation
         to the one that the reader held before.
+    evacuations : EvacuationList or None
+        All evacuations that the reader knows of, at a position of their own;
+        None if it says nothing about them.
     """
 
     after: int
@@ -150,6 +154,7 @@
     outage_age_ms: float | None = None
     era: int = UNKNOWN_ERA
     change: ConfigurationChange | None = None
+    evacuations: EvacuationList | None = None
 
     @property
     def position(self):
@@ -164,9 +169,13 @@
     ----------
     accepts_msgpack : bool
         Whether the rules of the configuration may be a msgpack array.
+    needs_evacuations : bool
+        Whether the snapshot must say that there are no evacuations. Nodes of
+        an older release refuse a message with this field.
     """
 
     accepts_msgpack: bool = False
+    needs_evacuations: bool = False
 
 
 class StoreSnapshot(typing.NamedTuple):
@@ -182,12 +191,15 @@
         The configuration in force.
     era : int
         As in `StoreNews`.
+    evacuations : EvacuationList or None
+        As in `StoreNews`.
     """
 
     revision: int
     servers: tuple[ServerChange, ...]
     configuration: PublishedConfiguration | None
     era: int = UNKNOWN_ERA
+    evacuations: EvacuationList | None = None
 
     @property
     def position(self):
@@ -233,6 +245,7 @@
         update.revision,
         outage_age_ms=update.outage_age_ms,
         era=update.era,
+        evacuations=update.evacuations,
     )
 
 
--- a/hawthornfold/directory/view.py
+++ b/hawthornfold/directory/view.py
@@ -71,6 +71,12 @@
         before = self._position
         era = self.resolve_era(changes.era)
         is_restored = before is not None and era > before.era
+        if changes.evacuations is not None:
+            self._directory.evacuations.apply_read(
+                changes.evacuations,
+                StorePosition(era, changes.revision),
+                now_ms,
+            )
         deferred = set(self._directory.pending_removal_ids)
         events = self._directory.replace_all(
             changes.servers, now_ms, is_restored
@@ -100,6 +106,12 @@
         now_ms : float
             Current time.
         """
+        if changes.evacuations is not None:
+            self._directory.evacuations.apply_changes(
+                changes.evacuations,
+                StorePosition(self._position.era, changes.revision),
+                now_ms,
+            )
         newer = [
             change
             for change in changes.servers
@@ -112,6 +124,7 @@
 
     def expire(self, now_ms):
         """Carry out what has been deferred and is due."""
+        self._directory.evacuations.expire(now_ms)
         self._notify_servers(self._directory.expire_removals(now_ms))
 
     def _commit(self, changes, era, events):
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -6,17 +6,14 @@
 import greenlet
 import logbook
 
-from hawthornfold.directory.configuration_codec import encode_configuration
 from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.reachability import StoreReachability
 from hawthornfold.directory.read_intervals import ReadIntervals
 from hawthornfold.directory.reader_tracker import create_reader_tracker
-from hawthornfold.directory.records import ServerChange
-from hawthornfold.directory.records import StoreChanges
 from hawthornfold.directory.update_codec import UpdateDecoder
+from hawthornfold.directory.update_codec import create_heartbeat
+from hawthornfold.directory.update_codec import create_snapshot
 from hawthornfold.directory.update_codec import create_update
-from hawthornfold.directory.updates import StoreNews
-from hawthornfold.directory.updates import StoreSnapshot
 from hawthornfold.directory.view import StoreView
 
 _LOG = logbook.Logger('directory')
@@ -99,6 +96,11 @@
         """The `StorePosition` up to which all changes are applied, or None."""
         return self._view.position
 
+    @property
+    def has_evacuations(self):
+        """Whether a data centre is evacuated."""
+        return bool(self._directory.evacuations.in_force)
+
     def age_ms(self, now_ms):
         """Return the time since the data was last current, or None.
 
@@ -124,18 +126,17 @@
         if position.era > self._view.position.era:
             # This node has yet to read the new era, and cannot vouch for it.
             return None
-        return StoreNews(
-            position.revision,
-            position.revision,
-            outage_age_ms=self._reachability.outage_age_ms(
-                self._clock.now_ms()
-            ),
-            era=position.era,
+        now_ms = self._clock.now_ms()
+        return create_heartbeat(
+            position,
+            self._reachability.outage_age_ms(now_ms),
+            self._directory.evacuations.create_list(now_ms),
         )
 
     def apply_update(self, update):
         """Apply a `StoreNews` from a reader."""
         now_ms = self._clock.now_ms()
+        self._directory.evacuations.apply_list(update.evacuations, now_ms)
         own = self._view.position
         if own is not None and update.era < own.era:
             # The reader has yet to read the new era, or runs an older release
@@ -156,10 +157,7 @@
         if decoded.is_err():
             return
         self._metrics.count('store_news', outcome='taken')
-        changes = StoreChanges(
-            update.revision, update.servers, decoded.ok_value, era=update.era
-        )
-        self._view.apply_changes(changes, now_ms)
+        self._view.apply_changes(decoded.ok_value, now_ms)
 
     def try_query_snapshot(self):
         """Record a query of a reader for a snapshot, if one is due now.
@@ -175,36 +173,35 @@
             self._clock.now_ms(),
         )
 
-    def create_snapshot(self, as_msgpack=True):
-        """Return a `StoreSnapshot`, or None if it would be stale.
-
-        Parameters
-        ----------
-        as_msgpack : bool
-            As for `encode_configuration`.
-        """
+    def create_snapshot(self, as_msgpack=True, needs_evacuations=False):
+        """Answer the fields of a `SnapshotQuery`; None if it is stale."""
         position = self._view.position
         if self._needs_reload or not self._can_vouch_for(position):
             return None
-        return StoreSnapshot(
-            position.revision,
-            tuple(
-                ServerChange(record.server_id, record)
-                for record in self._directory.listed_records
+        return create_snapshot(
+            position,
+            self._directory,
+            self._view.configuration,
+            as_msgpack,
+            self._directory.evacuations.create_list(
+                self._clock.now_ms(), needs_evacuations
             ),
-            encode_configuration(self._view.configuration, as_msgpack),
-            position.era,
         )
 
     def apply_snapshot(self, snapshot):
         """Apply a `StoreSnapshot` from a reader if it is newer."""
+        now_ms = self._clock.now_ms()
         own = self._view.position
+        evacuations = self._directory.evacuations
+        evacuations.apply_list(snapshot.evacuations, now_ms)
         if own is not None and snapshot.position <= own:
             return
-        decoded = self._decoder.decode_configuration(snapshot.configuration)
+        if snapshot.evacuations is None and evacuations.in_force:
+            # They may have ended before the snapshot.
+            return
+        decoded = self._decoder.decode_snapshot(snapshot)
         if decoded.is_err():
             return
-        now_ms = self._clock.now_ms()
         self._metrics.count('store_snapshots')
         _LOG.notice(
             'event=snapshot_taken position_before={} position={} servers={}',
@@ -214,13 +211,7 @@
         )
         self._reachability.confirm(now_ms)
         self._needs_reload = self._may_be_stale = False
-        changes = StoreChanges(
-            snapshot.revision,
-            snapshot.servers,
-            decoded.ok_value,
-            era=snapshot.era,
-        )
-        self._view.apply_complete(changes, now_ms)
+        self._view.apply_complete(decoded.ok_value, now_ms)
 
     def handle_position(self, position):
         """Record that the store has reached a `StorePosition`.
@@ -303,7 +294,13 @@
         if self._view.position > position:
             outage_age_ms = self._reachability.outage_age_ms(now_ms)
             self._on_update(
-                create_update(position, changes, held, outage_age_ms)
+                create_update(
+                    position,
+                    changes,
+                    held,
+                    outage_age_ms,
+                    self._directory.evacuations.create_list(now_ms),
+                )
             )
         return self._intervals.batch_delay_ms if changes.servers else 0.0
 
@@ -341,8 +338,9 @@
         self._view.apply_complete(changes, now_ms)
         if own is not None and era > own.era:
             # Followers ask for a snapshot when they learn of the new era.
+            evacuations = self._directory.evacuations.create_list(now_ms)
             self._on_update(
-                StoreNews(changes.revision, changes.revision, era=era)
+                create_heartbeat(self._view.position, None, evacuations)
             )
         return 0.0
 
--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -58,9 +58,10 @@
         self.relay.send_request(self)
 
     def withhold(self, detail):
-        """End the attempt, which has a connection, before it is sent."""
+        """End the attempt before it is sent."""
         connection, self.connection = self.connection, None
-        self.pool.release(connection)
+        if connection is not None:
+            self.pool.release(connection)
         self.handle_end(
             ExchangeOutcome(OutcomeKind.WITHHELD, None, detail), None
         )
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -146,6 +146,9 @@
             'nodes': state.node_count,
             'servers': len(state.directory.records),
             'blocked_servers': state.placement.blocked_server_ids(),
+            'evacuated_data_centres': sorted(
+                state.directory.evacuations.in_force
+            ),
             'requests_in_progress': self._application.in_progress,
         }
 
--- a/hawthornfold/gateway/pools.py
+++ b/hawthornfold/gateway/pools.py
@@ -76,6 +76,10 @@
     def handle_connection(self, connection, reason):
         """Take the `ServerConnection`, or None and the reason."""
 
+    def withhold(self, detail):
+        """Handle that the server may not be used any more."""
+        self.handle_connection(None, detail)
+
 
 class _Probe(ConnectionUser):
     """Checks that a server accepts a connection."""
@@ -167,6 +171,13 @@
         self._limit_idle(self._limits.maximum - 1)
         self._open(_Probe(self, on_end))
 
+    def withhold_waiting(self, detail):
+        """End the wait of all users, since the server may not be used."""
+        waiting, self._waiting = self._waiting, []
+        for user in waiting:
+            if not user.is_cancelled:
+                user.withhold(detail)
+
     def discard_idle(self):
         """Close all idle connections."""
         while self._idle:
--- a/hawthornfold/gateway/snapshot_sender.py
+++ b/hawthornfold/gateway/snapshot_sender.py
@@ -4,8 +4,11 @@
 
 import eventlet.event
 
+from hawthornfold.directory import SnapshotQuery
 from hawthornfold.directory.updates import estimate_snapshot_bytes
 
+# The query of a sender that has not said what it accepts.
+_DEFAULT_QUERY = SnapshotQuery(True)
 # Share of the node's link that snapshots may use. After a restore of the store
 # all followers request one at the same time.
 LINK_SHARE = 0.5
@@ -19,8 +22,8 @@
     fleet : Fleet
         Sends the messages.
     create_snapshot : callable
-        Takes whether the rules may be msgpack; returns the current
-        `StoreSnapshot`, or None if there is none.
+        Takes a `SnapshotQuery`; returns the current `StoreSnapshot`, or None
+        if there is none.
     clock : Clock
         The node's clock.
     link_mbps : float
@@ -36,9 +39,9 @@
         self._waiting = collections.OrderedDict()
         self._has_waiting = eventlet.event.Event()
 
-    def request(self, sender, accepts_msgpack=True):
-        """Queue a snapshot for the `Sender` of a query."""
-        self._waiting[sender.name] = (sender, accepts_msgpack)
+    def request(self, sender, query=_DEFAULT_QUERY):
+        """Queue a snapshot for the `Sender` of a `SnapshotQuery`."""
+        self._waiting[sender.name] = (sender, query)
         if not self._has_waiting.ready():
             self._has_waiting.send(None)
 
@@ -49,8 +52,8 @@
             self._has_waiting = eventlet.event.Event()
             while self._waiting:
                 _, waiting = self._waiting.popitem(last=False)
-                sender, accepts_msgpack = waiting
-                snapshot = self._create_snapshot(accepts_msgpack)
+                sender, query = waiting
+                snapshot = self._create_snapshot(query)
                 if snapshot is None:
                     continue
                 self._fleet.send(sender.name, sender.address, snapshot)
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -6,6 +6,8 @@
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import create_server_eligibility
+from hawthornfold.gateway.evacuations import EVACUATED_CONNECTIONS
+from hawthornfold.gateway.evacuations import EvacuationReporter
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
@@ -61,7 +63,8 @@
         self._is_settled = False
         self._is_stopping = False
         self.audit = create_audit_trail(clock)
-        self.directory = create_server_directory()
+        self._evacuation_reporter = EvacuationReporter(self.audit, metrics)
+        self.directory = create_server_directory(self._handle_evacuations)
         self.latency_tracker = create_latency_tracker()
         self.pools = ServerPools(names, clock, metrics, self._record_connect)
         self.eligibility = create_server_eligibility()
@@ -244,6 +247,17 @@
         self._repeat_budgets[service] = (budget, key)
         return budget
 
+    def _handle_evacuations(self, events):
+        """Stop using the connections to servers in evacuated data centres."""
+        in_force = self.directory.evacuations.in_force
+        self._evacuation_reporter.report(events, in_force)
+        for server_id, record in self.directory.records.items():
+            pool = self.pools.find(server_id)
+            if pool is not None and record.data_centre in in_force:
+                pool.withhold_waiting('the data centre is evacuated')
+        # Closes the idle connections, or allows them again.
+        self._apply_shares()
+
     def _remove_server(self, server_id):
         self.pools.close_pool(server_id)
         self.placement.remove_server(server_id)
@@ -253,6 +267,8 @@
         self.placement.record_connect(elapsed_ms)
 
     def _connection_limits(self, record):
+        if record.data_centre in self.directory.evacuations.in_force:
+            return EVACUATED_CONNECTIONS
         services = self._configuration.services if self._configuration else {}
         known = services.get(record.service)
         if known is None:
--- a/hawthornfold/gateway/store_exchange.py
+++ b/hawthornfold/gateway/store_exchange.py
@@ -30,7 +30,10 @@
         self._clock = clock
         self._link_mbps = link_mbps
         self._snapshot_sender = SnapshotSender(
-            fleet, watcher.create_snapshot, clock, link_mbps
+            fleet,
+            lambda query: watcher.create_snapshot(*query),
+            clock,
+            link_mbps,
         )
         fleet.register(StoreRevision, self._handle_revision)
         fleet.register(StoreNews, self._handle_update)
@@ -61,10 +64,11 @@
     def _handle_update(self, sender, update):
         self._watcher.apply_update(update)
         if self._watcher.try_query_snapshot():
-            self._fleet.send(sender.name, sender.address, SnapshotQuery(True))
+            query = SnapshotQuery(True, self._watcher.has_evacuations)
+            self._fleet.send(sender.name, sender.address, query)
 
     def _handle_snapshot_query(self, sender, query):
-        self._snapshot_sender.request(sender, query.accepts_msgpack)
+        self._snapshot_sender.request(sender, query)
 
     def _handle_snapshot(self, sender, snapshot):
         self._watcher.apply_snapshot(snapshot)
--- a/hawthornfold/gateway/sweep.py
+++ b/hawthornfold/gateway/sweep.py
@@ -56,6 +56,8 @@
         if record is None:
             self._state.placement.remove_server(server_id)
             return
+        if record.data_centre in self._state.directory.evacuations.in_force:
+            return
         # The probe counts as failed until it succeeds. This delays the next
         # probe, so that only one runs at a time.
         health = self._state.placement.health(server_id)
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -12,7 +12,9 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import ServiceRecord
 from hawthornfold.directory import StoreChanges
+from hawthornfold.platform.evacuations import decode_evacuation
 from hawthornfold.platform.names import CONFIGURATION_KEY
+from hawthornfold.platform.names import EVACUATIONS_PREFIX
 from hawthornfold.platform.names import SERVERS_PREFIX
 from hawthornfold.rules import URGENCIES
 from hawthornfold.rules import ForwardTarget
@@ -117,8 +119,8 @@
     Parameters
     ----------
     items : list of Item
-        Items with other keys than those of servers and the configuration
-        are ignored.
+        Items with other keys than those of servers, evacuations and the
+        configuration are ignored.
     revision : int
         The store's revision after these items.
     era : int or None
@@ -136,7 +138,13 @@
     servers = []
     failures = []
     configurations = []
+    evacuations = []
     for item in items:
+        if item.Key.startswith(EVACUATIONS_PREFIX):
+            try:
+                evacuations.append(decode_evacuation(item))
+            except ValueError as error:
+                failures.append(create_failure(item, error))
         if item.Key == CONFIGURATION_KEY and not item.Deleted:
             configurations.append(item)
         if not item.Key.startswith(SERVERS_PREFIX):
@@ -144,7 +152,7 @@
         try:
             servers.append(_decode_server_change(item))
         except (ValueError, RecursionError) as error:
-            failures.append(ItemFailure(item.Key[:200], str(error)))
+            failures.append(create_failure(item, error))
             servers.append(
                 ServerChange(
                     item.Key[len(SERVERS_PREFIX) :], None, item.Revision
@@ -154,7 +162,12 @@
         configurations, decoder or ConfigurationDecoder(), failures
     )
     return StoreChanges(
-        revision, tuple(servers), configuration, tuple(failures), era
+        revision,
+        tuple(servers),
+        configuration,
+        tuple(failures),
+        era,
+        tuple(evacuations),
     )
 
 
@@ -164,10 +177,18 @@
         try:
             return decoder.decode(item.Value)
         except (ValueError, RecursionError) as error:
-            failures.append(ItemFailure(item.Key[:200], str(error)))
+            failures.append(create_failure(item, error))
     return None
 
 
+def create_failure(item, error):
+    """Return the `ItemFailure` of an item, with a key that fits a log line."""
+    key = item.Key[:200]
+    if not key.isprintable():
+        key = ascii(key)[1:-1]
+    return ItemFailure(key, str(error))
+
+
 def _decode_server_change(item):
     server_id = item.Key[len(SERVERS_PREFIX) :]
     record = None
--- a/hawthornfold/platform/names.py
+++ b/hawthornfold/platform/names.py
@@ -5,7 +5,11 @@
 SETTINGS_VARIABLE = 'HAWTHORNFOLD_NODE_FILE'
 READY_PATH = '/api/ready'
 SERVERS_PREFIX = 'servers/'
+# Prefix of the keys that operators write.
+OPERATORS_PREFIX = 'op/'
 CONFIGURATION_KEY = 'op/config'
+# Prefix of the keys of evacuated data centres.
+EVACUATIONS_PREFIX = 'op/evacuate/'
 # Header of all answers of the store: how often it has returned from an older
 # copy.
 STORE_ERA_HEADER = 'Store-Era'
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -14,9 +14,10 @@
 from hawthornfold.platform.documents import ConfigurationDecoder
 from hawthornfold.platform.documents import Item
 from hawthornfold.platform.documents import decode_items
-from hawthornfold.platform.names import CONFIGURATION_KEY
+from hawthornfold.platform.names import OPERATORS_PREFIX
 from hawthornfold.platform.names import SERVERS_PREFIX
 from hawthornfold.platform.names import STORE_ERA_HEADER
+from hawthornfold.platform.replies import decode_reply
 from hawthornfold.sockets import read_body
 
 _LOG = logbook.Logger('directory')
@@ -96,11 +97,11 @@
         self._last_era_text = None
 
     def read_all(self, may_be_stale=False):
-        """Read all servers and the configuration; see `PublishedStore`."""
+        """Read all that the store lists; see `PublishedStore`."""
         options = {'AllowStale': 1} if may_be_stale else {}
         try:
-            configuration_items, configuration_revision, first_era = (
-                self._read_prefix(CONFIGURATION_KEY, options)
+            operator_items, operator_revision, first_era = self._read_prefix(
+                OPERATORS_PREFIX, options
             )
             server_items, servers_revision, era = self._read_prefix(
                 SERVERS_PREFIX, options, first_era
@@ -111,8 +112,8 @@
         # next watch repeats the changes that were made between the reads.
         return result.Ok(
             decode_items(
-                configuration_items + server_items,
-                min(configuration_revision, servers_revision),
+                operator_items + server_items,
+                min(operator_revision, servers_revision),
                 era,
                 self._configuration_decoder,
             )
@@ -204,7 +205,7 @@
         if response.status != 200:
             raise _ReadError(f'status {response.status}', response.status, era)
         try:
-            return decoder.decode(data), era
+            return decode_reply(data, decoder), era
         except (ValueError, RecursionError) as error:
             raise _ReadError(f'the reply cannot be decoded: {error}', era=era)
 
