--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -137,21 +137,8 @@
         """
         ready = self._ready_lists.get(service)
         if ready is None:
-            servers = self._ready_by_service.get(service, {})
-            ready = self._ready_lists[service] = tuple(
-                record
-                for record in servers.values()
-                if record.data_centre not in self._evacuations.in_force
-            )
-        if ready:
-            return ready
-        return tuple(
-            leaving.record
-            for leaving in self._leaving.values()
-            if leaving.record.service == service
-            and now_ms - leaving.since_ms < LAST_RESORT_MS
-            and leaving.record.data_centre not in self._evacuations.in_force
-        )
+            ready = self._ready_lists[service] = self._list_ready(service)
+        return ready or self._list_last_resort(service, now_ms)
 
     def is_available(self, record, now_ms):
         """Return whether a server may receive new work."""
@@ -301,6 +288,24 @@
         servers.pop(record.server_id, None)
         self._forget_ready_list(record.service)
 
+    def _list_ready(self, service):
+        evacuated = self._evacuations.in_force
+        return tuple(
+            record
+            for record in self._ready_by_service.get(service, {}).values()
+            if record.data_centre not in evacuated
+        )
+
+    def _list_last_resort(self, service, now_ms):
+        evacuated = self._evacuations.in_force
+        return tuple(
+            leaving.record
+            for leaving in self._leaving.values()
+            if leaving.record.service == service
+            and now_ms - leaving.since_ms < LAST_RESORT_MS
+            and leaving.record.data_centre not in evacuated
+        )
+
     def _handle_evacuations(self, events):
         self._ready_lists.clear()
         self._version += 1
