Limit the requests of a rule to its allowed regions

Rules and decisions have the field allowed_regions. ServerChoice filters the servers by the table [Zones] of the settings, once for each list of servers, and the placement keeps one choice for each set of regions. Division and delegation leave out nodes outside these regions and the own one. A rule without regions takes the same path as before; its messages and the digest of its decision are unchanged, so that nodes of an older release understand them.

test_decision_has_fields_of_then_and_defaults compares all fields by position and expects the added one as well.

--- a/hawthornfold/delegation/division.py
+++ b/hawthornfold/delegation/division.py
@@ -15,6 +15,7 @@
 
 from hawthornfold.delegation.capacity import PART_SEAL_BYTES
 from hawthornfold.gathering.merging import RECORD_BYTES
+from hawthornfold.gathering.regions import create_regions
 from hawthornfold.rendezvous import compute_score
 
 # Minimum number of shards of a group. The messages of a smaller group cost
@@ -78,14 +79,17 @@
         Estimates how long parts occupy a node.
     rng : random.Random
         Spreads groups over equal nodes.
+    regions : Regions
+        The regions of the data centres of nodes and servers.
     """
 
-    def __init__(self, name, data_centre, capacity, cost_model, rng):
+    def __init__(self, name, data_centre, capacity, cost_model, rng, regions):
         self._name = name
         self._data_centre = data_centre
         self._capacity = capacity
         self._cost_model = cost_model
         self._rng = rng
+        self._regions = regions
         self._backoff_until_ms = {}
         # By rule: the version of the directory and the division.
         self._divisions = {}
@@ -120,6 +124,14 @@
         if not self.may_divide(decision):
             return ()
         nodes = self._list_nodes(members, now_ms)
+        if decision.allowed_regions:
+            nodes = {
+                data_centre: group
+                for data_centre, group in nodes.items()
+                if self._regions.allows_node_in(
+                    data_centre, decision.allowed_regions
+                )
+            }
         if not nodes:
             return ()
         division = self._divide_by_data_centre(decision, directory, now_ms)
@@ -159,7 +171,12 @@
 
     def _divide_by_data_centre(self, decision, directory, now_ms):
         known = self._divisions.get(decision.rule)
-        key = (directory.version, decision.gather)
+        key = (
+            directory.version,
+            decision.gather,
+            decision.allowed_regions,
+            self._regions.version,
+        )
         if known is not None and known[0] == key:
             return known[1]
         shards = decision.gather.shards
@@ -167,12 +184,7 @@
         if MAX_CALL_SHARE * decision.objective_ms >= CALL_HOP_MS:
             division = _divide(
                 [
-                    frozenset(
-                        record.data_centre
-                        for record in directory.available_servers(
-                            shard, now_ms
-                        )
-                    )
+                    self._locate(shard, decision, directory, now_ms)
                     for shard in shards
                 ],
                 self._data_centre,
@@ -180,6 +192,15 @@
         self._divisions[decision.rule] = (key, division)
         return division
 
+    def _locate(self, shard, decision, directory, now_ms):
+        """Return the data centres with servers of a shard."""
+        servers = directory.available_servers(shard, now_ms)
+        if decision.allowed_regions:
+            servers = self._regions.filter_servers(
+                shard, servers, decision.allowed_regions
+            )
+        return frozenset(record.data_centre for record in servers)
+
     def _plan_chunks(self, decision, parts, nodes, is_local):
         """Divide the parts of one data centre among its nodes."""
         if not parts:
@@ -295,14 +316,23 @@
     return compute_score(name, 'chunk') % count
 
 
-def create_division_policy(name, data_centre, capacity, cost_model, rng=None):
+def create_division_policy(
+    name, data_centre, capacity, cost_model, rng=None, regions=None
+):
     """Create a policy that knows of no failed nodes.
 
     Parameters
     ----------
     rng : random.Random, optional
         Spreads groups over equal nodes.
+    regions : Regions, optional
+        The regions of the data centres; none by default.
     """
     return DivisionPolicy(
-        name, data_centre, capacity, cost_model, rng or random.Random()
+        name,
+        data_centre,
+        capacity,
+        cost_model,
+        rng or random.Random(),
+        regions or create_regions(),
     )
--- a/hawthornfold/delegation/policy.py
+++ b/hawthornfold/delegation/policy.py
@@ -13,6 +13,7 @@
 from hawthornfold.delegation.capacity import QueryCostModel
 from hawthornfold.delegation.capacity import estimate_query_rate
 from hawthornfold.delegation.messages import Room
+from hawthornfold.gathering.regions import create_regions
 
 # The delegate's estimate, including the hop, must be below the local estimate
 # times this factor.
@@ -83,14 +84,17 @@
         Estimates how long queries occupy nodes.
     rng : random.Random
         Spreads queries over equal nodes.
+    regions : Regions
+        The regions of the nodes' data centres.
     """
 
-    def __init__(self, name, data_centre, capacity, cost_model, rng):
+    def __init__(self, name, data_centre, capacity, cost_model, rng, regions):
         self._name = name
         self._data_centre = data_centre
         self._capacity = capacity
         self._cost_model = cost_model
         self._rng = rng
+        self._regions = regions
         self._rooms = {}
         # By node name: (queries per second, time of the last report).
         self._query_rates = {}
@@ -135,12 +139,19 @@
             return None
         local_ms = self._cost_model.estimate_ms(self._capacity, decision)
         best, best_ms, eligible_count = None, MAX_DELEGATE_FACTOR * local_ms, 0
+        allowed_regions = decision.allowed_regions
         for room in self.list_rooms(now_ms):
             capacity = Capacity(room.link_mbps, room.cores)
             if (
                 not capacity.is_larger_than(self._capacity)
                 or self._backoff_until_ms.get(room.name, 0.0) > now_ms
                 or not is_live(room.name)
+                or (
+                    allowed_regions
+                    and not self._regions.allows_node_in(
+                        room.data_centre, allowed_regions
+                    )
+                )
             ):
                 continue
             eligible_count += 1
@@ -266,7 +277,7 @@
 
 
 def create_delegation_policy(
-    name, data_centre, capacity, cost_model=None, rng=None
+    name, data_centre, capacity, cost_model=None, rng=None, regions=None
 ):
     """Create a policy without capacity reports.
 
@@ -277,6 +288,8 @@
         default.
     rng : random.Random, optional
         Spreads queries over equal nodes.
+    regions : Regions, optional
+        The regions of the nodes' data centres; none by default.
 
     Examples
     --------
@@ -291,4 +304,5 @@
         capacity,
         cost_model or QueryCostModel(capacity),
         rng or random.Random(),
+        regions or create_regions(),
     )
--- a/hawthornfold/directory/configuration_codec.py
+++ b/hawthornfold/directory/configuration_codec.py
@@ -11,6 +11,8 @@
 from hawthornfold.directory.updates import RulesEdit
 from hawthornfold.directory.updates import SentRule
 from hawthornfold.directory.updates import SentWhen
+from hawthornfold.directory.updates import restore_then
+from hawthornfold.directory.updates import trim_then
 from hawthornfold.rules import RulesDocument
 from hawthornfold.rules import Then
 from hawthornfold.rules import compile_document
@@ -48,7 +50,15 @@
     if configuration is None:
         return None
     if as_msgpack:
-        rules = msgspec.msgpack.encode(configuration.document)
+        rules = msgspec.msgpack.encode(
+            _RulesArray(
+                tuple(
+                    SentRule(rule.name, rule.when, trim_then(rule.then))
+                    for rule in configuration.document.rules
+                ),
+                trim_then(configuration.document.default),
+            )
+        )
     else:
         rules = msgspec.json.encode(describe_rules(configuration.document))
     return PublishedConfiguration(
@@ -108,7 +118,9 @@
         position = positions.get(id(rule))
         last = edits[-1]
         if position is None:
-            sent = SentRule(rule.name, SentWhen(*rule.when), rule.then)
+            sent = SentRule(
+                rule.name, SentWhen(*rule.when), trim_then(rule.then)
+            )
             edits[-1] = last._replace(rules=(*last.rules, sent))
         elif position == last.end and not last.rules:
             edits[-1] = last._replace(end=position + 1)
@@ -118,7 +130,7 @@
         base.version,
         configuration.version,
         tuple(edits),
-        configuration.document.default,
+        trim_then(configuration.document.default),
         tuple(set(base.services) - set(configuration.services)),
         tuple(
             service
@@ -148,7 +160,7 @@
     for edit in change.edits:
         rules += base.document.rules[edit.start : edit.end]
         rules += [rule.to_rule() for rule in edit.rules]
-    document = RulesDocument(tuple(rules), change.default)
+    document = RulesDocument(tuple(rules), restore_then(change.default))
     services = {
         name: service
         for name, service in base.services.items()
--- a/hawthornfold/directory/tests/test_changes.py
+++ b/hawthornfold/directory/tests/test_changes.py
@@ -33,6 +33,11 @@
         When(service=['a', 'b*'], path='/g/*'),
         Then(gather=Gather(('x', 'y'), 5), idempotent=True, objective_ms=9.5),
     ),
+    Rule(
+        'limited',
+        When(path='/l/*'),
+        Then(forward=(ForwardTarget('s'),), allowed_regions=('n', 'e')),
+    ),
 )
 VERSIONS = st.lists(
     st.sampled_from(range(len(RULES))), unique=True, max_size=len(RULES)
@@ -122,6 +127,25 @@
         found = configuration_codec.decode_configuration(published).unwrap()
         self.assertEqual(get_contents(found), get_contents(configuration))
 
+    def test_older_releases_understand_rules_without_allowed_regions(self):
+        # Guards against a fleet in which old nodes refuse every configuration
+        # of new readers during a rolling upgrade.
+        old_fields = len(Then._fields) - 1
+        for rules, expected in ((RULES[:-1], 0), (RULES, 1)):
+            configuration = create_configuration(4, rules)
+            published = configuration_codec.encode_configuration(
+                configuration, True
+            )
+            sent = msgspec.msgpack.decode(published.rules)[0]
+            change = configuration_codec.encode_change(
+                create_configuration(3, ()), configuration
+            )
+            changed = msgspec.msgpack.decode(msgspec.msgpack.encode(change))
+            for found in (sent, changed[2][0][2]):
+                self.assertEqual(len(found), len(rules))
+                longer = [x for x in found if len(x[2]) > old_fields]
+                self.assertEqual(len(longer), expected)
+
     def test_damaged_rules_are_refused(self):
         # Guards against a crash by a faulty node.
         published = configuration_codec.encode_configuration(
--- a/hawthornfold/directory/updates.py
+++ b/hawthornfold/directory/updates.py
@@ -36,6 +36,22 @@
     data_centre: _Pattern = None
 
 
+def trim_then(then):
+    """Return a `Then` for a message, or None for None.
+
+    Nodes of an older release refuse a decision with more fields than they
+    know. Allowed regions are sent only if there are any.
+    """
+    if then is None or then.allowed_regions:
+        return then
+    return then[: Then._fields.index('allowed_regions')]
+
+
+def restore_then(sent):
+    """Return the `Then` of what `trim_then` returned."""
+    return None if sent is None else Then(*sent)
+
+
 class SentRule(typing.NamedTuple):
     """A `Rule` as nodes send it."""
 
@@ -45,7 +61,7 @@
 
     def to_rule(self):
         """Return the `Rule`."""
-        return Rule(self.name, When(*self.when), self.then)
+        return Rule(self.name, When(*self.when), restore_then(self.then))
 
 
 class PublishedConfiguration(typing.NamedTuple):
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -295,6 +295,7 @@
             settings.data_centre,
             self._capacity,
             self._cost_model,
+            regions=self._state.regions,
         )
         return Delegations(
             policy,
@@ -313,6 +314,7 @@
             settings.data_centre,
             self._capacity,
             self._cost_model,
+            regions=self._state.regions,
         )
         division = FleetDivision(
             policy,
--- a/hawthornfold/gateway/runner.py
+++ b/hawthornfold/gateway/runner.py
@@ -111,6 +111,7 @@
             state.latency_tracker,
             group_calls.parts if group_calls else (),
             observer is not None,
+            state.regions,
         )
         relay = Relay(
             state,
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -12,6 +12,8 @@
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
 from hawthornfold.gathering import create_answer_margin
+from hawthornfold.gathering import create_regions
+from hawthornfold.gathering import report_regions
 from hawthornfold.limits import NodeCounts
 from hawthornfold.limits import compute_service_share
 from hawthornfold.limits import create_repeat_budget
@@ -76,6 +78,7 @@
         )
         self.service_rotation = create_weighted_round_robin()
         self.answer_margin = create_answer_margin()
+        self.regions = create_regions(settings.region, settings.regions)
 
     @property
     def settings(self):
@@ -108,6 +111,8 @@
     def set_settings(self, settings):
         """Apply settings that were read again."""
         self._settings = settings
+        self.regions.set_table(settings.region, settings.regions)
+        self._report_regions()
         self._apply_shares()
 
     def set_shares(self, counts, gathered_share):
@@ -160,6 +165,7 @@
             rule.name for rule in configuration.rules.rules
         )
         self._apply_shares()
+        self._report_regions()
         self._metrics.count('configurations_applied')
         self.audit.record(
             'configuration',
@@ -176,7 +182,7 @@
         """
         known, digest = self._digests.get(decision.rule, (None, ''))
         if known is not decision:
-            digest = xxhash.xxh3_64_hexdigest(repr(decision).encode())
+            digest = xxhash.xxh3_64_hexdigest(describe_decision(decision))
             self._digests[decision.rule] = (decision, digest)
         return digest
 
@@ -297,6 +303,14 @@
             {record.data_centre for record in servers},
         )
 
+    def _report_regions(self):
+        if self._configuration is not None:
+            report_regions(
+                self.regions,
+                [x.decision for x in self._configuration.rules.rules],
+                self._metrics,
+            )
+
     def _apply_shares(self):
         self._shares_version += 1
         for server_id, record in self.directory.records.items():
@@ -305,5 +319,18 @@
                 pool.set_limits(self._connection_limits(record))
 
 
+def describe_decision(decision):
+    """Return all fields of a decision as bytes, to compare it between nodes.
+
+    Nodes of an older release do not know of allowed regions. A decision
+    without any is described as they do it.
+    """
+    text = repr(decision)
+    suffix = ', allowed_regions=())'
+    if text.endswith(suffix):
+        text = text.removesuffix(suffix) + ')'
+    return text.encode()
+
+
 def _describe_share(share):
     return '-' if share is None else f'{share:.4f}'
--- a/hawthornfold/gathering/__init__.py
+++ b/hawthornfold/gathering/__init__.py
@@ -17,6 +17,9 @@
 from hawthornfold.gathering.outcomes import OutcomeKind
 from hawthornfold.gathering.outcomes import ServerResponse
 from hawthornfold.gathering.outcomes import ServerSignals
+from hawthornfold.gathering.regions import Regions
+from hawthornfold.gathering.regions import create_regions
+from hawthornfold.gathering.regions import report_regions
 
 __all__ = [
     'NO_SIGNALS',
@@ -28,6 +31,7 @@
     'GroupEnd',
     'OutcomeKind',
     'RecordMerger',
+    'Regions',
     'Send',
     'SendGroup',
     'ServerResponse',
@@ -35,5 +39,7 @@
     'Verdict',
     'create_answer_margin',
     'create_execution',
+    'create_regions',
     'estimate_travel_ms',
+    'report_regions',
 ]
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -36,10 +36,8 @@
         The service of each part.
     times : ExecutionTimes
         When the request arrived and when its answer is due.
-    directory : ServerDirectory
-        Lists the servers of each service.
-    placement : Placement
-        Chooses one of these servers.
+    server_choice : ServerChoice
+        Chooses the servers.
     repeat_budgets : sequence of RepeatBudget
         The repeat budget of the service of each part.
     latency_tracker : LatencyTracker
@@ -55,8 +53,7 @@
         decision,
         services,
         times,
-        directory,
-        placement,
+        server_choice,
         repeat_budgets,
         latency_tracker,
         groups=(),
@@ -64,7 +61,7 @@
     ):
         self._decision = decision
         self._times = times
-        self._server_choice = ServerChoice(decision, directory, placement)
+        self._server_choice = server_choice
         self._parts = [
             Part(service, repeat_budget)
             for service, repeat_budget in zip(
@@ -398,8 +395,9 @@
     latency_tracker,
     groups=(),
     is_helper=False,
+    regions=None,
 ):
-    """Create the execution of a request that has not been sent yet.
+    """Create the execution of a request, with a `ServerChoice`.
 
     Raises
     ------
@@ -412,8 +410,7 @@
         decision,
         services,
         times,
-        directory,
-        placement,
+        ServerChoice(decision, directory, placement, regions),
         repeat_budgets,
         latency_tracker,
         groups,
--- a/hawthornfold/gathering/server_choice.py
+++ b/hawthornfold/gathering/server_choice.py
@@ -1,5 +1,7 @@
 """Chooses the servers of the parts of one request."""
 
+from hawthornfold.gathering.regions import create_regions
+
 
 class ServerChoice:
     """Chooses among the servers that a part has not been sent to.
@@ -12,10 +14,14 @@
         Lists the servers of each service.
     placement : Placement
         Chooses one of these servers.
+    regions : Regions, optional
+        The regions of the data centres, for a rule with allowed regions.
     """
 
-    def __init__(self, decision, directory, placement):
+    def __init__(self, decision, directory, placement, regions=None):
         self._decision = decision
+        self._allowed_regions = decision.allowed_regions
+        self._regions = regions or create_regions()
         self._directory = directory
         self._placement = placement
 
@@ -29,10 +35,14 @@
         now_ms : float
             Current time on the node's clock.
         """
-        servers = self._directory.available_servers(part.service, now_ms)
+        servers = self._list_servers(part, now_ms)
         if not part.tried_server_ids:
+            # Rules with different servers have different choices.
+            key = part.service
+            if self._allowed_regions:
+                key = (key, self._allowed_regions)
             return self._placement.choose_first_server(
-                part.service, servers, self._decision, now_ms
+                key, servers, self._decision, now_ms
             )
         candidates = [
             record
@@ -51,8 +61,9 @@
         float
             A time on the node's clock; infinity if it is unknown.
         """
-        servers = self._directory.available_servers(part.service, now_ms)
-        return self._placement.free_ms(servers, now_ms)
+        return self._placement.free_ms(
+            self._list_servers(part, now_ms), now_ms
+        )
 
     def record_start(self, record, key, now_ms):
         """Record that an attempt starts on a server.
@@ -72,3 +83,11 @@
             self._placement.health(server_id).is_blocked
             for server_id in part.running.values()
         )
+
+    def _list_servers(self, part, now_ms):
+        servers = self._directory.available_servers(part.service, now_ms)
+        if self._allowed_regions:
+            servers = self._regions.filter_servers(
+                part.service, servers, self._allowed_regions
+            )
+        return servers
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -76,6 +76,8 @@
     TopK: int = 1
     # Minimum share of the shards, from 0 to 1, that an answer must cover.
     MinSuccessShare: float = 1.0
+    # Regions to whose servers requests may be sent; all if there are none.
+    AllowedRegions: list[str] | None = None
 
 
 class _Service(msgspec.Struct):
@@ -334,5 +336,6 @@
             max_servers=route.MaxAttempts,
             forward=forward,
             gather=gather,
+            allowed_regions=tuple(route.AllowedRegions or ()),
         ),
     )
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -21,6 +21,7 @@
 SETTINGS = """
 NodeName = "{name}"
 Zone = "{zone}"
+Region = "{region}"
 SeedNodes = [{seeds}]
 [Listen]
 Front = "{ip}:{front}"
@@ -37,6 +38,8 @@
 LinkMbps = {link_mbps}
 [platform]
 Address = "{store}"
+[Zones]
+{regions}
 """
 LIMITS = {
     'MaxHeaderBytes': 16384,
@@ -261,6 +264,9 @@
             'cores': 1.0,
             'link_mbps': 1000.0,
             'zone': 'hall-a',
+            'region': '',
+            # Lines of the table from data centres to regions.
+            'regions': '',
             **fields,
         }
         self.write_settings()
--- a/hawthornfold/platform/tests/test_documents.py
+++ b/hawthornfold/platform/tests/test_documents.py
@@ -171,6 +171,18 @@
         self.assertEqual(decision.urgency, 1)
         self.assertEqual(decision.max_servers, 2)
 
+    def test_allowed_regions_are_decoded(self):
+        # Guards against a request that leaves its region, and against an empty
+        # list that refuses all requests.
+        route = {**SPLIT_ROUTE, 'AllowedRegions': ['n', 'e']}
+        found = self.decode(Routes=[route]).rules.rules[0].decision
+        self.assertEqual(found.allowed_regions, ('n', 'e'))
+        for value in (None, []):
+            route['AllowedRegions'] = value
+            found = self.decode(Routes=[route]).rules.rules[0].decision
+            self.assertEqual(found.allowed_regions, ())
+        self.assertEqual(self.match('/a/').allowed_regions, ())
+
     def test_unreadable_configuration_is_a_failure(self):
         # Guards against a node that loses its rules after an operator writes
         # an unreadable configuration.
--- a/hawthornfold/rules/compiling.py
+++ b/hawthornfold/rules/compiling.py
@@ -37,6 +37,7 @@
         then.max_servers,
         then.forward,
         then.gather,
+        then.allowed_regions,
     )
 
 
--- a/hawthornfold/rules/decisions.py
+++ b/hawthornfold/rules/decisions.py
@@ -75,6 +75,10 @@
     gather : Gather or None
         The shards whose records are merged, and the maximum number of
         records in an answer; None unless the rule gathers.
+    allowed_regions : tuple of str
+        Regions to whose servers requests may be sent; empty if all are
+        allowed. Bodies are sent only to nodes in these regions or in that of
+        the node that the caller is connected to.
     """
 
     rule: str
@@ -91,3 +95,4 @@
     max_servers: int = 2
     forward: tuple = ()
     gather: typing.Any = None
+    allowed_regions: tuple[str, ...] = ()
--- a/hawthornfold/rules/schema.py
+++ b/hawthornfold/rules/schema.py
@@ -87,6 +87,9 @@
 ServiceName = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 
 
+RegionName = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+
+
 class ForwardTarget(typing.NamedTuple):
     """A service that receives a share of the requests, and its weight."""
 
@@ -126,6 +129,9 @@
         tuple[ForwardTarget, ...], msgspec.Meta(max_length=64)
     ] = ()
     gather: Gather | None = None
+    allowed_regions: typing.Annotated[
+        tuple[RegionName, ...], msgspec.Meta(max_length=64)
+    ] = ()
 
 
 class Rule(typing.NamedTuple):
--- a/hawthornfold/rules/tests/test_rules.py
+++ b/hawthornfold/rules/tests/test_rules.py
@@ -9,6 +9,8 @@
 from hawthornfold.documents.tests import strategies as document_strategies
 from hawthornfold.rules import RequestFacts
 from hawthornfold.rules import compile_rules
+from hawthornfold.rules import describe_rules
+from hawthornfold.rules import parse_rules
 from hawthornfold.rules.compiling import compile_condition
 from hawthornfold.rules.index import RuleIndex
 from hawthornfold.rules.index import iterate_bits
@@ -50,8 +52,8 @@
 }
 
 # The last fields of a decision whose rule does not set them: objective_ms,
-# max_servers, forward and gather.
-DEFAULT_FORWARDING = (None, 2, (), None)
+# max_servers, forward, gather and allowed_regions.
+DEFAULT_FORWARDING = (None, 2, (), None, ())
 
 
 def matches_naively(when, facts):
@@ -118,6 +120,26 @@
             self.assertEqual(decision, rule_set.match_linear(facts))
             self.assertEqual(decision, rule_set.explain(facts).decision)
 
+    def test_allowed_regions_are_compiled_and_described(self):
+        # Guards against a limit that is lost between operators and nodes.
+        rule = create_rule('r', {'kind': 'a'}, allowed_regions=['n', 'e'])
+        content = {'rules': [rule], 'default': {}}
+        rule_set = compile_content(content).ok()
+        decision = rule_set.match(RequestFacts('s', 'a'))
+        self.assertEqual(decision.allowed_regions, ('n', 'e'))
+        document = parse_rules(json.dumps(content).encode()).ok()
+        described = describe_rules(document)
+        self.assertEqual(
+            described['rules'][0]['then']['allowed_regions'], ['n', 'e']
+        )
+        self.assertNotIn('allowed_regions', described['default'])
+        self.assertEqual(
+            parse_rules(json.dumps(described).encode()).ok(), document
+        )
+        for regions in ('n', [''], [1], ['n'] * 65):
+            rule['then']['allowed_regions'] = regions
+            self.assertTrue(compile_content(content).is_err())
+
     def test_decision_has_fields_of_then_and_defaults(self):
         # Guards against two fields of `then` that are swapped.
         rules = [
