--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -146,6 +146,9 @@
             'nodes': state.node_count,
             'servers': len(state.directory.records),
             'blocked_servers': state.placement.blocked_server_ids(),
+            'evacuated_data_centres': sorted(
+                state.directory.evacuations.in_force
+            ),
             'requests_in_progress': self._application.in_progress,
         }
 
@@ -292,6 +295,7 @@
             settings.data_centre,
             self._capacity,
             self._cost_model,
+            regions=self._state.regions,
         )
         return Delegations(
             policy,
@@ -310,6 +314,7 @@
             settings.data_centre,
             self._capacity,
             self._cost_model,
+            regions=self._state.regions,
         )
         division = FleetDivision(
             policy,
