Bound heads, framing and bodies of servers' responses

A server could send header lines, interim responses, chunk extensions or trailers without end: 4 MB of header lines took 45 MB and raised no error, and one header value was joined at quadratic cost. Only the body was bounded, for each response by itself.

A connection that closes or becomes idle drops what it has read; before, an idle one kept its last body.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -54,12 +54,16 @@
         Determines what responses mean.
     clock : Clock
         The node's clock.
+    bounds : ResponseBounds
+        The bounds of all responses that the node reads.
     on_idle_end : callable, optional
         Takes the connection; called when the server closes it, or sends bytes
         on it, while no exchange is running.
     """
 
-    def __init__(self, address, names, classifier, clock, on_idle_end=None):
+    def __init__(
+        self, address, names, classifier, clock, bounds, on_idle_end=None
+    ):
         host, _, port = address.rpartition(':')
         self._endpoint = (host, int(port))
         self._classifier = classifier
@@ -81,7 +85,7 @@
         self._on_end = None
         # The request of the running exchange, once it is sent.
         self._request = None
-        self._reader = ResponseReader()
+        self._reader = ResponseReader(bounds, self._handle_revoked)
         self._unsent = b''
 
     @property
@@ -210,6 +214,7 @@
         if self._socket is not None:
             self._socket.close()
             self._socket = None
+            self._reader.close()
 
     def _listen(self, event, callback):
         """Call `callback` whenever the socket is ready for an event."""
@@ -302,6 +307,15 @@
             self._is_reusable = False
             reader.feed_eof()
 
+    def _handle_revoked(self):
+        """End the exchange, because the node has no memory for its response.
+
+        Another connection is being read at the moment, so this waits.
+        """
+        self._schedule(
+            0.0, lambda: self._fail('the response was given up for others')
+        )
+
     def _end_idle(self):
         """Close the connection: the server did, or sent stray bytes."""
         if self._on_end is not None:
@@ -319,7 +333,9 @@
         outcome, waiting_count = self._classifier.classify(request, reader)
         if outcome.kind in (OutcomeKind.WRONG_SERVER, OutcomeKind.LOST):
             self._is_reusable = False
-        if not self._is_reusable:
+        if self._is_reusable:
+            reader.release()
+        else:
             self.close()
         on_end(outcome, waiting_count)
 
--- a/hawthornfold/gateway/pools.py
+++ b/hawthornfold/gateway/pools.py
@@ -227,10 +227,14 @@
 
 
 class ServerPools:
-    """Holds the `ServerPool` of each server, by server id."""
+    """Holds the `ServerPool` of each server, by server id.
 
-    def __init__(self, names, clock, metrics, on_connect):
+    All connections share the `ResponseBounds` of the node.
+    """
+
+    def __init__(self, names, clock, metrics, on_connect, bounds):
         self._names = names
+        self._bounds = bounds
         self._classifier = ResponseClassifier(names)
         self._clock = clock
         self._metrics = metrics
@@ -283,5 +287,10 @@
 
     def _create_connection(self, address, on_idle_end):
         return ServerConnection(
-            address, self._names, self._classifier, self._clock, on_idle_end
+            address,
+            self._names,
+            self._classifier,
+            self._clock,
+            self._bounds,
+            on_idle_end,
         )
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -9,6 +9,7 @@
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
+from hawthornfold.gateway.response_bounds import create_response_bounds
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.limits import NodeCounts
 from hawthornfold.limits import compute_service_share
@@ -63,7 +64,12 @@
         self.audit = create_audit_trail(clock)
         self.directory = create_server_directory()
         self.latency_tracker = create_latency_tracker()
-        self.pools = ServerPools(names, clock, metrics, self._record_connect)
+        self.response_bounds = create_response_bounds(
+            settings.memory_bytes, clock, metrics
+        )
+        self.pools = ServerPools(
+            names, clock, metrics, self._record_connect, self.response_bounds
+        )
         self.eligibility = create_server_eligibility()
         self.placement = create_placement(
             settings.data_centre,
@@ -105,6 +111,7 @@
     def set_settings(self, settings):
         """Apply settings that were read again."""
         self._settings = settings
+        self.response_bounds.set_memory(settings.memory_bytes)
         self._apply_shares()
 
     def set_shares(self, counts, gathered_share):
--- a/hawthornfold/gateway/tests/support.py
+++ b/hawthornfold/gateway/tests/support.py
@@ -9,10 +9,21 @@
 import eventlet
 import eventlet.event
 
+from hawthornfold.clock import create_system_clock
+from hawthornfold.gateway.response_bounds import create_response_bounds
+from hawthornfold.metrics import create_metrics
+
 # Timeout that only ends tests that hang; no assertion depends on it.
 HANG_S = 20.0
 
 
+def create_bounds(memory_bytes=200 << 20, metrics=None):
+    """Create the bounds of a node with some memory."""
+    return create_response_bounds(
+        memory_bytes, create_system_clock(), metrics or create_metrics()
+    )
+
+
 def wait_for_callback(start):
     """Return the arguments of the callback that is passed to `start`."""
     event = eventlet.event.Event()
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -34,6 +34,7 @@
             names,
             exchanges.ResponseClassifier(names),
             self.clock,
+            support.create_bounds(),
             self.idle_ends.append,
         )
         self.addCleanup(self.connection.close)
--- a/hawthornfold/gateway/tests/test_pools.py
+++ b/hawthornfold/gateway/tests/test_pools.py
@@ -30,6 +30,7 @@
             create_system_clock(),
             self.metrics,
             lambda elapsed_ms: None,
+            support.create_bounds(),
         )
         self.addCleanup(self.pools.close)
         self.record = ServerRecord('s1', 'portal', self.server.address, 'd', 2)
