--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -26,8 +26,9 @@
 # sizes, chunk extensions and trailers. It exceeds what one call receives.
 MAX_FRAMING_BYTES = 96 << 10
 # Maximum number of such bytes for each byte of the body, beside the above. A
-# chunk of a single byte has five of them.
-MAX_FRAMING_RATIO = 8
+# chunk with a record of 16 bytes has six of them. Chunks of one byte would
+# take the event loop a second for 6 MB.
+MAX_FRAMING_RATIO = 0.5
 # Responses up to this size use none of the node's budget, so that ordinary
 # ones cost no bookkeeping.
 FREE_BYTES = 4 << 10
