Don't keep the large bodies of a query's parts

A part's body was kept until the request ended, although its records were merged: 8 answers of 1 MB held 8 MB, and 100 could hold 100 times the bound of a body. Failure bodies of queries with several parts are never passed on and were kept too (8.4 MB for 8 of 1 MB). Merging made an object for each record of a body at once, 5.1 MB for 1 MB.

Merged bodies are now cut at 64 KB, which the cost estimates need, failures are kept for requests with one part only, and records are merged in batches of 4,096.

--- a/hawthornfold/gathering/collected_answer.py
+++ b/hawthornfold/gathering/collected_answer.py
@@ -3,6 +3,11 @@
 from hawthornfold.gathering.actions import Verdict
 from hawthornfold.gathering.merging import RecordMerger
 
+# Bodies of parts whose records were merged are kept up to this size, for the
+# cost estimates of the node. A query has up to 100 parts, and a faulty server
+# can send as much as the bound of a body in each.
+MAX_KEPT_BYTES = 64 << 10
+
 
 class CollectedAnswer:
     """What a request has been answered so far, and what is missing.
@@ -87,6 +92,8 @@
 
     def record_answer(self, index, response, now_ms):
         """Record the answer of a part. Its records are added separately."""
+        if self._merger is not None and len(response.body) > MAX_KEPT_BYTES:
+            response = response._replace(body=response.body[:MAX_KEPT_BYTES])
         self._parts[index].answer = response
         self._answered_count += 1
         if self._is_helper:
@@ -94,6 +101,14 @@
         if self._answered_count == self._needed_count:
             self._sufficient_ms = now_ms
 
+    def record_failure(self, index, response):
+        """Record the failure response of a part.
+
+        It is passed on only if the request has a single part.
+        """
+        if len(self._parts) == 1:
+            self._parts[index].failure = response
+
     def add_records(self, body):
         """Merge records of answered parts; ignored for a forwarded request."""
         if self._merger is not None:
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -184,7 +184,7 @@
             self._collected.record_answer(index, outcome.response, now_ms)
             return [Cancel(other) for other in part.running]
         if outcome.kind is OutcomeKind.FAILED:
-            part.failure = outcome.response
+            self._collected.record_failure(index, outcome.response)
         return self._retry_part(index, part, outcome.kind, now_ms)
 
     def handle_group_answers(self, attempt, answers, records, now_ms):
--- a/hawthornfold/gathering/merging.py
+++ b/hawthornfold/gathering/merging.py
@@ -4,6 +4,9 @@
 
 RECORD_BYTES = 16
 _RECORD = struct.Struct(f'{RECORD_BYTES}s')
+# Records that are unpacked at a time. Each takes 57 bytes of memory, so that a
+# body of 6 MB would take another 22 MB at once.
+_BATCH_RECORDS = 4_096
 
 
 class RecordMerger:
@@ -44,9 +47,12 @@
         body : bytes
             Records in any order. A shorter remainder at its end is ignored.
         """
-        remainder = len(body) % RECORD_BYTES
-        if remainder:
-            body = body[:-remainder]
+        size = len(body) - len(body) % RECORD_BYTES
+        batch_bytes = _BATCH_RECORDS * RECORD_BYTES
+        for offset in range(0, size, batch_bytes):
+            self._add_batch(body[offset : min(offset + batch_bytes, size)])
+
+    def _add_batch(self, body):
         records = [record for (record,) in _RECORD.iter_unpack(body)]
         if len(self._records) == self._limit:
             smallest = self._records[-1]
