Bound the replies of the store in size and time as a whole

Replies are now read through a stream that limits all their bytes to 5 MB, and the time from the first to the last one to 1.5 s.

--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -17,6 +17,8 @@
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import SERVERS_PREFIX
 from hawthornfold.platform.names import STORE_ERA_HEADER
+from hawthornfold.sockets import ReplyLimits
+from hawthornfold.sockets import create_limited_pool
 from hawthornfold.sockets import read_body
 
 _LOG = logbook.Logger('directory')
@@ -36,6 +38,13 @@
 )
 # Bounds the body of a reply. A page of items holds up to 1 MB.
 MAX_REPLY_BYTES = 4 << 20
+# Bounds each reply as a whole. A page of 1 MB takes 0.2 s while the store is
+# slow; a reply that arrives byte by byte must not occupy the reader.
+_LIMITS = ReplyLimits(transfer_ms=1_500.0, total_bytes=5 << 20)
+# Bound the pages of one prefix together, as a faulty store may claim that
+# there are always more. 32 MB hold some 100,000 items.
+MAX_PREFIX_BYTES = 32 << 20
+MAX_PREFIX_MS = 30_000.0
 
 
 class _Page(msgspec.Struct):
@@ -88,9 +97,11 @@
     def __init__(self, find_address, clock):
         self._find_address = find_address
         self._clock = clock
-        self._pool = urllib3.PoolManager(
-            num_pools=2, retries=False, socket_options=_SOCKET_OPTIONS
+        self._pool = create_limited_pool(
+            _LIMITS, num_pools=2, retries=False, socket_options=_SOCKET_OPTIONS
         )
+        # Size of the last complete reply.
+        self._reply_bytes = 0
         self._configuration_decoder = ConfigurationDecoder()
         # The era header of the last answer, to log changes only.
         self._last_era_text = None
@@ -154,8 +165,11 @@
             The items, the lowest revision and the era of all pages.
         """
         items, revision, query = [], None, {'Prefix': prefix, **options}
+        left_bytes = MAX_PREFIX_BYTES
+        started_ms = self._clock.now_ms()
         while True:
             page, era = self._fetch('kv-range', query, 0.0, _PAGE_DECODER)
+            left_bytes -= self._reply_bytes
             if None not in (era, known_era) and era != known_era:
                 raise _ReadError('the pages are of two eras', era=era)
             known_era = known_era if era is None else era
@@ -163,6 +177,11 @@
             revision = min(revision or page.CurrentRev, page.CurrentRev)
             if not page.HasMore or not page.items:
                 return items, revision, known_era
+            if (
+                left_bytes < 0
+                or self._clock.now_ms() - started_ms > MAX_PREFIX_MS
+            ):
+                raise _ReadError('there are too many pages', era=era)
             query['after'] = page.items[-1].Key
 
     def _fetch(self, call, query, wait_ms, decoder):
@@ -201,6 +220,7 @@
         era = self._read_era(response)
         if data is None:
             raise _ReadError('the reply is too large', era=era)
+        self._reply_bytes = len(data)
         if response.status != 200:
             raise _ReadError(f'status {response.status}', response.status, era)
         try:
