Bound what callers make a gateway node read and hold

eventlet reads the lines between the chunks of a body without a limit: 8 MB of a chunk extension, size line or trailer were accepted in all six cases of the test. Bodies of 256 KB on 4,096 connections exceed the memory of a node, and the timeout of the socket starts again whenever a caller has read some bytes of its answer, so that an answer of 64 MB was held for 7.8 s with a limit of 1 s.

Lines between chunks are limited to 4 KB each, and to 16 KB plus one byte for each byte of the body. All heads and bodies above 4 KB that are being read share a budget of 1/8 of the node's memory, from which the largest is refused with 503. A body that comes too slowly is refused with 408, and invalid chunks with 400, where both were answered with 500. An answer has to be read within the idle timeout. Revocations are logged at most once per second.

--- a/hawthornfold/callers/protocol.py
+++ b/hawthornfold/callers/protocol.py
@@ -14,6 +14,7 @@
 from eventlet import wsgi
 
 from hawthornfold.callers import requests
+from hawthornfold.callers.streams import AnswerWriter
 from hawthornfold.codes import ResultCode
 
 # Key of the WSGI environment for a function that the application calls to
@@ -138,6 +139,14 @@
         self.rfile.close()
         self._stream = _TimedStream(self.connection, self._port.clock)
         self._input = self.rfile = io.BufferedReader(self._stream, 8192)
+        self.wfile.close()
+        # A caller may take as long to read an answer as between requests.
+        self.wfile = AnswerWriter(
+            self.connection,
+            lambda: self._limits.idle_timeout_ms,
+            self._port.clock,
+            self.wbufsize,
+        )
 
     def handle(self):
         """Serve requests until one side closes the connection."""
@@ -263,9 +272,15 @@
                     f'header line {len(lines) + 1} is not valid',
                 )
             lines.append(line)
+            self._reserve_head(
+                self._limits.max_head_bytes - self._remaining_head_bytes
+            )
             if len(lines) > self._limits.max_headers:
                 return self._refuse_oversized_head('too many header lines')
 
+    def _reserve_head(self, size_bytes):
+        """Account for the head read so far; subclasses may limit it."""
+
     def _check_framing(self):
         """Check how the body ends; return False if it was refused."""
         if 'Transfer-Encoding' in self.headers:
--- a/hawthornfold/gateway/ingress.py
+++ b/hawthornfold/gateway/ingress.py
@@ -8,9 +8,21 @@
 
 from hawthornfold.callers.protocol import CLOSE_KEY
 from hawthornfold.callers.protocol import CallerProtocol
+from hawthornfold.callers.streams import BoundedFraming
+from hawthornfold.clock import create_system_clock
 from hawthornfold.codes import ResultCode
+from hawthornfold.gateway.answers import create_refusal
 from hawthornfold.gateway.handler import IncomingRequest
+from hawthornfold.gateway.request_bodies import FREE_BYTES
+from hawthornfold.gateway.request_bodies import NO_MEMORY
+from hawthornfold.gateway.request_bodies import READ_SHARE
+from hawthornfold.gateway.request_bodies import RETRY_AFTER_MS
+from hawthornfold.gateway.request_bodies import end_input
+from hawthornfold.gateway.request_bodies import read_request_body
+from hawthornfold.gateway.revocations import RevocationReporter
 from hawthornfold.gathering import estimate_travel_ms
+from hawthornfold.sockets import ReadBudgetError
+from hawthornfold.sockets import create_read_budget
 from hawthornfold.sockets import read_round_trip_ms
 
 # Keys of the WSGI environment.
@@ -40,6 +52,16 @@
 
     def __init__(self, state):
         self._state = state
+        self._read_budget = create_read_budget(
+            0, RevocationReporter('requests', create_system_clock())
+        )
+
+    @property
+    def read_budget(self):
+        """The `ReadBudget` of all requests that are being read."""
+        memory_bytes = self._state.settings.memory_bytes
+        self._read_budget.set_limit(int(memory_bytes * READ_SHARE))
+        return self._read_budget
 
     @property
     def max_head_bytes(self):
@@ -74,6 +96,7 @@
     _request_count = 0
     _arrived_ms = 0.0
     _on_sent = None
+    _head_reservation = None
 
     def setup(self):
         """Prepare the connection and record when it was accepted."""
@@ -100,15 +123,41 @@
 
     def parse_request(self):
         """Read and check the head; return False if it was refused."""
-        is_valid = super().parse_request()
+        with contextlib.ExitStack() as self._head_stack:
+            try:
+                is_valid = super().parse_request()
+            except ReadBudgetError:
+                is_valid = self._refuse(ResultCode.OVERLOADED, '') or False
+        self._head_reservation = None
         if is_valid:
             # The body may take as long as the idle timeout.
             self._stream.start_time_limit(self._limits.idle_timeout_ms)
         return is_valid
 
+    def _reserve_head(self, size_bytes):
+        if size_bytes <= FREE_BYTES:
+            return
+        if self._head_reservation is None:
+            self._head_reservation = self._head_stack.enter_context(
+                self._limits.read_budget.reserve(
+                    lambda: end_input(self.connection)
+                )
+            )
+        self._head_reservation.resize(size_bytes)
+
+    def _refuse(self, code, detail, status=None):
+        reservation = self._head_reservation
+        if reservation is not None and reservation.is_revoked:
+            # The head is incomplete because the node has ended its input.
+            code, detail, status = ResultCode.OVERLOADED, NO_MEMORY, None
+        return super()._refuse(code, detail, status)
+
     def get_environ(self):
         """Return the WSGI environment of a request."""
         environ = super().get_environ()
+        request_input = environ['wsgi.input']
+        if request_input.chunked_input:
+            request_input.rfile = BoundedFraming(request_input.rfile)
         environ[HEADERS_KEY] = tuple(self.headers.items())
         environ[TARGET_KEY] = self.path
         environ[SOCKET_KEY] = self.connection
@@ -160,11 +209,17 @@
 
     def __call__(self, environ, start_response):
         """Answer one request according to WSGI."""
-        body = self._read_body(environ)
-        if body is None:
+        outcome = read_request_body(
+            environ['wsgi.input'],
+            environ.get('CONTENT_LENGTH'),
+            self._limits.max_body_bytes,
+            self._limits.read_budget,
+            lambda: end_input(environ[SOCKET_KEY]),
+        )
+        if outcome.is_err():
             environ[CLOSE_KEY]()
-            start_response('413 Content Too Large', [('Content-Length', '0')])
-            return [b'']
+            return self._refuse(outcome.err_value, start_response)
+        body = outcome.ok_value
         headers = environ[HEADERS_KEY]
         host = environ.get('HTTP_HOST', '').strip().lower()
         arrived_ms, travel_ms = self._estimate_travel(environ)
@@ -191,6 +246,16 @@
         start_response(answer.status_line, list(answer.headers) + length)
         return [answer.body]
 
+    def _refuse(self, refusal, start_response):
+        code = str(int(refusal.code))
+        self.count('caller_refusals', code=code)
+        answer = create_refusal(
+            refusal.code, refusal.status, refusal.detail, RETRY_AFTER_MS
+        )
+        length = [('Content-Length', str(len(answer.body)))]
+        start_response(answer.status_line, list(answer.headers) + length)
+        return [answer.body]
+
     def _estimate_travel(self, environ):
         """Return when a request arrived, and the network time of its answer.
 
@@ -213,24 +278,6 @@
             round_trip_ms, accepted_ms is not None
         )
 
-    def _read_body(self, environ):
-        """Return the whole body, or None if it is too large.
-
-        Raises
-        ------
-        OSError
-            If the caller disconnected or the framing is invalid.
-        """
-        stream = environ['wsgi.input']
-        limit = self._limits.max_body_bytes
-        body = stream.read(limit + 1)
-        if len(body) > limit:
-            return None
-        expected = environ.get('CONTENT_LENGTH')
-        if expected and len(body) < int(expected):
-            raise ConnectionAbortedError('the body ended early')
-        return body
-
 
 @contextlib.contextmanager
 def _watch_caller(connection, notify):
--- a/hawthornfold/gateway/response_bounds.py
+++ b/hawthornfold/gateway/response_bounds.py
@@ -1,14 +1,8 @@
 """Bounds of what a node reads and holds of servers' responses."""
 
-import math
-
-import logbook
-
-from hawthornfold.sockets import RevocationObserver
+from hawthornfold.gateway.revocations import RevocationReporter
 from hawthornfold.sockets import create_read_budget
 
-_LOG = logbook.Logger('gateway')
-
 # Share of the node's memory for all responses that are being read. An idle
 # node takes about a third of it, and what it does with complete responses
 # needs several times their size.
@@ -19,12 +13,9 @@
 # Larger bodies block the event loop for too long when they are joined and
 # merged, whatever the memory of the node.
 MAX_BODY_BYTES = 16 << 20
-# Interval between two log lines about revoked responses. A server that floods
-# all its connections causes hundreds of them per second.
-LOG_INTERVAL_MS = 1_000.0
 
 
-class ResponseBounds(RevocationObserver):
+class ResponseBounds:
     """The bounds of all responses that a node reads.
 
     Parameters
@@ -36,12 +27,14 @@
     """
 
     def __init__(self, memory_bytes, clock, metrics):
-        self._clock = clock
         self._metrics = metrics
-        self._budget = create_read_budget(0, self)
+        self._budget = create_read_budget(
+            0,
+            RevocationReporter(
+                'responses', clock, lambda: self.record_refusal('memory')
+            ),
+        )
         self._body_bytes = 0
-        self._logged_ms = -math.inf
-        self._unlogged_count = 0
         self.set_memory(memory_bytes)
 
     @property
@@ -69,22 +62,6 @@
         """
         self._metrics.count('responses_refused', bound=bound)
 
-    def handle_revocation(self, size_bytes):
-        """Count and log that the largest response was given up."""
-        self.record_refusal('memory')
-        self._unlogged_count += 1
-        now_ms = self._clock.now_ms()
-        if now_ms - self._logged_ms >= LOG_INTERVAL_MS:
-            _LOG.warning(
-                'event=response_memory_exhausted revoked={} last_bytes={} '
-                'limit_bytes={}',
-                self._unlogged_count,
-                size_bytes,
-                self._budget.limit_bytes,
-            )
-            self._logged_ms = now_ms
-            self._unlogged_count = 0
-
 
 def create_response_bounds(memory_bytes, clock, metrics):
     """Create the `ResponseBounds` of a node."""
