Bound what waits from a peer, and refuse strangers' bytes

Up to 1,024 messages of 1.2 MB waited for a busy node: 60 MB sent by one peer took 58 MB. Connections that don't speak ZMTP were taken for ZMTP 1.0, which has no greeting; HTTP, TLS or text stayed connected and counted as messages.

A message above the limit closes the connection, and a flood of invalid messages doesn't delay other peers; these held before.

A message of endless parts still takes all memory; libzmq has no bound for it.

--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -20,7 +20,10 @@
 _MAX_RECONNECT_INTERVAL_MS = 2000
 _CONNECT_TIMEOUT_MS = 1500
 _SEND_QUEUE_LENGTH = 512
-_RECEIVE_QUEUE_LENGTH = 1024
+# Messages of one peer that wait while the node is busy. Messages may have 1.2
+# MB, and a node as little as 200 MB; 1,024 of them exceed it. Further ones
+# wait in the kernel's buffers and in the sender's queue.
+_RECEIVE_QUEUE_LENGTH = 32
 _IDLE_TIMEOUT_MS = 60_000
 # With at most this many peers in the last minute, idle links stay open for
 # `_IDLE_TIMEOUT_MS`, otherwise for `_SHORT_IDLE_TIMEOUT_MS`. In a large fleet
@@ -178,7 +181,9 @@
             router.curve_server = True
             router.curve_secretkey = self._keys[0].secret.encode()
             router.curve_publickey = self._keys[0].public.encode()
-            router.zap_domain = keys.ZAP_DOMAIN
+        # With a domain, libzmq refuses the protocols before ZMTP 3. The first
+        # one has no greeting, so that it accepts most bytes as messages.
+        router.zap_domain = keys.ZAP_DOMAIN
         router.bind(f'tcp://{self._settings.node.host}:{peers.port}')
         self._spawn(self._receive_frames, router)
         self._spawn(self._run_idle_check)
