Limit whole replies of the platform and of backends in time and size

Both readers limited the size of a body, and the platform's also its time, but heads, interim responses and trailers could go on for as long as a byte came within each timeout. The stream that limits the store's replies now limits theirs: the read timeout covers the whole reply, and the size its framing.

--- a/hawthornfold/backends/connection.py
+++ b/hawthornfold/backends/connection.py
@@ -16,6 +16,8 @@
 
 from hawthornfold.backends import codec
 from hawthornfold.codes import ResultCode
+from hawthornfold.sockets import ReplyLimits
+from hawthornfold.sockets import create_response_class
 from hawthornfold.sockets import is_readable
 from hawthornfold.sockets import read_body
 
@@ -56,6 +58,12 @@
     exchange: 0.36 ms on a busy machine.
     """
 
+    # Its read timeout limits a whole reply, and not the time between two of
+    # its bytes.
+    response_class = create_response_class(
+        ReplyLimits(None, 2 * codec.MAX_REPLY_BYTES)
+    )
+
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self._pending = None
--- a/hawthornfold/sockets/__init__.py
+++ b/hawthornfold/sockets/__init__.py
@@ -3,6 +3,7 @@
 from hawthornfold.sockets.bodies import read_body
 from hawthornfold.sockets.limited_pool import ReplyLimits
 from hawthornfold.sockets.limited_pool import create_limited_pool
+from hawthornfold.sockets.limited_pool import create_response_class
 from hawthornfold.sockets.read_budget import ReadBudget
 from hawthornfold.sockets.read_budget import ReadBudgetError
 from hawthornfold.sockets.read_budget import RevocationObserver
@@ -17,6 +18,7 @@
     'RevocationObserver',
     'create_limited_pool',
     'create_read_budget',
+    'create_response_class',
     'is_readable',
     'read_body',
     'read_round_trip_ms',
--- a/hawthornfold/sockets/limited_pool.py
+++ b/hawthornfold/sockets/limited_pool.py
@@ -20,14 +20,15 @@
 
     Parameters
     ----------
-    transfer_ms : float
+    transfer_ms : float or None
         Maximum time from its first byte to its last one. The time until the
-        first byte is limited by the read timeout of the request.
+        first byte is limited by the read timeout of the request. With None,
+        this timeout limits the reply as a whole.
     total_bytes : int
         Maximum size, with head and framing.
     """
 
-    transfer_ms: float
+    transfer_ms: float | None
     total_bytes: int
 
 
@@ -42,6 +43,8 @@
         self._clock = clock
         self._left_bytes = limits.total_bytes
         self._deadline_ms = None
+        if limits.transfer_ms is None and self._timeout_s is not None:
+            self._deadline_ms = clock.now_ms() + self._timeout_s * 1000.0
 
     def readable(self):
         return True
@@ -56,7 +59,7 @@
         """
         self._limit_wait()
         count = self._stream.readinto(buffer)
-        if count and self._deadline_ms is None:
+        if count and self._deadline_ms is None and self._limits.transfer_ms:
             self._deadline_ms = self._clock.now_ms() + self._limits.transfer_ms
         self._left_bytes -= count or 0
         if self._left_bytes < 0:
@@ -83,8 +86,8 @@
         super().close()
 
 
-def create_limited_pool(limits, clock=None, **options):
-    """Create a urllib3 pool manager for HTTP with limited replies.
+def create_response_class(limits, clock=None):
+    """Create a class of responses with limits, for `http.client`.
 
     Parameters
     ----------
@@ -92,13 +95,11 @@
         Limits of each reply.
     clock : Clock, optional
         Measures the time.
-    **options : dict
-        Arguments of `urllib3.PoolManager`.
 
     Returns
     -------
-    urllib3.PoolManager
-        Its replies raise urllib3's errors when they exceed a limit.
+    type
+        To be set as ``response_class`` of a connection class.
     """
     clock = clock or create_system_clock()
 
@@ -108,8 +109,29 @@
             self.fp.close()
             self.fp = io.BufferedReader(_LimitedStream(sock, limits, clock))
 
+    return LimitedResponse
+
+
+def create_limited_pool(limits, clock=None, **options):
+    """Create a urllib3 pool manager for HTTP with limited replies.
+
+    Parameters
+    ----------
+    limits : ReplyLimits
+        Limits of each reply.
+    clock : Clock, optional
+        Measures the time.
+    **options : dict
+        Arguments of `urllib3.PoolManager`.
+
+    Returns
+    -------
+    urllib3.PoolManager
+        Its replies raise urllib3's errors when they exceed a limit.
+    """
+
     class LimitedConnection(urllib3.connection.HTTPConnection):
-        response_class = LimitedResponse
+        response_class = create_response_class(limits, clock)
 
     class LimitedPool(urllib3.HTTPConnectionPool):
         ConnectionCls = LimitedConnection
--- a/hawthornfold/sources/reader.py
+++ b/hawthornfold/sources/reader.py
@@ -6,6 +6,8 @@
 
 from hawthornfold.codes import Failure
 from hawthornfold.codes import ResultCode
+from hawthornfold.sockets import ReplyLimits
+from hawthornfold.sockets import create_limited_pool
 from hawthornfold.sources import replies
 
 # Bounds the size of a reply, so that a faulty one does not exhaust the 256 MB
@@ -13,6 +15,8 @@
 # takes 5 MB.
 MAX_REPLY_BYTES = 32 << 20
 _CHUNK_BYTES = 1 << 16
+# Bounds what a reply has beside its body.
+_MAX_FRAMING_BYTES = 1 << 20
 
 
 class _ReadError(Exception):
@@ -30,8 +34,12 @@
         # Each resource has the index of the address to try first, because
         # two green threads read keys and VMs at the same time.
         self._first_indexes = {'keys': first_index, 'vms': first_index}
-        self._pool = urllib3.PoolManager(
-            num_pools=len(self._addresses), maxsize=4, retries=False
+        # The body has limits of its own; these bound heads and trailers too.
+        self._pool = create_limited_pool(
+            ReplyLimits(None, MAX_REPLY_BYTES + _MAX_FRAMING_BYTES),
+            num_pools=len(self._addresses),
+            maxsize=4,
+            retries=False,
         )
 
     def read_keys(self, since, wait_ms):
