Log failing handlers of peer messages once per second

A peer that floods messages on which a handler fails wrote a traceback for each; the counter peer_handler_errors still has them all.

--- a/hawthornfold/gateway/tests/test_endless_servers.py
+++ b/hawthornfold/gateway/tests/test_endless_servers.py
@@ -175,6 +175,43 @@
         self.assertIn(len(endless.requests), (1, 2))
         self.assertEqual(len(sound.requests), 20)
 
+    def test_requests_that_may_have_run_are_not_repeated(self):
+        # Guards against a non-idempotent request that runs at two servers.
+        start, unit = ENDLESS['trailers']
+        endless = EndlessServer(start, unit)
+        sound = support.ScriptedServer(support.answer_correctly)
+        self.start([endless, sound], max_retries=2)
+        statuses = [self.ask().status for _ in range(20)]
+        failed = len(endless.requests)
+        self.assertIn(failed, (1, 2))
+        self.assertEqual(statuses.count(502), failed)
+        self.assertEqual(statuses.count(200), 20 - failed)
+        self.assertEqual(len(sound.requests), 20 - failed)
+
+    def test_bytes_on_an_idle_connection_close_it(self):
+        # Guards against bytes after a complete response, which a node would
+        # read without end or take for the response to the next request.
+        cut = []
+
+        def script(connection, request, number):
+            answer = support.create_answer(request)
+            connection.sendall(answer)
+            time.sleep(0.05)
+            try:
+                for _ in range(SENT_BYTES // (100 * len(answer))):
+                    connection.sendall(100 * answer)
+            except OSError:
+                cut.append(number)
+            return False
+
+        server = support.ScriptedServer(script)
+        self.start([server])
+        for number in range(1, 4):
+            self.assertEqual(self.ask().status, 200)
+            support.wait_until(lambda n=number: len(cut) == n)
+        self.assertEqual(cut, [0, 0, 0])
+        self.assertEqual(server.connection_count, 3)
+
     def check_trickle(self, start, unit):
         server = EndlessServer(start, unit, TRICKLE_INTERVAL_MS)
         self.start([server])
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -1,6 +1,7 @@
 """Links to other nodes: one ROUTER to receive, one DEALER per peer."""
 
 import contextlib
+import math
 
 import eventlet
 from eventlet.green import zmq
@@ -42,6 +43,9 @@
 # Maximum number of senders whose incarnation is stored. It limits the memory
 # that frames with forged sender names can take.
 _MAX_SENDERS = 32_768
+# Interval between two log lines about handlers that fail. A peer can send
+# thousands of messages per second that cause the same fault.
+_ERROR_LOG_INTERVAL_MS = 1_000.0
 _WATCHED_EVENTS = (
     zmq.EVENT_HANDSHAKE_SUCCEEDED
     | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
@@ -94,6 +98,7 @@
         self._last_used_ms = {}
         self._key_indexes = {}
         self._incarnations = {}
+        self._error_logged_ms = -math.inf
         self._threads = []
         # Context.term() blocks the process until every socket is closed.
         self._sockets = set()
@@ -309,7 +314,10 @@
         except Exception:
             # A faulty handler must not stop the other handlers' messages.
             self._metrics.count('peer_handler_errors')
-            LOG.exception('handler of {} failed', type(body).__name__)
+            now_ms = self._clock.now_ms()
+            if now_ms - self._error_logged_ms >= _ERROR_LOG_INTERVAL_MS:
+                self._error_logged_ms = now_ms
+                LOG.exception('handler of {} failed', type(body).__name__)
 
     def _check_incarnation(self, sender):
         latest_incarnation = self._incarnations.get(sender.name)
--- a/hawthornfold/peers/tests/test_floods.py
+++ b/hawthornfold/peers/tests/test_floods.py
@@ -8,8 +8,10 @@
 
 import eventlet
 from eventlet.green import zmq
+import logbook
 
 from hawthornfold.peers import codec
+from hawthornfold.peers.messages import Leave
 from hawthornfold.peers.tests.fakes import Note
 from hawthornfold.peers.tests.fakes import open_endpoint
 
@@ -107,6 +109,21 @@
                 self.check_works(a, b)
                 flood.kill()
 
+    def test_failing_handler_is_logged_once_per_second(self):
+        # Guards against a traceback in the log for each message of a flood.
+        def fail(sender, body):
+            raise ValueError('a fault')
+
+        log = self.enterContext(logbook.TestHandler().applicationbound())
+        with open_endpoint('a') as a, open_endpoint('b') as b:
+            a.links.register(Leave, fail)
+            for _ in range(200):
+                b.links.send(a.name, a.address, Leave(1))
+            with eventlet.Timeout(20.0):
+                while a.metrics.counts['peer_handler_errors',] < 200:
+                    eventlet.sleep(0.01)
+        self.assertLess(len(log.records), 20)
+
     def send_endlessly(self, dealer):
         while True:
             try:
