--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -11,6 +11,7 @@
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
+from hawthornfold.gateway.response_bounds import create_response_bounds
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.gathering import create_regions
 from hawthornfold.gathering import report_regions
@@ -68,7 +69,12 @@
         self._evacuation_reporter = EvacuationReporter(self.audit, metrics)
         self.directory = create_server_directory(self._handle_evacuations)
         self.latency_tracker = create_latency_tracker()
-        self.pools = ServerPools(names, clock, metrics, self._record_connect)
+        self.response_bounds = create_response_bounds(
+            settings.memory_bytes, clock, metrics
+        )
+        self.pools = ServerPools(
+            names, clock, metrics, self._record_connect, self.response_bounds
+        )
         self.eligibility = create_server_eligibility()
         self.placement = create_placement(
             settings.data_centre,
@@ -113,6 +119,7 @@
         self._settings = settings
         self.regions.set_table(settings.region, settings.regions)
         self._report_regions()
+        self.response_bounds.set_memory(settings.memory_bytes)
         self._apply_shares()
 
     def set_shares(self, counts, gathered_share):
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -1,6 +1,7 @@
 """Links to other nodes: one ROUTER to receive, one DEALER per peer."""
 
 import contextlib
+import math
 
 import eventlet
 from eventlet.green import zmq
@@ -20,7 +21,10 @@
 _MAX_RECONNECT_INTERVAL_MS = 2000
 _CONNECT_TIMEOUT_MS = 1500
 _SEND_QUEUE_LENGTH = 512
-_RECEIVE_QUEUE_LENGTH = 1024
+# Messages of one peer that wait while the node is busy. Messages may have 1.2
+# MB, and a node as little as 200 MB; 1,024 of them exceed it. Further ones
+# wait in the kernel's buffers and in the sender's queue.
+_RECEIVE_QUEUE_LENGTH = 32
 _IDLE_TIMEOUT_MS = 60_000
 # With at most this many peers in the last minute, idle links stay open for
 # `_IDLE_TIMEOUT_MS`, otherwise for `_SHORT_IDLE_TIMEOUT_MS`. In a large fleet
@@ -39,6 +43,9 @@
 # Maximum number of senders whose incarnation is stored. It limits the memory
 # that frames with forged sender names can take.
 _MAX_SENDERS = 32_768
+# Interval between two log lines about handlers that fail. A peer can send
+# thousands of messages per second that cause the same fault.
+_ERROR_LOG_INTERVAL_MS = 1_000.0
 _WATCHED_EVENTS = (
     zmq.EVENT_HANDSHAKE_SUCCEEDED
     | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
@@ -91,6 +98,7 @@
         self._last_used_ms = {}
         self._key_indexes = {}
         self._incarnations = {}
+        self._error_logged_ms = -math.inf
         self._threads = []
         # Context.term() blocks the process until every socket is closed.
         self._sockets = set()
@@ -178,7 +186,9 @@
             router.curve_server = True
             router.curve_secretkey = self._keys[0].secret.encode()
             router.curve_publickey = self._keys[0].public.encode()
-            router.zap_domain = keys.ZAP_DOMAIN
+        # With a domain, libzmq refuses the protocols before ZMTP 3. The first
+        # one has no greeting, so that it accepts most bytes as messages.
+        router.zap_domain = keys.ZAP_DOMAIN
         router.bind(f'tcp://{self._settings.node.host}:{peers.port}')
         self._spawn(self._receive_frames, router)
         self._spawn(self._run_idle_check)
@@ -304,7 +314,10 @@
         except Exception:
             # A faulty handler must not stop the other handlers' messages.
             self._metrics.count('peer_handler_errors')
-            LOG.exception('handler of {} failed', type(body).__name__)
+            now_ms = self._clock.now_ms()
+            if now_ms - self._error_logged_ms >= _ERROR_LOG_INTERVAL_MS:
+                self._error_logged_ms = now_ms
+                LOG.exception('handler of {} failed', type(body).__name__)
 
     def _check_incarnation(self, sender):
         latest_incarnation = self._incarnations.get(sender.name)
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -18,6 +18,8 @@
 from hawthornfold.platform.names import SERVERS_PREFIX
 from hawthornfold.platform.names import STORE_ERA_HEADER
 from hawthornfold.platform.replies import decode_reply
+from hawthornfold.sockets import ReplyLimits
+from hawthornfold.sockets import create_limited_pool
 from hawthornfold.sockets import read_body
 
 _LOG = logbook.Logger('directory')
@@ -37,6 +39,14 @@
 )
 # Bounds the body of a reply. A page of items holds up to 1 MB.
 MAX_REPLY_BYTES = 4 << 20
+# Bounds each reply as a whole; a reply that arrives byte by byte must not
+# occupy the reader. A value of 1 MB, 1.4 MB as base64, takes 1.6 s on a link of
+# 7 Mbit/s, and a multiple of that while callers use the link as well.
+_LIMITS = ReplyLimits(transfer_ms=6_000.0, total_bytes=5 << 20)
+# Bound the pages of one prefix together, as a faulty store may claim that
+# there are always more. 32 MB hold some 100,000 items.
+MAX_PREFIX_BYTES = 32 << 20
+MAX_PREFIX_MS = 30_000.0
 
 
 class _Page(msgspec.Struct):
@@ -89,9 +99,11 @@
     def __init__(self, find_address, clock):
         self._find_address = find_address
         self._clock = clock
-        self._pool = urllib3.PoolManager(
-            num_pools=2, retries=False, socket_options=_SOCKET_OPTIONS
+        self._pool = create_limited_pool(
+            _LIMITS, num_pools=2, retries=False, socket_options=_SOCKET_OPTIONS
         )
+        # Size of the last complete reply.
+        self._reply_bytes = 0
         self._configuration_decoder = ConfigurationDecoder()
         # The era header of the last answer, to log changes only.
         self._last_era_text = None
@@ -155,8 +167,11 @@
             The items, the lowest revision and the era of all pages.
         """
         items, revision, query = [], None, {'Prefix': prefix, **options}
+        left_bytes = MAX_PREFIX_BYTES
+        started_ms = self._clock.now_ms()
         while True:
             page, era = self._fetch('kv-range', query, 0.0, _PAGE_DECODER)
+            left_bytes -= self._reply_bytes
             if None not in (era, known_era) and era != known_era:
                 raise _ReadError('the pages are of two eras', era=era)
             known_era = known_era if era is None else era
@@ -164,6 +179,11 @@
             revision = min(revision or page.CurrentRev, page.CurrentRev)
             if not page.HasMore or not page.items:
                 return items, revision, known_era
+            if (
+                left_bytes < 0
+                or self._clock.now_ms() - started_ms > MAX_PREFIX_MS
+            ):
+                raise _ReadError('there are too many pages', era=era)
             query['after'] = page.items[-1].Key
 
     def _fetch(self, call, query, wait_ms, decoder):
@@ -202,6 +222,7 @@
         era = self._read_era(response)
         if data is None:
             raise _ReadError('the reply is too large', era=era)
+        self._reply_bytes = len(data)
         if response.status != 200:
             raise _ReadError(f'status {response.status}', response.status, era)
         try:
