Keep servers out of use that announce in responses that they leave

Cause: a server that leaves says so in its responses, while the store may be late, unreachable or restored from a copy that lists it as ready. Change: the directory keeps announcements by server and start (leaving.py) and excludes these servers; only a later start undoes one. The rule of last resort counts from the first announcement. A record with a replaced address is not available.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -9,6 +9,7 @@
 import typing
 
 from hawthornfold.directory.departures import Departures
+from hawthornfold.directory.leaving import create_leaving_servers
 from hawthornfold.directory.records import ServerRecord
 
 # Removals are deferred until this long after an outage. Servers write expired
@@ -60,6 +61,13 @@
         self._pending_removals = {}
         self._removals_deferred_until_ms = 0.0
         self._departures = Departures()
+        # Servers whose responses announced that they leave.
+        self._announced = create_leaving_servers()
+
+    @property
+    def announced_count(self):
+        """Number of kept announcements of servers that they leave."""
+        return self._announced.count
 
     @property
     def version(self):
@@ -132,12 +140,55 @@
         )
 
     def is_available(self, record, now_ms):
-        """Return whether a server may receive new work."""
+        """Return whether a server may receive new work.
+
+        A record with an earlier address is of a process that has been
+        replaced, perhaps because it left.
+        """
         return any(
             other.server_id == record.server_id
+            and other.address == record.address
             for other in self.available_servers(record.service, now_ms)
         )
 
+    def is_leaving(self, record):
+        """Return whether a server leaves, by its record or its responses."""
+        return record.is_draining or self._announced.covers(record)
+
+    def has_announced(self, record):
+        """Return whether a response announced that the server leaves."""
+        return self._announced.covers(record)
+
+    def record_leaving(self, record, now_ms):
+        """Record that a response of a server announced that it leaves.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            The record that the request was sent by. The announcement is kept
+            also if the store does not list the server any more.
+        now_ms : float
+            Current time.
+
+        Returns
+        -------
+        list of DirectoryEvent
+        """
+        current = self._records.get(record.server_id)
+        if current is not None and (
+            current.born_ms > record.born_ms
+            or current.address != record.address
+        ):
+            # The server has restarted since the request was sent.
+            return []
+        was_leaving = current is None or self.is_leaving(current)
+        self._announced.record(record, now_ms)
+        if was_leaving:
+            return []
+        self._remove_ready(current)
+        self._leaving[record.server_id] = _Leaving(current, now_ms)
+        return [DirectoryEvent('draining', current)]
+
     def record_outage(self, now_ms):
         """Record that the store did not answer; defer removals."""
         until_ms = now_ms + REMOVAL_GRACE_MS
@@ -221,7 +272,7 @@
                 del self._leaving[server_id]
         for record in self._departures.take_trusted(now_ms):
             events += self._update_record(record, now_ms)
-        return events
+        return events + self._expire_announced(now_ms)
 
     def _update_record(self, record, now_ms):
         server_id = record.server_id
@@ -230,19 +281,41 @@
         if before is not None and record.born_ms < before.born_ms:
             # An earlier incarnation of the server wrote this record.
             return []
+        was_leaving = before is not None and self.is_leaving(before)
         self._records[server_id] = record
         self._update_index(before, record, now_ms)
-        kind = _classify_change(before, record)
+        is_leaving = self.is_leaving(record)
+        kind = _classify_change(before, record, was_leaving, is_leaving)
         return [] if kind is None else [DirectoryEvent(kind, record)]
 
+    def _expire_announced(self, now_ms):
+        """Drop old announcements; use servers of unknown start again."""
+        listed = [
+            record
+            for record in self._records.values()
+            if record.born_ms == 0 and self._announced.covers(record)
+        ]
+        self._announced.expire(self._records, now_ms)
+        events = []
+        for record in listed:
+            if not self.is_leaving(record):
+                self._update_index(record, record, now_ms)
+                events.append(DirectoryEvent('ready', record))
+        return events
+
     def _update_index(self, before, record, now_ms):
         server_id = record.server_id
         if before is not None:
             self._remove_ready(before)
         if record.is_draining:
-            if before is None or not before.is_draining:
+            if before is None or not self.is_leaving(before):
                 self._leaving[server_id] = _Leaving(record, now_ms)
             self._departures.record_departure(record, now_ms)
+        elif self._announced.covers(record):
+            # The store still lists as ready a server that has announced that
+            # it leaves. That does not extend the time of last resort.
+            since_ms = self._announced.since_ms(server_id)
+            self._leaving[server_id] = _Leaving(record, since_ms)
         else:
             self._leaving.pop(server_id, None)
             servers = self._ready_by_service.setdefault(record.service, {})
@@ -267,7 +340,7 @@
             return []
         self._remove_ready(record)
         self._departures.record_departure(record, now_ms)
-        if not record.is_draining:
+        if not self.is_leaving(record):
             # The server may have left when the removal was received, so that
             # a deferral counts towards the time of last resort.
             since_ms = now_ms if pending is None else pending.received_ms
@@ -284,15 +357,15 @@
         self._version += 1
 
 
-def _classify_change(before, record):
+def _classify_change(before, record, was_leaving, is_leaving):
     if before is None:
         return 'added'
     if record.born_ms > before.born_ms > 0:
         return 'restarted'
     if (record.address, record.service) != (before.address, before.service):
         return 'moved'
-    if record.is_draining != before.is_draining:
-        return 'draining' if record.is_draining else 'ready'
+    if is_leaving != was_leaving:
+        return 'draining' if is_leaving else 'ready'
     return None
 
 
