Apply leaving announcements and pause requests of responses

Cause: responses carry signals of their servers, which nothing applied. They count with every status but 421, and with a response whose rest is missing. Connections to a leaving server are not kept. A 503 with a valid Retry-After is neither a failure nor a silence of its server. A refusal states the time left, rounded up, and the usual time if a server was allowed but tried in vain.

--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -1,6 +1,7 @@
 """Builds answers to callers: merged, passed on or a refusal."""
 
 import http
+import math
 import typing
 
 from hawthornfold.codes import ResultCode
@@ -143,6 +144,8 @@
     if retry_after_ms is None:
         retry_after_ms = RETRY_AFTER_MS.get(code)
     if status == 503 and retry_after_ms is not None:
-        headers.append(('Retry-After', f'{retry_after_ms / 1000.0:.2f}'))
+        # Rounded up: a caller that returns earlier is refused again.
+        seconds = math.ceil(retry_after_ms / 10.0) / 100.0
+        headers.append(('Retry-After', f'{seconds:.2f}'))
     body = f'{int(code)} {code.name}: {detail}\n'.encode()
     return GatewayAnswer(status, tuple(headers), body)
--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -67,6 +67,9 @@
 
     def handle_end(self, outcome, waiting_count):
         """Release the connection and report the end of the exchange."""
+        # Before the release: the next request that waits for the connection
+        # is sent within it, but not to a server that wants no more requests.
+        self.relay.handle_signals(self, outcome.signals)
         if self.connection is not None:
             self.pool.release(self.connection)
         self.relay.handle_end(self, outcome, waiting_count)
@@ -90,7 +93,14 @@
         return now_ms - self.connection.sent_ms
 
     def record_outcome(
-        self, placement, key, decision, outcome, waiting_count, now_ms
+        self,
+        placement,
+        key,
+        decision,
+        outcome,
+        waiting_count,
+        now_ms,
+        requests_pause=False,
     ):
         """Record in a `Placement` what the end of the attempt shows.
 
@@ -106,6 +116,8 @@
             As for `handle_end`.
         now_ms : float
             Current time on the node's clock.
+        requests_pause : bool
+            Whether the server's response requests a pause.
         """
         server_id = self.send.record.server_id
         elapsed_ms = self.elapsed_ms(now_ms)
@@ -118,6 +130,8 @@
             placement.record_answer(
                 server_id, key, decision, elapsed_ms, waiting_count, now_ms
             )
+        elif requests_pause and kind is not OutcomeKind.LOST:
+            placement.health(server_id).record_refusal(key, now_ms)
         elif kind is OutcomeKind.WITHHELD:
             placement.health(server_id).record_withheld(key)
         elif kind is OutcomeKind.WRONG_SERVER:
--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -13,6 +13,7 @@
 from eventlet.hubs import hub
 
 from hawthornfold.gateway.responses import ResponseReader
+from hawthornfold.gathering import NO_SIGNALS
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
 
@@ -344,13 +345,19 @@
 
     def _fail(self, detail):
         """Close the connection and end the exchange without a response."""
-        kind = OutcomeKind.LOST
+        kind, signals = OutcomeKind.LOST, NO_SIGNALS
         if self._request is None:
             kind = OutcomeKind.UNREACHABLE
+        elif self._reader.has_head:
+            # What a response says about its server counts also if the rest of
+            # it is missing.
+            signals = self._classifier.read_signals(
+                self._reader.status, self._reader.read_fields()
+            )
         on_end = self._on_end
         self.close()
         if on_end is not None:
-            on_end(ExchangeOutcome(kind, None, detail), None)
+            on_end(ExchangeOutcome(kind, None, detail, signals), None)
 
     def _handle_obsolete(self):
         """Give up the descriptor, which another owner has closed."""
--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -137,7 +137,7 @@
             ), None
         fields = reader.read_fields()
         waiting_count = _parse_waiting_count(fields.get(self._load, b''))
-        signals = self._read_signals(status, fields)
+        signals = self.read_signals(status, fields)
         if fields.get(self._not_executed):
             outcome = ExchangeOutcome(
                 OutcomeKind.NOT_EXECUTED, None, f'status {status}', signals
@@ -146,7 +146,9 @@
         seal = fields.get(self._seal, b'').decode('latin-1')
         fault = self._find_fault(request, status, fields, seal)
         if fault:
-            return ExchangeOutcome(OutcomeKind.LOST, None, fault), None
+            return ExchangeOutcome(
+                OutcomeKind.LOST, None, fault, signals
+            ), None
         response = ServerResponse(
             status, tuple(reader.raw_headers), reader.body, seal
         )
@@ -160,16 +162,32 @@
             )
         return outcome, waiting_count
 
-    def _read_signals(self, status, fields):
+    def read_signals(self, status, fields):
+        """Return what a response says about its server.
+
+        Parameters
+        ----------
+        status : int
+            The HTTP status.
+        fields : dict of bytes to bytes
+            The header values by lowercase name.
+
+        Returns
+        -------
+        ServerSignals
+            `NO_SIGNALS` if it says nothing, and if another server sent it.
+        """
         is_leaving = fields.get(self._leaving) == b'1'
         warmup = fields.get(self._warmup, b'')
-        retry_after = b''
-        if status == 503:
-            retry_after = fields.get(self._retry_after, b'')
-        if not (is_leaving or warmup or retry_after):
+        is_full = status == 503
+        retry_after = fields.get(self._retry_after, b'') if is_full else b''
+        if status == 421 or not (is_leaving or warmup or is_full):
             return NO_SIGNALS
         return ServerSignals(
-            is_leaving, warmup.decode('latin-1'), retry_after.decode('latin-1')
+            is_leaving,
+            warmup.decode('latin-1'),
+            retry_after.decode('latin-1'),
+            is_full,
         )
 
     def _find_fault(self, request, status, fields, seal):
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -271,7 +271,9 @@
         if verdict is Verdict.NOT_RUN:
             now_ms = self._clock.now_ms()
             free_ms = run.execution.free_ms(now_ms)
-            if free_ms is not None:
+            # Servers that may receive requests now were tried in vain, so that
+            # the usual time applies.
+            if free_ms is not None and free_ms > now_ms:
                 retry_after_ms = free_ms - now_ms
         answer = create_answer(
             plan.decision,
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -1,6 +1,5 @@
 """Runs the exchanges of one request until the request has a verdict."""
 
-import abc
 import itertools
 import typing
 
@@ -56,22 +55,6 @@
     pending: tuple[str, ...] = ()
 
 
-class RelayObserver(abc.ABC):
-    """Reports the progress of a request while it runs."""
-
-    @abc.abstractmethod
-    def handle_progress(self, execution, now_ms):
-        """Handle that answers have arrived, or that a report may be due."""
-
-    @abc.abstractmethod
-    def handle_repeats(self, execution):
-        """Handle that parts are about to be sent a second time."""
-
-    @abc.abstractmethod
-    def next_report_ms(self, now_ms):
-        """Return when a report is due, or None."""
-
-
 class Relay:
     """Performs the exchanges that one `Execution` asks for.
 
@@ -326,6 +309,17 @@
             exchange.handle_end,
         )
 
+    def handle_signals(self, exchange, signals):
+        """Apply what a response says about its server."""
+        if signals is NO_SIGNALS:
+            return
+        try:
+            self._state.handle_signals(
+                exchange.send.record, signals, self._clock.now_ms()
+            )
+        except Exception as error:  # noqa: BLE001
+            self._end_with_error(error)
+
     def handle_end(self, exchange, outcome, waiting_count):
         """Continue the request after the end of an exchange."""
         attempt = exchange.send.attempt
@@ -381,11 +375,8 @@
             outcome,
             waiting_count,
             now_ms,
+            self._state.signals.requests_pause(outcome.signals),
         )
-        if outcome.signals is not NO_SIGNALS:
-            self._state.handle_signals(
-                exchange.send.record, outcome.signals, now_ms
-            )
         if exchange.is_cancelled:
             self._metrics.count('exchanges', outcome='cancelled')
             return
--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -43,6 +43,11 @@
         """Whether the response is complete."""
         return self._is_complete
 
+    @property
+    def has_head(self):
+        """Whether the head of a response is complete."""
+        return self._has_head
+
     @property
     def has_extra_bytes(self):
         """Whether bytes that belong to no response came after this one."""
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -6,9 +6,11 @@
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import create_server_eligibility
+from hawthornfold.eligibility import create_server_pauses
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
+from hawthornfold.gateway.server_signals import create_server_signal_handler
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.limits import NodeCounts
 from hawthornfold.limits import compute_service_share
@@ -64,7 +66,15 @@
         self.directory = create_server_directory()
         self.latency_tracker = create_latency_tracker()
         self.pools = ServerPools(names, clock, metrics, self._record_connect)
-        self.eligibility = create_server_eligibility()
+        self.pauses = create_server_pauses()
+        self.eligibility = create_server_eligibility((self.pauses,))
+        self.signals = create_server_signal_handler(
+            self.directory,
+            self.pauses,
+            self.handle_server_events,
+            clock,
+            metrics,
+        )
         self.placement = create_placement(
             settings.data_centre,
             self.latency_tracker,
@@ -196,10 +206,11 @@
                 self._remove_server(server_id)
             elif event.kind == 'removed':
                 self._remove_server(server_id)
-            elif event.kind == 'draining':
+            elif event.kind in ('draining', 'ready'):
                 pool = self.pools.find(server_id)
                 if pool is not None:
-                    pool.discard_idle()
+                    # Closes the idle connections of a server that leaves.
+                    pool.set_limits(self._connection_limits(event.record))
 
     def handle_signals(self, record, signals, now_ms):
         """Apply what a response says about its server.
@@ -213,6 +224,10 @@
         now_ms : float
             Current time on the node's clock.
         """
+        if signals.is_leaving:
+            self.signals.handle_leaving(record, now_ms)
+        if signals.is_full:
+            self.signals.handle_full(record, signals.retry_after, now_ms)
 
     def may_send(self, record, now_ms):
         """Return whether a request may be sent to a server now."""
@@ -262,9 +277,12 @@
             self._service_share(record.service),
             compute_score(self._settings.node_name, record.server_id) / 2**64,
         )
-        if self._is_settled:
-            return limits
-        return ConnectionLimits(min(limits.kept, 1), 1)
+        if not self._is_settled:
+            limits = ConnectionLimits(min(limits.kept, 1), 1)
+        if self.directory.is_leaving(record):
+            # A connection is closed after its request.
+            limits = limits._replace(kept=0)
+        return limits
 
     def _service_share(self, service):
         """Return this node's share of the limits of a service, 0 to 1."""
--- a/hawthornfold/gateway/sweep.py
+++ b/hawthornfold/gateway/sweep.py
@@ -42,6 +42,7 @@
     def check(self, now_ms):
         """Block silent servers and start the probes that are due."""
         placement = self._state.placement
+        self._state.signals.expire(now_ms)
         for server_id in placement.block_silent_servers(now_ms):
             self._metrics.count('servers_blocked')
             _LOG.warning(
--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -220,6 +220,9 @@
     def send_request(self, attempt):
         attempt.connection.send(self._request_id, attempt.handle_end)
 
+    def handle_signals(self, attempt, signals):
+        """Ignore the signals: simulated servers send none."""
+
     def handle_end(self, attempt, outcome, waiting):
         now_ms = self._simulation.now_ms
         number = attempt.send.attempt
--- a/hawthornfold/gathering/outcomes.py
+++ b/hawthornfold/gathering/outcomes.py
@@ -82,11 +82,14 @@
     retry_after : str
         For how long a server that is full wants no request of this node, in
         seconds.
+    is_full : bool
+        Whether the response has status 503.
     """
 
     is_leaving: bool = False
     warmup: str = ''
     retry_after: str = ''
+    is_full: bool = False
 
 
 NO_SIGNALS = ServerSignals()
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -149,6 +149,15 @@
         """Record that an exchange ended before anything was sent."""
         self._running.pop(attempt, None)
 
+    def record_refusal(self, attempt, now_ms):
+        """Record that a server responded that it wants no requests for now.
+
+        The server is neither slow nor silent, nor does it fail.
+        """
+        self._running.pop(attempt, None)
+        self._last_answer_ms = now_ms
+        self._failures = 0
+
     def record_answer(self, attempt, ratio, waiting, now_ms):
         """Record an answer.
 
