Report at once parts of a group that will not run

Cause: a node that gathers parts for another one and may not send to a server, because it requested a pause of this node, reported nothing until its end. The parts were then missing, or the query ended with 502, although no server had run them, also during the whole pause of all servers of a shard. Change: the reply not-run lists parts that were sent to no server and parts that none executed. The node that asked sends the former itself without repeat budget and the latter within it. A query is refused before it is divided if servers with requested pauses leave too few parts. An older node ignores the reply.

--- a/hawthornfold/delegation/messages.py
+++ b/hawthornfold/delegation/messages.py
@@ -181,14 +181,21 @@
         The `call` of the `GatherParts` message.
     status : str
         ``declined``, ``accepted``, ``repeating`` before parts are repeated,
-        ``answers`` from the time at which they are due, or ``finished``. No
-        reply follows the first and the last.
+        ``answers`` from the time at which they are due, ``not-run``, or
+        ``finished``. No reply follows the first and the last.
     parts : tuple of int
         Indexes of the parts that were answered since the last reply.
     seals : tuple of str
         Their seals.
     records : bytes
         The greatest records of these parts, as in an answer to a caller.
+    unsent : tuple of int
+        With ``not-run``: indexes of the parts that the node has sent to no
+        server and never will. An older release refuses this reply; it then
+        takes the parts for ones that may have run, from the last reply.
+    not_executed : tuple of int
+        With ``not-run``: indexes of further parts that no server has executed
+        and that the node will not send again.
     """
 
     call: int
@@ -196,3 +203,5 @@
     parts: tuple[int, ...] = ()
     seals: tuple[str, ...] = ()
     records: bytes = b''
+    unsent: tuple[int, ...] = ()
+    not_executed: tuple[int, ...] = ()
--- a/hawthornfold/eligibility/eligibility.py
+++ b/hawthornfold/eligibility/eligibility.py
@@ -22,6 +22,15 @@
                 return False
         return True
 
+    def allows_other_nodes(self, record, now_ms):
+        """Return whether another node may be allowed to send to a server."""
+        for restriction in self._restrictions:
+            if restriction.concerns_all_nodes and restriction.refuses(
+                record, now_ms
+            ):
+                return False
+        return True
+
     def free_ms(self, record, now_ms):
         """Return when a server is expected to be allowed.
 
--- a/hawthornfold/eligibility/pauses.py
+++ b/hawthornfold/eligibility/pauses.py
@@ -23,6 +23,9 @@
     the directory lists servers if pauses are recorded for listed servers only.
     """
 
+    # A full server refuses every node that sends to it.
+    concerns_all_nodes = True
+
     def __init__(self):
         self._pauses = {}
 
--- a/hawthornfold/eligibility/restrictions.py
+++ b/hawthornfold/eligibility/restrictions.py
@@ -10,6 +10,10 @@
     nor makes it more expensive to choose once it ends.
     """
 
+    # Whether other nodes are refused for the same reason. A request that needs
+    # the server is then not divided among them, but refused at once.
+    concerns_all_nodes = False
+
     @abc.abstractmethod
     def refuses(self, record, now_ms):
         """Return whether no request may be sent to a server now.
--- a/hawthornfold/gateway/group_calls.py
+++ b/hawthornfold/gateway/group_calls.py
@@ -210,6 +210,9 @@
             call.accept_ms = now_ms - call.started_ms
             self._accept_timeout.record(call.accept_ms)
             self._schedule(call, call.reply_due_ms + REPLY_GRACE_MS - now_ms)
+        if reply.status == 'not-run':
+            call.listener.handle_group_not_run(call.attempt, reply)
+            return
         if reply.status != 'accepted':
             call.has_reported = True
         if reply.parts:
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -51,7 +51,7 @@
     Parameters
     ----------
     send_reply : callable
-        Takes status, parts, seals and records of a `PartsReply`.
+        Takes the fields of a `PartsReply` from its status on.
     parts : tuple of int
         Indexes of the parts at the other node.
     due_ms : float
@@ -65,7 +65,8 @@
         self._reported_statuses = set()
 
     def handle_progress(self, execution, now_ms):
-        """Report the new answers if they are due."""
+        """Report new answers if they are due, and parts that will not run."""
+        self._report_not_run(execution)
         if now_ms >= self._due_ms:
             self._report(execution, 'answers')
 
@@ -83,8 +84,26 @@
 
     def finish(self, execution):
         """Report the remaining answers and that no other follows."""
+        self._report_not_run(execution)
         self._report(execution, 'finished')
 
+    def _report_not_run(self, execution):
+        """Report the parts that will not run here.
+
+        The other node may have a server for them that this one may not use
+        now. If it has none, it can tell the caller that they were not run.
+        """
+        unsent, not_executed = execution.collected.take_not_run()
+        if unsent or not_executed:
+            self._send_reply(
+                'not-run',
+                (),
+                (),
+                b'',
+                tuple(self._parts[index] for index in unsent),
+                tuple(self._parts[index] for index in not_executed),
+            )
+
     def _report(self, execution, status):
         answers, records = execution.collected.take_new_answers()
         # The first report of a status tells the other node something also if
@@ -202,9 +221,7 @@
         )
         return plan, reporter
 
-    def _reply(self, sender, call, status, parts=(), seals=(), records=b''):
+    def _reply(self, sender, call, *fields):
         self._fleet.send(
-            sender.name,
-            sender.address,
-            PartsReply(call, status, parts, seals, records),
+            sender.name, sender.address, PartsReply(call, *fields)
         )
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -1,13 +1,13 @@
 """Runs the exchanges of one request until the request has a verdict."""
 
 import itertools
-import typing
 
 from eventlet import hubs
 import eventlet.event
 import logbook
 
 from hawthornfold.gateway.attempts import ServerAttempt
+from hawthornfold.gateway.relay_result import RelayResult
 from hawthornfold.gathering import NO_SIGNALS
 from hawthornfold.gathering import Cancel
 from hawthornfold.gathering import OutcomeKind
@@ -24,37 +24,6 @@
 _LOG = logbook.Logger('request')
 
 
-class RelayResult(typing.NamedTuple):
-    """How a request ended.
-
-    Parameters
-    ----------
-    verdict : Verdict or None
-        None if the caller disconnected first.
-    faults : tuple of str
-        Attempts without an answer, as service/server/kind/detail/time.
-    remote : int
-        Number of attempts on servers in other data centres.
-    helpers : tuple of str
-        Groups that other nodes gathered, as node/parts/answered/end.
-    sent_parts : int
-        Number of parts that the node sent itself at the start.
-    send_ms : float
-        How long that took, choosing their servers included.
-    pending : tuple of str
-        Attempts without an outcome at the end, as service/server/state/time.
-        The state is ``sent``, or ``waiting`` for a connection.
-    """
-
-    verdict: Verdict | None
-    faults: tuple[str, ...]
-    remote: int
-    helpers: tuple[str, ...]
-    sent_parts: int
-    send_ms: float
-    pending: tuple[str, ...] = ()
-
-
 class Relay:
     """Performs the exchanges that one `Execution` asks for.
 
@@ -178,19 +147,24 @@
         reply : PartsReply
             The answers.
         """
-        if self._end.ready():
-            return
-        try:
-            now_ms = self._clock.now_ms()
-            self._execution.handle_group_answers(
-                attempt,
-                tuple(zip(reply.parts, reply.seals, strict=True)),
-                reply.records,
-                now_ms,
-            )
-            self._check_verdict(now_ms)
-        except Exception as error:  # noqa: BLE001
-            self._end_with_error(error)
+        self._handle_group(self._record_group_answers, attempt, reply)
+
+    def handle_group_not_run(self, attempt, reply):
+        """Record parts of a group that another node will not run.
+
+        Parameters
+        ----------
+        attempt : int
+            Number of the attempt, from its `SendGroup`.
+        reply : PartsReply
+            The parts.
+        """
+        self._handle_group(
+            self._execution.handle_group_not_run,
+            attempt,
+            reply.unsent,
+            reply.not_executed,
+        )
 
     def may_resend_group(self, attempt):
         """Return whether the parts of a group may be sent again now."""
@@ -200,13 +174,29 @@
 
     def handle_group_end(self, attempt, end):
         """Record that another node gathers a group of parts no longer."""
+        self._handle_group(self._execution.handle_group_end, attempt, end)
+
+    def _record_group_answers(self, attempt, reply, now_ms):
+        answers = tuple(zip(reply.parts, reply.seals, strict=True))
+        self._execution.handle_group_answers(
+            attempt, answers, reply.records, now_ms
+        )
+        return ()
+
+    def _handle_group(self, handle, *arguments):
+        """Continue the request after a report of another node.
+
+        Parameters
+        ----------
+        handle : callable
+            Method of the execution; takes the arguments and the current time,
+            and returns what to send.
+        """
         if self._end.ready():
             return
         try:
             now_ms = self._clock.now_ms()
-            self._apply_actions(
-                self._execution.handle_group_end(attempt, end, now_ms), now_ms
-            )
+            self._apply_actions(handle(*arguments, now_ms), now_ms)
             self._check_verdict(now_ms)
         except Exception as error:  # noqa: BLE001
             self._end_with_error(error)
--- a/hawthornfold/gateway/tests/test_groups.py
+++ b/hawthornfold/gateway/tests/test_groups.py
@@ -75,11 +75,8 @@
     """The parts of a gateway node that divide queries."""
 
     def __init__(self, nodes, name, servers, shards=SHARDS):
-        clock, metrics, names = (
-            create_system_clock(),
-            create_metrics(),
-            HeaderNames(),
-        )
+        clock, metrics = create_system_clock(), create_metrics()
+        names = HeaderNames()
         self.metrics = metrics
         settings = GatewaySettings(
             name, 'dc', '', '', '', (), 0, '', 0.2, 1e3, 1e4, 6e3
@@ -163,7 +160,7 @@
     yield
 
 
-class GroupsTest(unittest.TestCase):
+class GroupsTestCase(unittest.TestCase):
     def setUp(self):
         self.enterContext(logbook.NullHandler().applicationbound())
         self.delays_s = {}
@@ -204,6 +201,8 @@
         received = [len(server.requests) for server in self.scripted]
         self.assertEqual(received, [count] * 8)
 
+
+class GroupsTest(GroupsTestCase):
     def test_divided_query_has_the_answer_of_an_undivided_one(self):
         # Guards against lost, repeated or wrongly merged parts.
         self.assert_complete(self.entry.query())
--- a/hawthornfold/gathering/__init__.py
+++ b/hawthornfold/gathering/__init__.py
@@ -6,8 +6,8 @@
 from hawthornfold.gathering.actions import Send
 from hawthornfold.gathering.actions import SendGroup
 from hawthornfold.gathering.actions import Verdict
+from hawthornfold.gathering.creation import create_execution
 from hawthornfold.gathering.execution import Execution
-from hawthornfold.gathering.execution import create_execution
 from hawthornfold.gathering.margin import AnswerMargin
 from hawthornfold.gathering.margin import create_answer_margin
 from hawthornfold.gathering.margin import estimate_travel_ms
--- a/hawthornfold/gathering/collected_answer.py
+++ b/hawthornfold/gathering/collected_answer.py
@@ -36,6 +36,7 @@
         self._sufficient_ms = times.arrived_ms
         self._has_abandoned_parts = False
         self._new_answers = []
+        self._reported_not_run = set()
 
     @property
     def answers(self):
@@ -113,6 +114,24 @@
         self._merger = RecordMerger(self._record_limit)
         return answers, records
 
+    def take_not_run(self):
+        """Return the parts that will not run here, since the last call.
+
+        Returns
+        -------
+        tuple of (list of int, list of int)
+            Indexes of the parts that were sent to no server, and of those that
+            no server has executed.
+        """
+        unsent, not_executed = [], []
+        if not self._has_abandoned_parts:
+            return unsent, not_executed
+        for index, part in enumerate(self._parts):
+            if part.will_not_run and index not in self._reported_not_run:
+                self._reported_not_run.add(index)
+                (not_executed if part.sent_count else unsent).append(index)
+        return unsent, not_executed
+
     def abandon(self, part):
         """Record that a part will not be sent to a further server."""
         part.is_abandoned = True
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -9,14 +9,12 @@
 import math
 
 from hawthornfold.gathering.actions import Cancel
-from hawthornfold.gathering.actions import GroupEnd
 from hawthornfold.gathering.actions import Send
 from hawthornfold.gathering.actions import SendGroup
 from hawthornfold.gathering.collected_answer import CollectedAnswer
-from hawthornfold.gathering.group_attempts import GroupAttempts
+from hawthornfold.gathering.divided_execution import DividedExecution
 from hawthornfold.gathering.hedge_schedule import HedgeSchedule
 from hawthornfold.gathering.outcomes import OutcomeKind
-from hawthornfold.gathering.outcomes import ServerResponse
 from hawthornfold.gathering.parts import Part
 from hawthornfold.gathering.server_choice import ServerChoice
 
@@ -25,7 +23,7 @@
 _HEDGE_RETRY_MS = 25.0
 
 
-class Execution:
+class Execution(DividedExecution):
     """Tracks one request from its first attempt to its verdict.
 
     Parameters
@@ -62,29 +60,30 @@
         groups=(),
         is_helper=False,
     ):
-        self._decision = decision
         self._times = times
         self._server_choice = ServerChoice(decision, directory, placement)
-        self._parts = [
+        parts = [
             Part(service, repeat_budget)
             for service, repeat_budget in zip(
                 services, repeat_budgets, strict=True
             )
         ]
         self._groups = groups
-        self._group_attempts = GroupAttempts()
         self._part_indexes = {}
         self._attempts = itertools.count()
-        self._typical_max_ms = latency_tracker.typical_max_ms(decision)
+        typical_max_ms = latency_tracker.typical_max_ms(decision)
         self._hedge_schedule = HedgeSchedule(
             len(services) - sum(map(len, groups)),
             times.arrived_ms,
             times.answer_ms,
             latency_tracker.typical_ms(decision),
-            self._typical_max_ms,
+            typical_max_ms,
         )
-        self._collected = CollectedAnswer(
-            decision, self._parts, times, is_helper
+        super().__init__(
+            decision,
+            parts,
+            CollectedAnswer(decision, parts, times, is_helper),
+            typical_max_ms,
         )
         self._hedge_count = 0
         self._retry_count = 0
@@ -134,7 +133,14 @@
         for index in own:
             self._parts[index].repeat_budget.record_request(now_ms)
         found = sum(1 for _, record in chosen if record is not None)
-        is_possible = self._collected.is_sufficient(found + len(grouped))
+        found += sum(
+            1
+            for index in grouped
+            if not self._server_choice.is_unservable(
+                self._parts[index], now_ms
+            )
+        )
+        is_possible = self._collected.is_sufficient(found)
         for index, record in chosen:
             if record is None or not is_possible:
                 self._collected.abandon(self._parts[index])
@@ -187,85 +193,6 @@
             part.failure = outcome.response
         return self._retry_part(index, part, outcome.kind, now_ms)
 
-    def handle_group_answers(self, attempt, answers, records, now_ms):
-        """Record answers that another node has gathered.
-
-        Parameters
-        ----------
-        attempt : int
-            Number of the attempt, from its `SendGroup`.
-        answers : sequence of (int, str)
-            Index and seal of each answered part.
-        records : bytes
-            The greatest records of these parts.
-        now_ms : float
-            Current time on the node's clock.
-
-        Raises
-        ------
-        ValueError
-            If a part is not an open part of the group. Nothing is recorded.
-        """
-        self._group_attempts.record_answers(
-            attempt, [index for index, _ in answers]
-        )
-        self._collected.add_records(records)
-        for index, seal in answers:
-            part = self._parts[index]
-            part.group_attempt = None
-            part.may_have_run = True
-            self._collected.record_answer(
-                index, ServerResponse(200, (), b'', seal), now_ms
-            )
-
-    def may_resend_group(self, attempt, now_ms):
-        """Return whether the repeat budget allows all parts of a group.
-
-        The parts of a silent node have to be sent again all together. If only
-        some of them could be, late answers of the node would be lost.
-        """
-        is_urgent = self._decision.urgency == 0
-        return all(
-            self._parts[index].repeat_budget.allows_repeat(now_ms, is_urgent)
-            for index in self._group_attempts.open_parts(attempt)
-        )
-
-    def handle_group_end(self, attempt, end, now_ms):
-        """Record that another node gathers a group of parts no longer.
-
-        Parameters
-        ----------
-        attempt : int
-            Number of the attempt, from its `SendGroup`.
-        end : GroupEnd
-            How it ended.
-        now_ms : float
-            Current time on the node's clock.
-
-        Returns
-        -------
-        list of Send
-            Attempts at the parts without an answer, as far as rule and repeat
-            budget allow.
-        """
-        sends = []
-        for index in self._group_attempts.end(attempt):
-            part = self._parts[index]
-            part.group_attempt = None
-            part.next_hedge_ms = now_ms + self._typical_max_ms
-            if end is GroupEnd.DECLINED:
-                sends += self._start_part(index, part, now_ms)
-                continue
-            part.may_have_run = True
-            part.sent_count += 1
-            if end is GroupEnd.FINISHED:
-                self._collected.abandon(part)
-            else:
-                sends += self._retry_part(
-                    index, part, OutcomeKind.LOST, now_ms
-                )
-        return sends
-
     def start_due_hedges(self, now_ms):
         """Start the hedges that are due and return them as `Send`."""
         schedule = self._hedge_schedule
@@ -386,36 +313,3 @@
             return True
         self._denied_count += 1
         return False
-
-
-def create_execution(
-    decision,
-    services,
-    times,
-    directory,
-    placement,
-    repeat_budgets,
-    latency_tracker,
-    groups=(),
-    is_helper=False,
-):
-    """Create the execution of a request that has not been sent yet.
-
-    Raises
-    ------
-    ValueError
-        If `services` is empty.
-    """
-    if not services:
-        raise ValueError('a request has at least one part')
-    return Execution(
-        decision,
-        services,
-        times,
-        directory,
-        placement,
-        repeat_budgets,
-        latency_tracker,
-        groups,
-        is_helper,
-    )
--- a/hawthornfold/gathering/group_attempts.py
+++ b/hawthornfold/gathering/group_attempts.py
@@ -4,8 +4,9 @@
 class GroupAttempts:
     """The groups of parts that other nodes gather, by attempt number.
 
-    A part is open until it is answered or its group has ended. A group of
-    which no part is open is no longer running.
+    A part is open until it is answered, until the node reports that it will
+    not run, or until its group has ended. A group of which no part is open is
+    no longer running.
     """
 
     def __init__(self):
@@ -24,8 +25,8 @@
         """Record that a node was sent the parts with these indexes."""
         self._open_parts[attempt] = set(indexes)
 
-    def record_answers(self, attempt, indexes):
-        """Record that parts of a group were answered.
+    def close_parts(self, attempt, indexes):
+        """Record that parts of a group were answered or will not run.
 
         Raises
         ------
@@ -34,10 +35,10 @@
             Nothing is recorded.
         """
         open_parts = self._open_parts.get(attempt, set())
-        answered = set(indexes)
-        if len(answered) < len(indexes) or not answered <= open_parts:
-            raise ValueError('the answers are not of open parts of the group')
-        open_parts -= answered
+        closed = set(indexes)
+        if len(closed) < len(indexes) or not closed <= open_parts:
+            raise ValueError('the reply is not about open parts of the group')
+        open_parts -= closed
         if not open_parts:
             self._open_parts.pop(attempt, None)
 
--- a/hawthornfold/gathering/parts.py
+++ b/hawthornfold/gathering/parts.py
@@ -57,6 +57,15 @@
             or self.group_attempt is not None
         )
 
+    @property
+    def will_not_run(self):
+        """Whether no server has executed the part and none will."""
+        return (
+            self.is_abandoned
+            and not self.may_have_run
+            and not self.is_achievable
+        )
+
     def can_be_hedged(self, now_ms):
         """Return whether a second attempt beside the running one makes sense.
 
--- a/hawthornfold/gathering/server_choice.py
+++ b/hawthornfold/gathering/server_choice.py
@@ -54,6 +54,23 @@
         servers = self._directory.available_servers(part.service, now_ms)
         return self._placement.free_ms(servers, now_ms)
 
+    def is_unservable(self, part, now_ms):
+        """Return whether no node may send the part to any of its servers now.
+
+        Other nodes may have servers for a part for which this one lists none.
+
+        Parameters
+        ----------
+        part : Part
+            The part, which another node may gather.
+        now_ms : float
+            Current time on the node's clock.
+        """
+        servers = self._directory.available_servers(part.service, now_ms)
+        return bool(servers) and not self._placement.may_other_nodes_use(
+            servers, now_ms
+        )
+
     def record_start(self, record, key, now_ms):
         """Record that an attempt starts on a server.
 
--- a/hawthornfold/gathering/tests/test_execution.py
+++ b/hawthornfold/gathering/tests/test_execution.py
@@ -478,6 +478,58 @@
         self.assertEqual(self.end_group(1, GroupEnd.DECLINED), [])
         self.assertIs(execution.determine_verdict(50.0), Verdict.NOT_RUN)
 
+    def report_not_run(self, unsent, not_executed):
+        return self.execution.handle_group_not_run(
+            self.groups[0].attempt, unsent, not_executed, 40.0
+        )
+
+    def test_parts_that_a_node_will_not_run_are_sent_from_here(self):
+        # Guards against parts that are missing because a server accepts no
+        # request of the other node, and against an unsent part that uses up
+        # the repeat budget.
+        self.start_groups(slack=0.0)
+        sends = self.report_not_run((0, 2), ())
+        self.assertEqual([send.part for send in sends], [0, 2])
+        self.assertEqual(self.execution.denied_count, 0)
+        # The other parts of the group are still open.
+        self.assertEqual(self.end_group(0, GroupEnd.FINISHED), [])
+        self.finish_attempts(sends, ANSWERED)
+        self.assertEqual(
+            sorted(self.execution.collected.missing_services),
+            sorted(f'shard-{n}' for n in (1, *range(3, 12))),
+        )
+
+    def test_parts_that_were_not_executed_need_repeat_budget(self):
+        # Guards against repeats beyond the budget after refusals.
+        self.start_groups(slack=0.0)
+        self.assertEqual(self.report_not_run((), (0, 4)), [])
+        self.assertEqual(self.execution.denied_count, 2)
+        self.start_groups()
+        sends = self.report_not_run((), (0, 4))
+        self.assertEqual([send.part for send in sends], [0, 4])
+
+    def test_request_that_no_node_could_run_is_reported_as_not_run(self):
+        # Guards against "it may have run" about a query that no server got.
+        self.start_groups(shards=8, servers=0)
+        for group in self.groups:
+            self.assertEqual(
+                self.execution.handle_group_not_run(
+                    group.attempt, group.parts[:2], group.parts[2:], 40.0
+                ),
+                [],
+            )
+        self.assertIs(self.execution.determine_verdict(40.0), Verdict.NOT_RUN)
+
+    def test_report_about_other_parts_is_refused(self):
+        # Guards against a faulty reply that starts parts a second time.
+        self.start_groups()
+        for unsent, not_executed in (((1,), ()), ((), (8,)), ((0,), (0,))):
+            with self.assertRaises(ValueError):
+                self.report_not_run(unsent, not_executed)
+        self.report_not_run((0,), ())
+        with self.assertRaises(ValueError):
+            self.report_not_run((0,), ())
+
     def test_own_parts_are_hedged_by_their_own_times(self):
         # Guards against hedges that are due because other nodes report all
         # answers of a group at once.
@@ -515,6 +567,19 @@
         taken = execution.collected.take_new_answers()
         self.assertEqual(taken, ([(0, 'x')], b'b' * 16))
 
+    def test_parts_that_will_not_run_are_taken_once(self):
+        # Guards against a part that is reported although it may have run.
+        execution = self.create(
+            shards=4, servers=1, is_helper=True, gather=Gather(('s',), 2)
+        )
+        sends = execution.start(0.0)
+        self.finish_attempts(sends[:1], WITHHELD)
+        self.finish_attempts(sends[1:2], NOT_EXECUTED)
+        self.finish_attempts(sends[2:3], LOST)
+        collected = execution.collected
+        self.assertEqual(collected.take_not_run(), ([0], [1]))
+        self.assertEqual(collected.take_not_run(), ([], []))
+
     def test_helper_without_servers_ends_at_once(self):
         execution = self.create(
             is_helper=True, servers=0, gather=Gather(('s',), 2)
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -175,6 +175,13 @@
             default=math.inf,
         )
 
+    def may_other_nodes_use(self, candidates, now_ms):
+        """Return whether another node may be allowed to use a candidate."""
+        return any(
+            self._eligibility.allows_other_nodes(record, now_ms)
+            for record in candidates
+        )
+
     def _estimate_cost_ms(self, record, health, typical_ms, now_ms):
         slowness, failure_share = health.estimate(now_ms)
         cost = typical_ms * slowness
