Do not blame servers for withheld attempts that are cancelled

Cause: an attempt that was withheld after its cancellation counted as slow, for the time that it had waited for a connection. Change: withheld is checked first.

--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -122,7 +122,9 @@
         server_id = self.send.record.server_id
         elapsed_ms = self.elapsed_ms(now_ms)
         kind = outcome.kind
-        if self.is_cancelled:
+        if kind is OutcomeKind.WITHHELD:
+            placement.health(server_id).record_withheld(key)
+        elif self.is_cancelled:
             placement.record_cancelled(
                 server_id, key, decision, elapsed_ms, now_ms
             )
@@ -132,8 +134,6 @@
             )
         elif requests_pause and kind is not OutcomeKind.LOST:
             placement.health(server_id).record_refusal(key, now_ms)
-        elif kind is OutcomeKind.WITHHELD:
-            placement.health(server_id).record_withheld(key)
         elif kind is OutcomeKind.WRONG_SERVER:
             placement.health(server_id).mark_replaced(key)
         else:
