--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -177,7 +177,11 @@
         ServerSignals
             `NO_SIGNALS` if it says nothing, and if another server sent it.
         """
-        is_leaving = fields.get(self._leaving) == b'1'
+        leaving = fields.get(self._leaving)
+        # Equal names are joined.
+        is_leaving = leaving is not None and b'1' in map(
+            bytes.strip, leaving.split(b',')
+        )
         warmup = fields.get(self._warmup, b'')
         is_full = status == 503
         retry_after = fields.get(self._retry_after, b'') if is_full else b''
--- a/hawthornfold/gateway/server_signals.py
+++ b/hawthornfold/gateway/server_signals.py
@@ -9,7 +9,7 @@
 
 _LOG = logbook.Logger('gateway')
 
-# Minimum time between two log lines about pauses of one server. A server that
+# Minimum time between two log lines of one kind about a server. A server that
 # requests short pauses, or sends invalid values, does so hundreds of times a
 # second under load; the counters cover all of them.
 LOG_INTERVAL_MS = 1_000.0
@@ -38,8 +38,8 @@
         self._on_servers = on_servers
         self._clock = clock
         self._metrics = metrics
-        # When a line about a pause of a server was last logged, by server id,
-        # for at most `LOG_INTERVAL_MS`.
+        # When a line was last logged, by event and server id, for at most
+        # `LOG_INTERVAL_MS`.
         self._logged_ms = {}
 
     def requests_pause(self, signals):
@@ -103,7 +103,7 @@
         was_paused = self._pauses.refuses(current, now_ms)
         self._pauses.record_pause(record, pause_ms, now_ms)
         self._set_gauges()
-        if not was_paused and self._may_log(record.server_id, now_ms):
+        if not was_paused and self._may_log('paused', record, now_ms):
             _LOG.notice(
                 'event=server_paused server={} service={} pause_ms={:.0f} '
                 'capped={} retry_after="{}"',
@@ -117,7 +117,7 @@
     def expire(self, now_ms):
         """End the pauses that are due; to be called at regular intervals."""
         for record in self._pauses.take_ended(now_ms):
-            if self._may_log(record.server_id, now_ms):
+            if self._may_log('ended', record, now_ms):
                 _LOG.notice(
                     'event=server_pause_ended server={} service={}',
                     record.server_id,
@@ -126,8 +126,8 @@
         self._set_gauges()
         if self._logged_ms:
             self._logged_ms = {
-                server_id: logged_ms
-                for server_id, logged_ms in self._logged_ms.items()
+                key: logged_ms
+                for key, logged_ms in self._logged_ms.items()
                 if now_ms - logged_ms < LOG_INTERVAL_MS
             }
 
@@ -138,7 +138,7 @@
         self._metrics.count('server_pause_requests', outcome=fault.value)
         # A 503 without the header is an ordinary failure.
         if fault is not PauseFault.MISSING and self._may_log(
-            record.server_id, now_ms
+            'ignored', record, now_ms
         ):
             _LOG.warning(
                 'event=server_pause_ignored server={} service={} cause={} '
@@ -149,12 +149,13 @@
                 _quote(retry_after),
             )
 
-    def _may_log(self, server_id, now_ms):
+    def _may_log(self, event, record, now_ms):
         """Return whether a line may be logged, and record that it is."""
-        logged_ms = self._logged_ms.get(server_id)
+        key = (event, record.server_id)
+        logged_ms = self._logged_ms.get(key)
         if logged_ms is not None and now_ms - logged_ms < LOG_INTERVAL_MS:
             return False
-        self._logged_ms[server_id] = now_ms
+        self._logged_ms[key] = now_ms
         return True
 
     def _set_gauges(self):
--- a/hawthornfold/gateway/tests/test_leaving_servers.py
+++ b/hawthornfold/gateway/tests/test_leaving_servers.py
@@ -2,8 +2,11 @@
 
 import time
 
+import eventlet
+
 from hawthornfold.directory import ServerChange
 from hawthornfold.directory.directory import LAST_RESORT_MS
+from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.tests import support
 from hawthornfold.gateway.tests.signal_support import ARRIVAL_MS
 from hawthornfold.gateway.tests.signal_support import SERVICE_S
@@ -66,6 +69,21 @@
         self.assertEqual(self.send().status, 200)
         self.assertEqual(self.leaving.count_arrived(restarted_ms), 1)
 
+    def test_requests_that_wait_are_withheld(self):
+        # Guards against requests that reach the server after its response
+        # because they waited for a connection.
+        for server_id in self.servers:
+            record = self.state.directory.get(server_id)
+            self.state.get_pool(record).set_limits(ConnectionLimits(1, 1))
+        self.leaving.delay_s = 0.05
+        self.leaving.signal(X_Leaving='1')
+        threads = [eventlet.spawn(self.send) for _ in range(40)]
+        statuses = [thread.wait().status for thread in threads]
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(len(self.leaving.arrived_ms), 1)
+        withheld = self.metrics.value('exchanges', outcome='withheld')
+        self.assertGreater(withheld, 0)
+
     def test_response_after_the_end_of_its_request_counts(self):
         # Guards against a signal that is lost with the response of a hedged
         # part that the answer no longer needs.
