--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -290,6 +290,8 @@
 
     def _expire_announced(self, now_ms):
         """Drop old announcements; use servers of unknown start again."""
+        if not self._announced.count:
+            return []
         listed = [
             record
             for record in self._records.values()
