Limit requests to cold servers by allotments of the nodes

Cause: a server that returns cold crashes if it receives much more than it can handle. The directory reports the entries that it receives.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -47,9 +47,17 @@
 
 
 class ServerDirectory:
-    """The servers of all services, by server id."""
+    """The servers of all services, by server id.
 
-    def __init__(self):
+    Parameters
+    ----------
+    on_record : callable
+        Called with the record and the current time when an entry of a server
+        is received, unless a complete read repeats it unchanged.
+    """
+
+    def __init__(self, on_record):
+        self._on_record = on_record
         self._records = {}
         self._ready_by_service = {}
         # The ready servers of a service, until one of them changes.
@@ -182,11 +190,21 @@
                 if change.record is None
                 or not self._departures.distrusts(change.record, now_ms)
             ]
-        return events + self.apply(changes, now_ms)
+        return events + self.apply(changes, now_ms, is_complete=True)
 
-    def apply(self, changes, now_ms):
+    def apply(self, changes, now_ms, is_complete=False):
         """Apply changes to individual servers.
 
+        Parameters
+        ----------
+        changes : iterable of ServerChange
+            The changes, in order.
+        now_ms : float
+            Current time.
+        is_complete : bool
+            Whether they are a complete list, which may repeat entries that
+            were received before.
+
         Returns
         -------
         list of DirectoryEvent
@@ -198,7 +216,12 @@
                 events += self._remove_or_defer(change.server_id, now_ms)
             else:
                 self._departures.forget(change.server_id)
-                events += self._update_record(change.record, now_ms)
+                is_repeated = is_complete and change.record == self.get(
+                    change.server_id
+                )
+                events += self._update_record(
+                    change.record, now_ms, is_repeated
+                )
         return events
 
     def expire_removals(self, now_ms):
@@ -223,7 +246,7 @@
             events += self._update_record(record, now_ms)
         return events
 
-    def _update_record(self, record, now_ms):
+    def _update_record(self, record, now_ms, is_repeated=False):
         server_id = record.server_id
         self._pending_removals.pop(server_id, None)
         before = self._records.get(server_id)
@@ -232,6 +255,8 @@
             return []
         self._records[server_id] = record
         self._update_index(before, record, now_ms)
+        if not is_repeated:
+            self._on_record(record, now_ms)
         kind = _classify_change(before, record)
         return [] if kind is None else [DirectoryEvent(kind, record)]
 
@@ -296,9 +321,14 @@
     return None
 
 
-def create_server_directory():
+def create_server_directory(on_record=lambda record, now_ms: None):
     """Create an empty directory.
 
+    Parameters
+    ----------
+    on_record : callable, optional
+        As for `ServerDirectory`.
+
     Examples
     --------
     >>> from hawthornfold.directory.records import ServerChange
@@ -309,4 +339,4 @@
     >>> [x.server_id for x in directory.available_servers('portal', 1.0)]
     ['s1']
     """
-    return ServerDirectory()
+    return ServerDirectory(on_record)
--- a/hawthornfold/eligibility/eligibility.py
+++ b/hawthornfold/eligibility/eligibility.py
@@ -38,6 +38,21 @@
                 free_ms = max(free_ms, math.inf if end_ms is None else end_ms)
         return free_ms
 
+    def estimate_share(self, record, now_ms):
+        """Return the share of its load that suits a server.
+
+        Returns
+        -------
+        float or None
+            From 0 to 1; None if no restriction concerns the server.
+        """
+        least = None
+        for restriction in self._restrictions:
+            share = restriction.estimate_share(record, now_ms)
+            if share is not None and (least is None or share < least):
+                least = share
+        return least
+
     def record_send(self, record, now_ms):
         """Record that a request is written to a server."""
         for restriction in self._restrictions:
--- a/hawthornfold/eligibility/restrictions.py
+++ b/hawthornfold/eligibility/restrictions.py
@@ -2,6 +2,9 @@
 
 import abc
 
+# Returned by a restriction that doesn't concern a server's share of the load.
+NO_SHARE = None
+
 
 class SendRestriction(abc.ABC):
     """A reason for which a healthy server receives no request for now.
@@ -32,6 +35,16 @@
             A time on the node's clock; None if it is unknown.
         """
 
+    def estimate_share(self, record, now_ms):
+        """Return the share of its load that suits a server that is allowed.
+
+        Returns
+        -------
+        float or None
+            From 0 to 1; None if the restriction doesn't concern the server.
+        """
+        return NO_SHARE
+
     @abc.abstractmethod
     def record_send(self, record, now_ms):
         """Record that a request is written to a server."""
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -19,8 +19,13 @@
 # Share of its time by which a running request delays the next one although
 # slots are free.
 IN_FLIGHT_COST_SHARE = 0.25
-# Factor by which a server that is warming up takes longer.
+# Factor by which a server that is warming up takes longer. It is not used for
+# servers whose share of the load is restricted.
 COLD_FACTOR = 1.6
+# Additional cost for the requests that a restricted share of the load leaves
+# to other servers, as a multiple of the cost of another data centre: the
+# servers there are preferred while they are not overloaded.
+DIVERSION_REMOTE_FACTOR = 2.0
 # Estimated time to open a connection, before the first measurement.
 INITIAL_CONNECT_MS = 6.0
 _CONNECT_WEIGHT = 0.05
@@ -107,6 +112,10 @@
         record = self.choose_server(candidates, decision, now_ms)
         if record is None:
             self._choices.pop(service, None)
+        elif self._has_restricted_share(candidates, now_ms):
+            # Each request is to decide anew, or the share would be all or
+            # nothing for the lifetime of the choice.
+            self._choices.pop(service, None)
         else:
             lifetime_ms = CHOICE_LIFETIME_MS
             if record.data_centre != self._data_centre:
@@ -147,7 +156,13 @@
                 continue
             if not self._eligibility.allows(record, now_ms):
                 continue
-            cost = self._estimate_cost_ms(record, health, typical_ms, now_ms)
+            share = self._eligibility.estimate_share(record, now_ms)
+            is_slow = share is None and record.warmup_ms > 0
+            cost = self._estimate_cost_ms(
+                record, health, typical_ms, now_ms, is_slow
+            )
+            if share is not None and self._rng.random() >= share:
+                cost += typical_ms + DIVERSION_REMOTE_FACTOR * remote_ms
             if record.data_centre != self._data_centre:
                 cost += remote_ms
             # The random factor spreads requests over equal servers.
@@ -175,7 +190,14 @@
             default=math.inf,
         )
 
-    def _estimate_cost_ms(self, record, health, typical_ms, now_ms):
+    def _has_restricted_share(self, candidates, now_ms):
+        for record in candidates:
+            share = self._eligibility.estimate_share(record, now_ms)
+            if share is not None and share < 1.0:
+                return True
+        return False
+
+    def _estimate_cost_ms(self, record, health, typical_ms, now_ms, is_slow):
         slowness, failure_share = health.estimate(now_ms)
         cost = typical_ms * slowness
         in_flight, waiting = health.in_flight, health.reported_waiting
@@ -187,7 +209,7 @@
             queued = max(0, in_flight + 1 - slots, waiting)
             ahead = (queued + IN_FLIGHT_COST_SHARE * in_flight) / slots
             cost *= 1.0 + ahead
-        if record.warmup_ms > 0:
+        if is_slow:
             cost *= COLD_FACTOR
         cost += FAILURE_COST_MS * failure_share
         if in_flight:
