Feed the limiter of cold servers in the gateway

Cause: the limiter needs entries, headers, services, settings and the nodes. Change: GatewayState registers it and passes these on; Fleet keeps the roster of nodes, which is updated each second with the shares.

--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -11,6 +11,7 @@
 from hawthornfold.directory import ReaderRoles
 from hawthornfold.directory import StorePosition
 from hawthornfold.directory import assign_roles
+from hawthornfold.eligibility import create_node_roster
 from hawthornfold.gateway.settings import split_address
 from hawthornfold.limits import NodeCounts
 from hawthornfold.membership import ListedVM
@@ -114,11 +115,12 @@
 class Fleet:
     """Membership of the gateway nodes and their messages to each other."""
 
-    def __init__(self, membership, links, clock, counter):
+    def __init__(self, membership, links, clock, counter, roster):
         self._membership = membership
         self._links = links
         self._clock = clock
         self._counter = counter
+        self._roster = roster
         self._live = frozenset()
         self._live_version = None
         self._roles = ReaderRoles(False, (), ())
@@ -136,6 +138,23 @@
         """Number that changes with the members."""
         return self._membership.version
 
+    @property
+    def nodes(self):
+        """The `FleetNodes` as of the last call of `update_nodes`."""
+        nodes = self._roster.nodes
+        if self._membership.is_superseded:
+            # The newer process with this name has the allotments.
+            return nodes._replace(is_complete=False)
+        return nodes
+
+    def update_nodes(self):
+        """Update `nodes`; to be called each second."""
+        self._roster.update(
+            self._membership.members,
+            self._membership.has_left,
+            self._clock.now_ms(),
+        )
+
     def count_nodes(self):
         """Return the `NodeCounts` that share the servers' limits."""
         return self._counter.count(
@@ -240,7 +259,12 @@
         loop = eventlet.spawn(membership.run)
         try:
             min_count = max(1, len(settings.seed_addresses))
-            yield Fleet(membership, links, clock, NodeCounter(min_count))
+            roster = create_node_roster(
+                len(_list_seeds(settings)), clock.now_ms()
+            )
+            yield Fleet(
+                membership, links, clock, NodeCounter(min_count), roster
+            )
         finally:
             loop.kill()
 
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -363,6 +363,8 @@
         policy = self._delegations.policy
         share = policy.compute_limit_share(counts.total, self._clock.now_ms())
         self._state.set_shares(counts, share)
+        self._fleet.update_nodes()
+        self._state.set_fleet_nodes(self._fleet.nodes)
 
     def _assign_roles(self):
         policy = self._delegations.policy
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -6,6 +6,7 @@
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import create_server_eligibility
+from hawthornfold.eligibility import create_warmup_limiter
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
@@ -61,10 +62,16 @@
         self._is_settled = False
         self._is_stopping = False
         self.audit = create_audit_trail(clock)
-        self.directory = create_server_directory()
+        self._warmup = create_warmup_limiter(
+            settings.node_name,
+            settings.warmup_overage,
+            settings.warmup_slack,
+            metrics,
+        )
+        self.directory = create_server_directory(self._warmup.record_entry)
         self.latency_tracker = create_latency_tracker()
         self.pools = ServerPools(names, clock, metrics, self._record_connect)
-        self.eligibility = create_server_eligibility()
+        self.eligibility = create_server_eligibility((self._warmup,))
         self.placement = create_placement(
             settings.data_centre,
             self.latency_tracker,
@@ -105,6 +112,7 @@
     def set_settings(self, settings):
         """Apply settings that were read again."""
         self._settings = settings
+        self._warmup.set_bounds(settings.warmup_overage, settings.warmup_slack)
         self._apply_shares()
 
     def set_shares(self, counts, gathered_share):
@@ -137,9 +145,15 @@
         )
         self._apply_shares()
 
+    def set_fleet_nodes(self, nodes):
+        """Set the `FleetNodes`; to be called each second."""
+        self._warmup.set_nodes(nodes)
+        self._warmup.check(self._clock.now_ms())
+
     def set_configuration(self, configuration):
         """Apply a newer `RoutingConfiguration`."""
         before = self._configuration
+        self._warmup.set_services(configuration.services)
         self._configuration = configuration
         self._gathered_services = frozenset(
             shard
@@ -194,6 +208,10 @@
             if event.kind in ('restarted', 'moved'):
                 # The id now belongs to another process.
                 self._remove_server(server_id)
+                # The entry of the new process was received just before.
+                current = self.directory.get(server_id)
+                if current is not None:
+                    self._warmup.record_entry(current, self._clock.now_ms())
             elif event.kind == 'removed':
                 self._remove_server(server_id)
             elif event.kind == 'draining':
@@ -213,6 +231,8 @@
         now_ms : float
             Current time on the node's clock.
         """
+        if signals.warmup:
+            self._warmup.record_header(record, signals.warmup, now_ms)
 
     def may_send(self, record, now_ms):
         """Return whether a request may be sent to a server now."""
