Play loads in which a data centre returns cold

Cause: the limiter has to hold together with placement, hedges and retries, and callers must be served by other servers or refused truthfully. Change: nodes of the played loads can have restrictions, and callers' results the Retry-After.

--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -14,6 +14,7 @@
 from hawthornfold.directory import ServerChange
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import create_server_directory
+from hawthornfold.eligibility import create_server_eligibility
 from hawthornfold.gateway.attempts import ServerAttempt
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPool
@@ -83,8 +84,10 @@
         self.factor = 1.0
         self.shed_share = 0.0
         self.is_gone = False
+        self.data_centre = 'dc'
         self.executed = set()
         self.arrived = []
+        self.arrived_ms = []
         self._running = set()
         self._queue = []
 
@@ -92,6 +95,7 @@
         """Receive a request on a connection."""
         request_id = connection.request_id
         self.arrived.append(request_id)
+        self.arrived_ms.append(self._simulation.now_ms)
         is_free = len(self._running) < SLOTS
         if self._simulation.rng.random() < self.shed_share or (
             not is_free and len(self._queue) >= QUEUE_LIMIT
@@ -181,6 +185,7 @@
     urgency: int
     elapsed_ms: float
     verdict: Verdict
+    retry_after_ms: float | None = None
 
     @property
     def is_served(self):
@@ -218,6 +223,11 @@
         self._check()
 
     def send_request(self, attempt):
+        eligibility, now_ms = self._node.eligibility, self._simulation.now_ms
+        if not eligibility.allows(attempt.send.record, now_ms):
+            self._simulation.schedule(0.0, lambda: attempt.withhold(''))
+            return
+        eligibility.record_send(attempt.send.record, now_ms)
         attempt.connection.send(self._request_id, attempt.handle_end)
 
     def handle_end(self, attempt, outcome, waiting):
@@ -267,8 +277,17 @@
         for attempt in list(self._running.values()):
             attempt.cancel()
         urgency, elapsed_ms = self._decision.urgency, now_ms - self._arrived_ms
+        free_ms = None
+        if verdict is Verdict.NOT_RUN:
+            free_ms = self._execution.free_ms(now_ms)
         self._on_end(
-            CallerResult(self._request_id, urgency, elapsed_ms, verdict)
+            CallerResult(
+                self._request_id,
+                urgency,
+                elapsed_ms,
+                verdict,
+                None if free_ms is None else free_ms - now_ms,
+            )
         )
 
     def _handle_timer(self):
@@ -281,9 +300,17 @@
 class SimulatedNode:
     """A node with the product's placement, budgets and pools."""
 
-    def __init__(self, simulation, servers):
+    def __init__(
+        self,
+        simulation,
+        servers,
+        data_centre='dc',
+        restrictions=(),
+        on_record=lambda record, now_ms: None,
+    ):
         self.simulation = simulation
-        self.directory = create_server_directory()
+        self.eligibility = create_server_eligibility(restrictions)
+        self.directory = create_server_directory(on_record)
         for server_id in servers:
             shard = server_id.rpartition('/')[0]
             record = ServerRecord(server_id, shard, '', 'dc', SLOTS)
@@ -310,10 +337,11 @@
             for server_id, server in servers.items()
         }
         self.placement = create_placement(
-            'dc',
+            data_centre,
             self.latency_tracker,
             lambda server_id: self.pools[server_id].has_idle,
             simulation.rng,
+            self.eligibility,
         )
         simulation.schedule(SWEEP_MS, self._sweep)
 
