--- a/hawthornfold/eligibility/warmup.py
+++ b/hawthornfold/eligibility/warmup.py
@@ -159,6 +159,8 @@
         left_ms = self._read_entry(record)
         server = self._servers.get(record.server_id)
         if server is not None and record.born_ms > server.born_ms:
+            server.is_listed = False
+            self._report_warm(record.server_id, server, now_ms)
             del self._servers[record.server_id]
             server = None
         if server is None and not left_ms:
@@ -166,8 +168,7 @@
         if server is None:
             server = self._servers[record.server_id] = _Server()
         self._update_server(server, record)
-        server.set_end(now_ms + left_ms, 'entry', now_ms)
-        self._report_cold(record.server_id, server, now_ms)
+        self._set_left(record.server_id, server, left_ms, 'entry', now_ms)
 
     def record_header(self, record, text, now_ms):
         """Record the remaining cold time in a response.
@@ -195,8 +196,7 @@
                 return
             server = self._servers[server_id] = _Server()
             self._update_server(server, record)
-        server.set_end(now_ms + left_ms, 'header', now_ms)
-        self._report_cold(server_id, server, now_ms)
+        self._set_left(server_id, server, left_ms, 'header', now_ms)
 
     def refuses(self, record, now_ms):
         """Return whether the allotment of a cold server is used up."""
@@ -291,6 +291,12 @@
         server.entry_warmup_ms = record.warmup_ms
         server.allotment = None
 
+    def _set_left(self, server_id, server, left_ms, source, now_ms):
+        # It may have been warm since the last check.
+        self._report_warm(server_id, server, now_ms)
+        server.set_end(now_ms + left_ms, source, now_ms)
+        self._report_cold(server_id, server, now_ms)
+
     def _read_entry(self, record):
         """Return the cold time in an entry, in milliseconds."""
         if 0.0 <= record.warmup_ms <= MAX_WARMUP_MS:
