--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -56,9 +56,13 @@
     on_evacuations : callable
         Called with a list of `EvacuationEvent` after the evacuated data
         centres changed.
+    on_record : callable
+        Called with the record and the current time when an entry of a server
+        is received, unless a complete read repeats it unchanged.
     """
 
-    def __init__(self, on_evacuations):
+    def __init__(self, on_evacuations, on_record):
+        self._on_record = on_record
         self._records = {}
         self._ready_by_service = {}
         # The ready servers of a service, until one of them changes.
@@ -242,11 +246,21 @@
                 if change.record is None
                 or not self._departures.distrusts(change.record, now_ms)
             ]
-        return events + self.apply(changes, now_ms)
+        return events + self.apply(changes, now_ms, is_complete=True)
 
-    def apply(self, changes, now_ms):
+    def apply(self, changes, now_ms, is_complete=False):
         """Apply changes to individual servers.
 
+        Parameters
+        ----------
+        changes : iterable of ServerChange
+            The changes, in order.
+        now_ms : float
+            Current time.
+        is_complete : bool
+            Whether they are a complete list, which may repeat entries that
+            were received before.
+
         Returns
         -------
         list of DirectoryEvent
@@ -258,7 +272,12 @@
                 events += self._remove_or_defer(change.server_id, now_ms)
             else:
                 self._departures.forget(change.server_id)
-                events += self._update_record(change.record, now_ms)
+                is_repeated = is_complete and change.record == self.get(
+                    change.server_id
+                )
+                events += self._update_record(
+                    change.record, now_ms, is_repeated
+                )
         return events
 
     def expire_removals(self, now_ms):
@@ -283,7 +302,7 @@
             events += self._update_record(record, now_ms)
         return events + self._expire_announced(now_ms)
 
-    def _update_record(self, record, now_ms):
+    def _update_record(self, record, now_ms, is_repeated=False):
         server_id = record.server_id
         self._pending_removals.pop(server_id, None)
         before = self._records.get(server_id)
@@ -294,6 +313,8 @@
         self._records[server_id] = record
         self._update_index(before, record, now_ms)
         is_leaving = self.is_leaving(record)
+        if not is_repeated:
+            self._on_record(record, now_ms)
         kind = _classify_change(before, record, was_leaving, is_leaving)
         return [] if kind is None else [DirectoryEvent(kind, record)]
 
@@ -403,12 +424,15 @@
     return None
 
 
-def create_server_directory(on_evacuations=lambda events: None):
+def create_server_directory(
+    on_evacuations=lambda events: None,
+    on_record=lambda record, now_ms: None,
+):
     """Create an empty directory.
 
     Parameters
     ----------
-    on_evacuations : callable, optional
+    on_evacuations, on_record : callable, optional
         As for `ServerDirectory`.
 
     Examples
@@ -421,4 +445,4 @@
     >>> [x.server_id for x in directory.available_servers('portal', 1.0)]
     ['s1']
     """
-    return ServerDirectory(on_evacuations)
+    return ServerDirectory(on_evacuations, on_record)
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -7,6 +7,7 @@
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import create_server_eligibility
 from hawthornfold.eligibility import create_server_pauses
+from hawthornfold.eligibility import create_warmup_limiter
 from hawthornfold.gateway.evacuations import EVACUATED_CONNECTIONS
 from hawthornfold.gateway.evacuations import EvacuationReporter
 from hawthornfold.gateway.pools import ConnectionLimits
@@ -68,8 +69,16 @@
         self._is_settled = False
         self._is_stopping = False
         self.audit = create_audit_trail(clock)
+        self._warmup = create_warmup_limiter(
+            settings.node_name,
+            settings.warmup_overage,
+            settings.warmup_slack,
+            metrics,
+        )
         self._evacuation_reporter = EvacuationReporter(self.audit, metrics)
-        self.directory = create_server_directory(self._handle_evacuations)
+        self.directory = create_server_directory(
+            self._handle_evacuations, self._warmup.record_entry
+        )
         self.latency_tracker = create_latency_tracker()
         self.response_bounds = create_response_bounds(
             settings.memory_bytes, clock, metrics
@@ -78,7 +87,9 @@
             names, clock, metrics, self._record_connect, self.response_bounds
         )
         self.pauses = create_server_pauses()
-        self.eligibility = create_server_eligibility((self.pauses,))
+        self.eligibility = create_server_eligibility(
+            (self._warmup, self.pauses)
+        )
         self.signals = create_server_signal_handler(
             self.directory,
             self.pauses,
@@ -130,6 +141,7 @@
         self.regions.set_table(settings.region, settings.regions)
         self._report_regions()
         self.response_bounds.set_memory(settings.memory_bytes)
+        self._warmup.set_bounds(settings.warmup_overage, settings.warmup_slack)
         self._apply_shares()
 
     def set_shares(self, counts, gathered_share):
@@ -162,9 +174,15 @@
         )
         self._apply_shares()
 
+    def set_fleet_nodes(self, nodes):
+        """Set the `FleetNodes`; to be called each second."""
+        self._warmup.set_nodes(nodes)
+        self._warmup.check(self._clock.now_ms())
+
     def set_configuration(self, configuration):
         """Apply a newer `RoutingConfiguration`."""
         before = self._configuration
+        self._warmup.set_services(configuration.services)
         self._configuration = configuration
         self._gathered_services = frozenset(
             shard
@@ -220,6 +238,10 @@
             if event.kind in ('restarted', 'moved'):
                 # The id now belongs to another process.
                 self._remove_server(server_id)
+                # The entry of the new process was received just before.
+                current = self.directory.get(server_id)
+                if current is not None:
+                    self._warmup.record_entry(current, self._clock.now_ms())
             elif event.kind == 'removed':
                 self._remove_server(server_id)
             elif event.kind in ('draining', 'ready'):
@@ -244,6 +266,8 @@
             self.signals.handle_leaving(record, now_ms)
         if signals.is_full:
             self.signals.handle_full(record, signals.retry_after, now_ms)
+        if signals.warmup:
+            self._warmup.record_header(record, signals.warmup, now_ms)
 
     def may_send(self, record, now_ms):
         """Return whether a request may be sent to a server now."""
@@ -285,6 +309,16 @@
                 pool.withhold_waiting('the data centre is evacuated')
         # Closes the idle connections, or allows them again.
         self._apply_shares()
+        for event in events:
+            if event.data_centre not in in_force:
+                self._presume_cold(event.data_centre)
+
+    def _presume_cold(self, data_centre):
+        """Limit servers that get requests again after an evacuation."""
+        now_ms = self._clock.now_ms()
+        for record in self.directory.records.values():
+            if record.data_centre == data_centre:
+                self._warmup.presume_cold(record, now_ms)
 
     def _remove_server(self, server_id):
         self.pools.close_pool(server_id)
