Pass the listener of records by name to the directory

Cause: the directory takes two listeners since evacuations and the limiter of cold servers were merged. Change: keyword at the one caller left. Measured: tests of eligibility, placement, directory pass.

--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -313,7 +313,7 @@
     ):
         self.simulation = simulation
         self.eligibility = create_server_eligibility(restrictions)
-        self.directory = create_server_directory(on_record)
+        self.directory = create_server_directory(on_record=on_record)
         for server_id in servers:
             shard = server_id.rpartition('/')[0]
             record = ServerRecord(server_id, shard, '', 'dc', SLOTS)
