Count the last resort from the first announcement in all listings

Cause: a server that had announced in a response that it leaves was used for another second when its record was removed and listed again as draining. The state machine that finds this was not run by the module's name. Change: a listing of an announced start takes the time of the announcement. The machine is a test case of its own, as in test_restore.py.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -309,15 +309,15 @@
         server_id = record.server_id
         if before is not None:
             self._remove_ready(before)
-        if record.is_draining:
+        if self.is_leaving(record):
             if before is None or not self.is_leaving(before):
-                self._leaving[server_id] = _Leaving(record, now_ms)
-            self._departures.record_departure(record, now_ms)
-        elif self._announced.covers(record):
-            # The store still lists as ready a server that has announced that
-            # it leaves. That does not extend the time of last resort.
-            since_ms = self._announced.since_ms(server_id)
-            self._leaving[server_id] = _Leaving(record, since_ms)
+                since_ms = now_ms
+                if self._announced.covers(record):
+                    # Another listing does not extend the last resort.
+                    since_ms = self._announced.since_ms(server_id)
+                self._leaving[server_id] = _Leaving(record, since_ms)
+            if record.is_draining:
+                self._departures.record_departure(record, now_ms)
         else:
             self._leaving.pop(server_id, None)
             servers = self._ready_by_service.setdefault(record.service, {})
--- a/hawthornfold/directory/tests/test_leaving.py
+++ b/hawthornfold/directory/tests/test_leaving.py
@@ -81,6 +81,13 @@
             self.assertEqual(find_ids(directory, now_ms), ['s2'])
             now_ms += 2.0 * REMOVAL_GRACE_MS
 
+    def test_entry_of_an_earlier_start_does_not_undo_it(self):
+        # Guards against a restored copy from before the server's last start.
+        self.announce(10.0)
+        remove(self.directory, 's1', 20.0)
+        write(self.directory, create_record('s1', born_ms=3), 30.0)
+        self.assertEqual(find_ids(self.directory, 30.0), ['s2'])
+
     def test_later_start_undoes_it(self):
         # Guards against a restarted server that is never used again.
         self.announce(10.0)
@@ -264,5 +271,7 @@
                 assert server_id in available, server_id
 
 
-LeavingMachine.TestCase.settings = settings(max_examples=150, deadline=None)
-LeavingTest = LeavingMachine.TestCase
+class LeavingMachineTest(LeavingMachine.TestCase):
+    settings = settings(
+        max_examples=150, stateful_step_count=40, deadline=None
+    )
