Let a starting node wait for half of its seeds

Cause: a node that starts in the smaller part of a partition, where the others have stopped sending, took the part for the whole fleet if it had enough nodes. Change: it waits until it has had half of the seeds, by address.

--- a/hawthornfold/eligibility/node_roster.py
+++ b/hawthornfold/eligibility/node_roster.py
@@ -65,14 +65,17 @@
 
     Parameters
     ----------
-    min_count : int
-        Number of nodes below which the node doesn't know its fleet yet.
+    seed_addresses : iterable of str
+        Peer addresses of other nodes, of which some may be out of date.
     started_ms : float
         Start of the node, on its clock.
     """
 
-    def __init__(self, min_count, started_ms):
-        self._min_count = min_count
+    def __init__(self, seed_addresses, started_ms):
+        self._unseen_seeds = set(seed_addresses)
+        # A node that starts has to find half of the seeds. In the smaller part
+        # of a partition it would take the part for the whole fleet otherwise.
+        self._max_unseen_count = len(self._unseen_seeds) // 2
         # By name: data centre and when the node was last seen.
         self._seen = {}
         self._grown_ms = started_ms
@@ -113,6 +116,7 @@
             if member.name not in self._seen:
                 self._grown_ms = now_ms
             self._seen[member.name] = (member.data_centre, now_ms)
+            self._unseen_seeds.discard(member.address)
         self._remove_left(has_left, now_ms)
         is_majority = self._is_majority(live_names)
         if is_majority:
@@ -124,7 +128,7 @@
         )
         self._set_complete(
             now_ms >= self._silent_until_ms
-            and len(self._seen) >= self._min_count
+            and len(self._unseen_seeds) <= self._max_unseen_count
             and now_ms - self._majority_ms <= MINORITY_LIMIT_MS
             # Nodes that join later don't make others incomplete: they are
             # known long before they send.
@@ -156,8 +160,6 @@
         if is_complete == self._is_complete:
             return
         self._is_complete = is_complete
-        # The fleet may become smaller than what the settings name.
-        self._min_count = 0
         _LOG.notice(
             'event={} nodes={} live={}',
             'fleet_known' if is_complete else 'fleet_unknown',
@@ -166,20 +168,19 @@
         )
 
 
-def create_node_roster(other_seed_count, started_ms):
+def create_node_roster(seed_addresses, started_ms):
     """Create the roster of a node that has just started.
 
     Parameters
     ----------
-    other_seed_count : int
-        Number of other nodes that the settings name. Some of them may be out
-        of date, so half of them need not be found.
+    seed_addresses : iterable of str
+        Peer addresses of other nodes, of which some may be out of date.
     started_ms : float
         Start of the node, on its clock.
 
     Examples
     --------
-    >>> create_node_roster(3, 0.0).nodes.is_complete
+    >>> create_node_roster(['10.0.0.2:81'], 0.0).nodes.is_complete
     False
     """
-    return NodeRoster(1 + (other_seed_count + 1) // 2, started_ms)
+    return NodeRoster(seed_addresses, started_ms)
--- a/hawthornfold/eligibility/tests/fleets.py
+++ b/hawthornfold/eligibility/tests/fleets.py
@@ -44,7 +44,9 @@
 class _Node:
     def __init__(self, name, data_centre, plan, limit):
         self.name, self.data_centre, self.plan = name, data_centre, plan
-        self.roster = create_node_roster(2, plan.started_ms)
+        self.roster = create_node_roster(
+            {'n0', 'n1'} - {name}, plan.started_ms
+        )
         self.limiter = create_warmup_limiter(name, 1.0, 0.0, create_metrics())
         service = ServiceRecord('portal', '/', 1, 3_000.0, float(limit))
         self.limiter.set_services({'portal': service})
@@ -131,7 +133,9 @@
         self._learn(node, now_ms)
         node.roster.update(
             [
-                types.SimpleNamespace(name=x.name, data_centre=x.data_centre)
+                types.SimpleNamespace(
+                    name=x.name, address=x.name, data_centre=x.data_centre
+                )
                 for x in self._nodes
                 if x.name in node.live
             ],
--- a/hawthornfold/eligibility/tests/test_node_roster.py
+++ b/hawthornfold/eligibility/tests/test_node_roster.py
@@ -9,13 +9,16 @@
 
 class NodeRosterTest(unittest.TestCase):
     def setUp(self):
-        self.roster = create_node_roster(4, 0.0)
+        self.roster = create_node_roster('bcxy', 0.0)
         self.left = set()
         self.now_ms = 0.0
 
     def play(self, names, duration_ms):
         """Update each second; return whether the fleet was ever known."""
-        live = [types.SimpleNamespace(name=x, data_centre='dc') for x in names]
+        live = [
+            types.SimpleNamespace(name=x, address=x, data_centre='dc')
+            for x in names
+        ]
         end_ms = self.now_ms + duration_ms
         was_complete = False
         while self.now_ms < end_ms:
@@ -25,14 +28,16 @@
         return was_complete
 
     def test_node_waits_for_others_until_it_sends(self):
-        # Guards against a node that has found only a part of its fleet.
+        # Guards against a node that has found only a part of its fleet, as one
+        # that starts in the smaller part of a partition.
         self.assertFalse(self.play('a', 60_000.0))
+        self.assertFalse(self.play('abdef', 60_000.0))
         self.assertFalse(self.play('abc', 3_000.0))
         self.assertTrue(self.play('abc', 1_000.0))
         # Later ones don't make it silent, nor does a fleet that shrinks.
         self.assertTrue(self.play('abcd', 1_000.0))
-        self.left.update('bcd')
-        self.play('a', LOST_RETENTION_MS)
+        self.left.update('bcdef')
+        self.play('a', LOST_RETENTION_MS + LEFT_RETENTION_MS)
         self.assertTrue(self.roster.nodes.is_complete)
         self.assertEqual(set(self.roster.nodes.data_centres), {'a'})
 
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -260,7 +260,8 @@
         try:
             min_count = max(1, len(settings.seed_addresses))
             roster = create_node_roster(
-                len(_list_seeds(settings)), clock.now_ms()
+                [seed.address for seed in _list_seeds(settings)],
+                clock.now_ms(),
             )
             yield Fleet(
                 membership, links, clock, NodeCounter(min_count), roster
