Test the limit of cold servers with more nodes than the limit

Cause: the random fleets of the tests have 2 to 12 nodes. Change: a fleet of 70 nodes, some of which crash, with a partition.

--- a/hawthornfold/eligibility/tests/test_fleet_limit.py
+++ b/hawthornfold/eligibility/tests/test_fleet_limit.py
@@ -82,6 +82,18 @@
             fleet.count_arrivals(later_ms, later_ms + 5_000.0), 35
         )
 
+    def test_limit_holds_with_more_nodes_than_the_limit(self):
+        # Guards against a bound that only holds if each node has an allotment.
+        plans = [STEADY._replace(part=number % 3) for number in range(60)]
+        plans += [
+            STEADY._replace(ended_ms=20_000.0 + 500.0 * number)
+            for number in range(10)
+        ]
+        fleet = FleetSimulation(plans, (40_000.0, 60_000.0), 35, 1)
+        fleet.run(100_000.0)
+        self.assertLessEqual(fleet.find_worst_second(), 35)
+        self.assertGreater(fleet.count_arrivals(15_000.0, 20_000.0), 100)
+
     def test_single_started_node_of_an_unreachable_fleet_sends_nothing(self):
         # Guards against a node that takes itself for the whole fleet.
         fleet = FleetSimulation([STEADY], NO_PARTITION, 12, 1)
