Confine faulty responses to their own exchange

Cause: a late copy of a refusal, with the id of another request, counted as 'not executed' for the next one, which could then run twice; a copy without an id counted as its answer. Numbers of thousands of digits, a switch of protocols and errors of callbacks left an exchange without an end and the pool without the slot. The end of the connection after an interim response passed as a complete response.

Change: the id is compared first; a connection is used again only after responses that name their request, and a response without an id on such a connection is lost; any error while a response is read ends its exchange; addresses have to be ip:port, since resolving names blocks.

--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -1,9 +1,13 @@
 """One attempt of a request at a server."""
 
+import logbook
+
 from hawthornfold.gateway.pools import ConnectionUser
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
 
+_LOG = logbook.Logger('request')
+
 
 class ServerAttempt(ConnectionUser):
     """A running attempt, which waits for a connection or occupies one.
@@ -55,7 +59,16 @@
             self._end_unreachable(reason)
             return
         self.connection = connection
-        self.relay.send_request(self)
+        try:
+            self.relay.send_request(self)
+        except Exception as error:  # noqa: BLE001
+            # In the event loop, or in the release of another attempt's
+            # connection, it would leave this attempt without an end.
+            _LOG.exception('event=send_failed')
+            connection.close()
+            self.handle_end(
+                ExchangeOutcome(OutcomeKind.LOST, None, repr(error)), None
+            )
 
     def withhold(self, detail):
         """End the attempt, which has a connection, before it is sent."""
--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -11,7 +11,9 @@
 from eventlet import hubs
 from eventlet import patcher
 from eventlet.hubs import hub
+import logbook
 
+from hawthornfold.gateway.endpoints import parse_endpoint
 from hawthornfold.gateway.responses import ResponseReader
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import OutcomeKind
@@ -19,6 +21,8 @@
 # The patched module would suspend the calling green thread.
 _socket = patcher.original('socket')
 
+_LOG = logbook.Logger('gateway')
+
 # Timeout for opening a connection. This takes 1 to 6 ms, and up to 120 ms more
 # if the server pauses.
 CONNECT_TIMEOUT_MS = 250.0
@@ -35,6 +39,8 @@
 # A new connection is used after this time. A server that has reached its limit
 # resets further connections right after it has accepted them.
 SETTLE_MS = 2.0
+# Longer numbers of seconds are ignored: they would not fit into a float.
+_MAX_DIGITS = 9
 _SOCKET_TYPE = _socket.SOCK_STREAM | _socket.SOCK_NONBLOCK
 
 
@@ -60,8 +66,7 @@
     """
 
     def __init__(self, address, names, classifier, clock, on_idle_end=None):
-        host, _, port = address.rpartition(':')
-        self._endpoint = (host, int(port))
+        self._address = address
         self._classifier = classifier
         self._clock = clock
         self._on_idle_end = on_idle_end
@@ -71,6 +76,7 @@
         self._listeners = {}
         self._timer = None
         self._is_reusable = True
+        self._has_answered = False
         self._idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self._answered_ms = 0.0
         self._opened_ms = 0.0
@@ -140,7 +146,11 @@
         # A closed descriptor with the same number may still be registered.
         hubs.notify_opened(raw.fileno())
         raw.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
-        code = raw.connect_ex(self._endpoint)
+        try:
+            code = raw.connect_ex(parse_endpoint(self._address))
+        except ValueError as error:
+            _LOG.warning('event=address_refused detail="{}"', error)
+            code = errno.EADDRNOTAVAIL
         if code not in (0, errno.EINPROGRESS):
             self._schedule(0.0, lambda: self._end_open(_describe_code(code)))
             return
@@ -283,11 +293,17 @@
         reader = self._reader
         try:
             self._receive(reader)
-        except (OSError, ValueError) as error:
+            ended = self._interpret() if reader.is_complete else None
+        except Exception as error:  # noqa: BLE001
+            # In the event loop it would leave the exchange without an end.
+            if not isinstance(error, (OSError, ValueError)):
+                _LOG.exception(
+                    'event=response_failed server={}', self._address
+                )
             self._fail(_describe_error(error))
             return
-        if reader.is_complete:
-            self._end_exchange()
+        if ended is not None:
+            self._end_exchange(*ended)
         elif not self._is_reusable:
             self._fail('the response ends early')
 
@@ -311,12 +327,18 @@
         if self._on_idle_end is not None:
             self._on_idle_end(self)
 
-    def _end_exchange(self):
-        reader, request, on_end = self._reader, self._request, self._on_end
+    def _interpret(self):
+        """Return the outcome and waiting count of the complete response."""
+        self._apply_connection_headers(self._reader)
+        return self._classifier.classify(
+            self._request, self._reader, self._has_answered
+        )
+
+    def _end_exchange(self, outcome, waiting_count):
+        on_end = self._on_end
         self._request = self._on_end = None
+        self._has_answered = True
         self._answered_ms = self._clock.now_ms()
-        self._apply_connection_headers(reader)
-        outcome, waiting_count = self._classifier.classify(request, reader)
         if outcome.kind in (OutcomeKind.WRONG_SERVER, OutcomeKind.LOST):
             self._is_reusable = False
         if not self._is_reusable:
@@ -331,14 +353,22 @@
             or self._unsent
         ):
             self._is_reusable = False
+        is_identified = False
         for name, value in reader.raw_headers:
-            if name.lower() == b'keep-alive':
+            name = name.lower()
+            if name == b'keep-alive':
                 self._apply_keep_alive(value)
+            elif name == self._classifier.request_id_name:
+                is_identified = bool(value)
+        # A late copy without an id could not be told from the next response.
+        self._is_reusable = self._is_reusable and is_identified
 
     def _apply_keep_alive(self, text):
         for token in text.split(b','):
             name, _, value = token.strip().partition(b'=')
             if name.lower() == b'timeout' and value.isdigit():
+                if len(value) > _MAX_DIGITS:
+                    continue
                 limit_ms = int(value) * 1000.0 - IDLE_MARGIN_MS
                 self._idle_limit_ms = max(limit_ms, NON_IDEMPOTENT_IDLE_MS)
 
--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -28,6 +28,10 @@
 )
 
 
+# Larger numbers in headers are ignored: they would not fit into a float.
+_MAX_DIGITS = 9
+
+
 class OutgoingRequest(typing.NamedTuple):
     """A caller's request as it is sent to servers.
 
@@ -41,12 +45,15 @@
         The body.
     request_id : str
         The caller's id of the request.
+    is_idempotent : bool
+        Whether the request may be executed twice.
     """
 
     method: str
     head: bytes
     body: bytes
     request_id: str
+    is_idempotent: bool = True
 
 
 def create_outgoing_request(method, target, headers, body, request_id, names):
@@ -114,7 +121,12 @@
         self._leaving = names.leaving.lower().encode()
         self._retry_after = names.retry_after.lower().encode()
 
-    def classify(self, request, reader):
+    @property
+    def request_id_name(self):
+        """Lowercase name of the header with the request id, as bytes."""
+        return self._request_id
+
+    def classify(self, request, reader, is_reused=False):
         """Return the outcome of an exchange.
 
         Parameters
@@ -123,6 +135,9 @@
             The request of the exchange.
         reader : ResponseReader
             Its complete response.
+        is_reused : bool
+            Whether the connection has carried an earlier response. One
+            without a request id may then be a late copy of that.
 
         Returns
         -------
@@ -131,20 +146,30 @@
             if it reports one.
         """
         status = reader.status
+        fields = reader.read_fields()
+        # Another request's refusal says nothing about this one, so the id is
+        # compared first.
+        fault = self._find_origin_fault(request, fields)
+        if fault:
+            return ExchangeOutcome(OutcomeKind.LOST, None, fault), None
         if status == 421:
             return ExchangeOutcome(
                 OutcomeKind.WRONG_SERVER, None, 'status 421'
             ), None
-        fields = reader.read_fields()
+        is_unidentified = is_reused and not fields.get(self._request_id)
         waiting_count = _parse_waiting_count(fields.get(self._load, b''))
         signals = self._read_signals(status, fields)
-        if fields.get(self._not_executed):
+        if fields.get(self._not_executed) and not (
+            is_unidentified and not request.is_idempotent
+        ):
             outcome = ExchangeOutcome(
                 OutcomeKind.NOT_EXECUTED, None, f'status {status}', signals
             )
             return outcome, waiting_count
         seal = fields.get(self._seal, b'').decode('latin-1')
-        fault = self._find_fault(request, status, fields, seal)
+        fault = self._find_fault(status, fields, seal)
+        if is_unidentified:
+            fault = 'the connection was in use and there is no request id'
         if fault:
             return ExchangeOutcome(OutcomeKind.LOST, None, fault), None
         response = ServerResponse(
@@ -172,11 +197,15 @@
             is_leaving, warmup.decode('latin-1'), retry_after.decode('latin-1')
         )
 
-    def _find_fault(self, request, status, fields, seal):
-        """Return why a response cannot belong to the request, or ''."""
+    def _find_origin_fault(self, request, fields):
+        """Return why a response belongs to another request, or ''."""
         echoed = fields.get(self._request_id)
         if echoed and echoed.decode('latin-1') != request.request_id:
             return 'the response has another request id'
+        return ''
+
+    def _find_fault(self, status, fields, seal):
+        """Return why a response cannot be used, or ''."""
         if fields.get(b'content-encoding'):
             return 'the response has a content encoding'
         if 200 <= status < 300 and not seal:
@@ -189,6 +218,6 @@
     fields = text.split(b',', 2)
     if len(fields) >= 2:
         waiting = fields[1].strip()
-        if waiting.isdigit():
+        if waiting.isdigit() and len(waiting) <= _MAX_DIGITS:
             return int(waiting)
     return None
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -262,7 +262,7 @@
             incoming.body,
             plan.request_id,
             self._names,
-        )
+        )._replace(is_idempotent=plan.decision.idempotent)
         run = self._runner.run(
             plan, outgoing, watch_caller, self._plan_groups(plan, outgoing)
         )
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -171,7 +171,11 @@
 
     def _serve(self, sender, message, plan, reporter, key):
         outgoing = OutgoingRequest(
-            message.method, message.head, message.body, message.request_id
+            message.method,
+            message.head,
+            message.body,
+            message.request_id,
+            plan.decision.idempotent,
         )
         try:
             run = self._runner.run(
--- a/hawthornfold/gateway/pools.py
+++ b/hawthornfold/gateway/pools.py
@@ -4,10 +4,14 @@
 import collections
 import typing
 
+import logbook
+
 from hawthornfold.gateway.connections import CONNECT_TIMEOUT_MS
 from hawthornfold.gateway.connections import ServerConnection
 from hawthornfold.gateway.exchange import ResponseClassifier
 
+_LOG = logbook.Logger('gateway')
+
 # Share of a server's connections that all nodes together may open. The rest is
 # for nodes that restart while the server has not closed their old connections.
 USABLE_SHARE = 0.8
@@ -199,7 +203,7 @@
             connection = self._idle.pop()
             if connection.can_carry_request(user.is_idempotent):
                 self._busy_count += 1
-                user.handle_connection(connection, '')
+                self._hand_over(user, connection, '')
                 return
             connection.close()
         self._open(user)
@@ -215,12 +219,22 @@
             if error is not None or user.is_cancelled:
                 self.release(connection)
             if not user.is_cancelled:
-                user.handle_connection(
-                    None if error else connection, error or ''
+                self._hand_over(
+                    user, None if error else connection, error or ''
                 )
 
         connection.open(CONNECT_TIMEOUT_MS, end)
 
+    def _hand_over(self, user, connection, reason):
+        """Give a user its connection; an error costs no slot of the pool."""
+        try:
+            user.handle_connection(connection, reason)
+        except Exception:  # noqa: BLE001
+            _LOG.exception('event=connection_user_failed')
+            if connection is not None:
+                connection.close()
+                self.release(connection)
+
     def _remove_idle(self, connection):
         if connection in self._idle:
             self._idle.remove(connection)
--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -90,6 +90,8 @@
             if not self._is_complete:
                 raise ValueError(f'{type(error).__name__}: {error}')
             self._has_extra_bytes = True
+        except httptools.HttpParserUpgrade:
+            raise ValueError('the server switches to another protocol')
         if self._size > MAX_RESPONSE_BYTES:
             raise ValueError('the response is too large')
 
@@ -111,8 +113,8 @@
         """Start a response, or record that another one follows."""
         if self._is_complete:
             self._has_extra_bytes = True
-        elif self._has_head:
-            # An interim response came first.
+        else:
+            # An interim response may have come first.
             self._reset()
 
     def on_header(self, name, value):
@@ -122,7 +124,8 @@
 
     def on_headers_complete(self):
         """Record the end of the head."""
-        self._has_head = True
+        # After an interim response the end of the connection completes nothing.
+        self._has_head = self.status >= 200
         if self._has_no_body and self.status >= 200:
             # The parser still expects the body, so that it cannot parse
             # another response.
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -28,7 +28,7 @@
         """Open a connection to the server; return the error, if any."""
         self.clock = create_system_clock()
         self.idle_ends = []
-        names = HeaderNames()
+        names = self.names = HeaderNames()
         self.connection = connections.ServerConnection(
             self.server.address,
             names,
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -12,6 +12,7 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import ServiceRecord
 from hawthornfold.directory import StoreChanges
+from hawthornfold.gateway.endpoints import parse_endpoint
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import SERVERS_PREFIX
 from hawthornfold.rules import URGENCIES
@@ -182,12 +183,10 @@
     Raises
     ------
     ValueError
-        If it cannot be decoded, or its address is not ``host:port``.
+        If it cannot be decoded, or its address is not ``ip:port``.
     """
     entry = _ENTRY_DECODER.decode(value)
-    host, _, port = entry.Address.rpartition(':')
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError(f'{entry.Address!r} is not host:port')
+    parse_endpoint(entry.Address)
     return ServerRecord(
         server_id,
         entry.Backend,
