Refuse absurd numbers and ids in items of the store

Cause: a server entry or configuration with a number beyond 64 bits, or a share that became infinite, raised OverflowError. The node then read the same change again and again, or could not pass it on to its followers. A server id with line breaks added headers to requests.

Change: numbers are bounded when they are decoded; such an item is refused, logged and counted as other malformed items are.

--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -124,7 +124,7 @@
 
     def on_headers_complete(self):
         """Record the end of the head."""
-        # After an interim response the end of the connection completes nothing.
+        # An interim response is not completed by the end of the connection.
         self._has_head = self.status >= 200
         if self._has_no_body and self.status >= 200:
             # The parser still expects the body, so that it cannot parse
--- a/hawthornfold/gateway/tests/test_response_faults.py
+++ b/hawthornfold/gateway/tests/test_response_faults.py
@@ -5,7 +5,6 @@
 """
 
 import threading
-import unittest
 from unittest import mock
 
 from hawthornfold.gateway import connections
@@ -128,7 +127,7 @@
                 self.assertIs(self.send().kind, OutcomeKind.ANSWERED)
                 self.assertEqual(connection.is_reusable, is_idle)
                 release.set()
-                support.wait_until(lambda: not connection.is_reusable)
+                support.wait_until(lambda: not self.connection.is_reusable)
                 self.assertEqual(len(self.server.requests), 1)
 
     def test_copy_between_the_check_and_the_write_is_refused(self):
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -24,12 +24,19 @@
 from hawthornfold.rules import When
 from hawthornfold.rules import compile_document
 
+# Larger numbers would not fit into the messages between nodes, or become
+# infinite in computations, so that one item would stop a node from reading the
+# store or from passing it on.
+Integer = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+_Number = typing.Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+
 
 class Item(msgspec.Struct):
     """An item of the store in a reply, or an event that it was deleted."""
 
     Key: str
-    Revision: int = 0
+    Revision: Integer = 0
     # Base64 text in the reply; msgspec decodes it.
     Value: bytes = b''
     Deleted: bool = False
@@ -43,16 +50,16 @@
     Zone: str
     State: typing.Literal['ready', 'draining']
     # Number of requests that the server executes at the same time.
-    MaxConcurrency: typing.Annotated[int, msgspec.Meta(ge=0)] = 1
-    WarmupLeftMs: float = 0.0
+    MaxConcurrency: typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 1
+    WarmupLeftMs: _Number = 0.0
     # Start of the server's process, in milliseconds since the Unix epoch.
-    born: int = 0
+    born: Integer = 0
 
 
 class _Split(msgspec.Struct):
     # Name of a service.
     Backend: str
-    Weight: float
+    Weight: _Number
 
 
 class _Route(msgspec.Struct):
@@ -60,42 +67,42 @@
     Host: str
     Prefix: str
     RouteType: typing.Literal['idempotent', 'non_idempotent']
-    TimeoutMs: float
-    TargetLatencyMs: float | None = None
+    TimeoutMs: _Number
+    TargetLatencyMs: _Number | None = None
     # 0 is the most urgent.
-    Priority: int = 0
+    Priority: _Count = 0
     # Maximum number of servers that a request is sent to.
-    MaxAttempts: int = 1
+    MaxAttempts: _Count = 1
     # Name of the only service; see _create_rule for the order in which
     # FanoutServices, Split and Backend apply.
     Backend: str | None = None
     Split: list[_Split] | None = None
     FanoutServices: list[str] | None = None
     # Maximum number of records in a gathered answer.
-    TopK: int = 1
+    TopK: _Count = 1
     # Minimum share of the shards, from 0 to 1, that an answer must cover.
-    MinSuccessShare: float = 1.0
+    MinSuccessShare: _Number = 1.0
 
 
 class _Service(msgspec.Struct):
     Name: str
     HealthPath: str = '/health'
-    MaxConns: int = 1
+    MaxConns: _Count = 1
     # How long a server remains cold after its start, in seconds.
-    WarmupS: float = 0.0
+    WarmupS: _Number = 0.0
     # Requests a second that a cold server accepts; 0 if no limit is given.
-    WarmupPerS: float = 0.0
+    WarmupPerS: _Number = 0.0
 
 
 class _Limits(msgspec.Struct):
-    MaxHeaderBytes: int
-    MaxBodyBytes: int
-    HeaderTimeoutMs: float
-    IdleTimeoutMs: float
+    MaxHeaderBytes: _Count
+    MaxBodyBytes: _Count
+    HeaderTimeoutMs: _Number
+    IdleTimeoutMs: _Number
 
 
 class _Configuration(msgspec.Struct):
-    Version: int
+    Version: _Count
     # Each a `_Route`, which is decoded only if it has changed.
     Routes: list[msgspec.Raw]
     Services: list[_Service]
@@ -173,6 +180,9 @@
     server_id = item.Key[len(SERVERS_PREFIX) :]
     record = None
     if not item.Deleted:
+        if not server_id.isprintable() or not server_id:
+            # Requests carry the id in a header.
+            raise ValueError('the id is not printable text')
         record = decode_server_entry(server_id, item.Value)
     return ServerChange(server_id, record, item.Revision)
 
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -12,6 +12,7 @@
 from hawthornfold.directory import PublishedStore
 from hawthornfold.directory import ReadFailure
 from hawthornfold.platform.documents import ConfigurationDecoder
+from hawthornfold.platform.documents import Integer
 from hawthornfold.platform.documents import Item
 from hawthornfold.platform.documents import decode_items
 from hawthornfold.platform.names import CONFIGURATION_KEY
@@ -40,13 +41,13 @@
 
 class _Page(msgspec.Struct):
     items: list[Item]
-    CurrentRev: int
+    CurrentRev: Integer
     HasMore: bool = False
 
 
 class _Events(msgspec.Struct):
     events: list[Item]
-    CurrentRev: int
+    CurrentRev: Integer
 
 
 # Larger numbers would not fit into the messages between nodes.
