Keep the loops of a node alive after malformed messages

Cause: a member with an address that zmq refuses ended the loop that probes the members, and gossip passes it on to every node. A capacity report of zero was stored before it failed, after which every gathered query was answered 500. A chunk of a negative length in a reply of the store ended the read with an unexpected error. An unknown member status interrupted the handling of the message.

Change: PeerLinks.send reports such an address, and a body that cannot be encoded, as a dropped message; the membership loop survives errors and counts them; unusable capacity reports and statuses are ignored; groups of other nodes end within the time of their rule, also with NaN.

--- a/hawthornfold/delegation/policy.py
+++ b/hawthornfold/delegation/policy.py
@@ -222,6 +222,8 @@
     def merge_rooms(self, rooms, now_ms):
         """Merge another node's reports; newer reports replace older ones."""
         for room in rooms:
+            if not _is_usable(room):
+                continue
             reported_ms = now_ms - max(room.age_ms, 0.0)
             known = self._rooms.get(room.name)
             if room.name == self._name or (
@@ -265,6 +267,18 @@
             del self._rooms[oldest.room.name]
 
 
+def _is_usable(room):
+    """Return whether a report has numbers to compute with.
+
+    A capacity of zero or NaN would make every later choice of a node fail.
+    """
+    return (
+        0.0 < room.link_mbps < math.inf
+        and 0.0 < room.cores < math.inf
+        and math.isfinite(room.age_ms)
+    )
+
+
 def create_delegation_policy(
     name, data_centre, capacity, cost_model=None, rng=None
 ):
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -190,8 +190,12 @@
     def _plan(self, sender, message, decision):
         arrived_ms = self._clock.now_ms()
         margin_ms = self._state.answer_margin.margin_ms(TRAVEL_MS)
-        due_ms = arrived_ms + message.objective_left_ms - margin_ms
-        deadline_ms = arrived_ms + message.deadline_left_ms
+        # The rule's limit comes first, so that it also replaces NaN, with
+        # which the group would never end.
+        limit_ms = float(decision.deadline_ms)
+        objective_left_ms = min(limit_ms, message.objective_left_ms)
+        due_ms = arrived_ms + objective_left_ms - margin_ms
+        deadline_ms = arrived_ms + min(limit_ms, message.deadline_left_ms)
         plan = RequestPlan(
             message.request_id,
             decision,
--- a/hawthornfold/membership/service.py
+++ b/hawthornfold/membership/service.py
@@ -2,6 +2,8 @@
 
 import random
 
+import logbook
+
 from hawthornfold.membership.actions import Options
 from hawthornfold.membership.actions import Send
 from hawthornfold.membership.records import ALIVE
@@ -9,6 +11,8 @@
 from hawthornfold.membership.state import MembershipState
 from hawthornfold.peers import messages
 
+_LOG = logbook.Logger('membership')
+
 # Interval of the ticks, a third of the default probe timeout. Shorter ticks
 # would wake up the loop more often.
 _TICK_MS = 100
@@ -87,9 +91,14 @@
         """Run the timers in an endless loop, as a green thread."""
         while True:
             started_ms = self._clock.now_ms()
-            self._state.tick(started_ms)
-            self._perform_actions()
-            self._notify_subscribers()
+            try:
+                self._state.tick(started_ms)
+                self._perform_actions()
+                self._notify_subscribers()
+            except Exception:  # noqa: BLE001
+                # Without this loop the others would count the node as lost.
+                self._metrics.count('internal_errors', loop='membership')
+                _LOG.exception('event=loop_failed loop=membership')
             before_ms = self._clock.now_ms()
             self._clock.sleep_ms(_TICK_MS)
             lag_ms = self._clock.now_ms() - before_ms - _TICK_MS
--- a/hawthornfold/membership/state.py
+++ b/hawthornfold/membership/state.py
@@ -206,6 +206,9 @@
 
     def merge_update(self, update, cause):
         """Apply an update about a member if it supersedes its record."""
+        if not 0 <= update.status < len(records.STATUS_NAMES):
+            # From a faulty node, or from one of a later release.
+            return
         if update.name == self._own.name:
             self._merge_own_update(update, cause)
             return
--- a/hawthornfold/peers/codec.py
+++ b/hawthornfold/peers/codec.py
@@ -78,7 +78,9 @@
         Raises
         ------
         FrameError
-            The frame would exceed `MAX_FRAME_BYTES`.
+            The argument is ``size`` if the frame would exceed
+            `MAX_FRAME_BYTES`, ``body`` if the body cannot be encoded, for
+            example because a number is too large.
         """
         prefix = self._prefixes_by_type.get(type(body))
         if prefix is None:
@@ -86,7 +88,10 @@
             prefix = self._prefixes_by_type[type(body)] = (
                 self._envelope_prefix + name
             )
-        frame = prefix + self._encode(_trim_defaults(body))
+        try:
+            frame = prefix + self._encode(_trim_defaults(body))
+        except (OverflowError, TypeError, ValueError, RecursionError):
+            raise FrameError('body')
         if len(frame) > MAX_FRAME_BYTES:
             raise FrameError('size')
         return frame
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -115,17 +115,25 @@
         Returns
         -------
         bool
-            False if the message was dropped because it is too large or the
-            queue of the link is full. True does not imply delivery.
+            False if the message was dropped because it is too large, cannot
+            be encoded, the address is malformed or the queue of the link is
+            full. True does not imply delivery.
         """
         try:
             frame = self._encoder.encode(body)
-        except codec.FrameError:
-            self._metrics.count('peer_dropped', reason='size')
+        except codec.FrameError as error:
+            self._metrics.count('peer_dropped', reason=str(error))
             return False
         link = self._links.get(name)
         if link is None or link.address != address:
-            link = self._open_link(name, address)
+            try:
+                link = self._open_link(name, address)
+            except zmq.ZMQError:
+                # Addresses come from other nodes. One that is malformed must
+                # not end the loop that sends to all members.
+                self.close_link(name)
+                self._metrics.count('peer_dropped', reason='address')
+                return False
         now_ms = self._last_used_ms[name] = self._clock.now_ms()
         if keeps_open:
             link.kept_until_ms = now_ms + _IDLE_TIMEOUT_MS
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -191,7 +191,8 @@
         try:
             data = read_body(response, MAX_REPLY_BYTES)
             is_complete = data is not None
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            # ValueError: chunks of a negative length.
             raise _ReadError(f'{type(error).__name__}: {error}')
         finally:
             # A connection with an unread body cannot be reused.
