Do not start or give up queries because of a pause

Cause: a delegate that was paused received a query and its cancellation together, ignored the cancellation because the query had not started, and ran it after its caller had been told 502. The entry node gave up an answer that arrived while it was paused itself, and a connection that opened in that time counted as timed out.

Change: a cancellation is kept until the run starts, as groups do already; after its time limit a node reads what has arrived before it gives up.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -6,13 +6,14 @@
 """
 
 import errno
-import os
 
 from eventlet import hubs
 from eventlet import patcher
 from eventlet.hubs import hub
 import logbook
 
+from hawthornfold.gateway.endpoints import describe_error
+from hawthornfold.gateway.endpoints import describe_error_code
 from hawthornfold.gateway.endpoints import parse_endpoint
 from hawthornfold.gateway.responses import ResponseReader
 from hawthornfold.gathering import ExchangeOutcome
@@ -152,12 +153,18 @@
             _LOG.warning('event=address_refused detail="{}"', error)
             code = errno.EADDRNOTAVAIL
         if code not in (0, errno.EINPROGRESS):
-            self._schedule(0.0, lambda: self._end_open(_describe_code(code)))
+            self._schedule(
+                0.0, lambda: self._end_open(describe_error_code(code))
+            )
             return
         self._listen(hub.WRITE, self._handle_connected)
         self._schedule(
             max(timeout_ms, 1.0),
-            lambda: self._end_open('TimeoutError: timed out'),
+            # The loop runs timers before it reads sockets: after a pause of
+            # this node the connection may be open already.
+            lambda: self._schedule(
+                0.0, lambda: self._end_open('TimeoutError: timed out')
+            ),
         )
 
     def start_exchange(self, request, server_id, deadline_ms, on_end):
@@ -196,7 +203,7 @@
         try:
             self._send()
         except OSError as error:
-            detail = _describe_error(error)
+            detail = describe_error(error)
             self._schedule(0.0, lambda: self._fail(detail))
 
     def abort(self):
@@ -251,7 +258,7 @@
         self._stop_listening(hub.WRITE)
         code = self._socket.getsockopt(_socket.SOL_SOCKET, _socket.SO_ERROR)
         if code:
-            self._end_open(_describe_code(code))
+            self._end_open(describe_error_code(code))
             return
         self._answered_ms = self._clock.now_ms()
         self._listen(hub.READ, self._handle_readable)
@@ -281,7 +288,7 @@
         try:
             self._send()
         except OSError as error:
-            self._fail(_describe_error(error))
+            self._fail(describe_error(error))
 
     def _handle_readable(self, descriptor):
         if self._on_open is not None:
@@ -300,7 +307,7 @@
                 _LOG.exception(
                     'event=response_failed server={}', self._address
                 )
-            self._fail(_describe_error(error))
+            self._fail(describe_error(error))
             return
         if ended is not None:
             self._end_exchange(*ended)
@@ -387,11 +394,3 @@
         self._listeners.clear()
         self._socket.detach()
         self._schedule(0.0, self.abort)
-
-
-def _describe_error(error):
-    return f'{type(error).__name__}: {error}'
-
-
-def _describe_code(code):
-    return _describe_error(OSError(code, os.strerror(code)))
--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -1,6 +1,5 @@
 """Delegates queries to nodes with spare capacity and serves delegated ones."""
 
-import contextlib
 import itertools
 import random
 
@@ -17,6 +16,7 @@
 from hawthornfold.delegation import RoomReply
 from hawthornfold.delegation.policy import DECLINED_BACKOFF_MS
 from hawthornfold.delegation.policy import UNANSWERED_BACKOFF_MS
+from hawthornfold.gateway.cancellation import Cancellation
 
 _LOG = logbook.Logger('delegation')
 
@@ -40,6 +40,9 @@
 # later. The caller then still has time to try another node.
 ANSWER_GRACE_MS = 40.0
 DEADLINE_WAIT_SHARE = 0.5
+# Then it reads what has arrived for this long: after a pause of this node the
+# event loop runs the timer before it reads the answer.
+UNREAD_GRACE_MS = 10.0
 
 
 class Delegations:
@@ -191,6 +194,8 @@
                     delegate.deadline_left_ms * DEADLINE_WAIT_SHARE,
                 )
                 reply = event.wait(max(wait_ms, 1.0) / 1000.0)
+                if reply is None:
+                    reply = event.wait(UNREAD_GRACE_MS / 1000.0)
         finally:
             del self._pending[call]
             backoff_ms = 0.0
@@ -238,15 +243,14 @@
         if len(self._accepted) >= MAX_ACCEPTED:
             self._send_answer(sender, delegate.call, None)
             return
-        self._accepted[key] = callbacks = []
-        eventlet.spawn_n(self._serve, sender, delegate, key, callbacks)
+        # The cancellation may be received before the query starts.
+        self._accepted[key] = cancellation = Cancellation()
+        eventlet.spawn_n(self._serve, sender, delegate, key, cancellation)
 
-    def _serve(self, sender, delegate, key, callbacks):
+    def _serve(self, sender, delegate, key, cancellation):
         answer = None
         try:
-            answer = self._answer_delegated(
-                delegate, _create_watcher(callbacks)
-            )
+            answer = self._answer_delegated(delegate, cancellation.watch)
         finally:
             del self._accepted[key]
             self._send_answer(sender, delegate.call, answer)
@@ -265,8 +269,9 @@
 
     def _on_cancel(self, sender, cancel):
         key = (sender.name, sender.incarnation, cancel.call)
-        for callback in self._accepted.get(key, ()):
-            callback()
+        cancellation = self._accepted.get(key)
+        if cancellation is not None:
+            cancellation.cancel()
 
     def _on_delegated(self, sender, reply):
         event = self._pending.get(reply.call)
@@ -291,17 +296,3 @@
     if reply == CALLER_LEFT:
         return CALLER_LEFT
     return 'answered' if reply.status else 'declined'
-
-
-def _create_watcher(callbacks):
-    """Return a ``watch_caller`` that keeps its callback in a list."""
-
-    @contextlib.contextmanager
-    def watch(function):
-        callbacks.append(function)
-        try:
-            yield
-        finally:
-            callbacks.clear()
-
-    return watch
--- a/hawthornfold/gateway/endpoints.py
+++ b/hawthornfold/gateway/endpoints.py
@@ -1,6 +1,7 @@
-"""Parses the addresses of servers."""
+"""Parses the addresses of servers and describes failures to use them."""
 
 import ipaddress
+import os
 
 _MAX_PORT = 65_535
 
@@ -25,3 +26,13 @@
     if not is_port or not 0 < int(port) <= _MAX_PORT:
         raise ValueError(f'{address[:80]!r} is not ip:port')
     return str(ipaddress.IPv4Address(host)), int(port)
+
+
+def describe_error(error):
+    """Return type and message of an error, for logs."""
+    return f'{type(error).__name__}: {error}'
+
+
+def describe_error_code(code):
+    """Return the type and message of a system error, by its number."""
+    return describe_error(OSError(code, os.strerror(code)))
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -1,13 +1,12 @@
 """Gathers groups of parts for other nodes."""
 
-import contextlib
-
 import eventlet
 import logbook
 
 from hawthornfold.delegation import GatherCancel
 from hawthornfold.delegation import GatherParts
 from hawthornfold.delegation import PartsReply
+from hawthornfold.gateway.cancellation import Cancellation
 from hawthornfold.gateway.exchange import OutgoingRequest
 from hawthornfold.gateway.observers import RelayObserver
 from hawthornfold.gateway.runner import RequestPlan
@@ -21,30 +20,6 @@
 TRAVEL_MS = 3.0
 
 
-class _RunningGroup:
-    """A group in progress, which may be cancelled before it starts."""
-
-    def __init__(self):
-        self._is_cancelled = False
-        self._on_cancel = None
-
-    def cancel(self):
-        self._is_cancelled = True
-        if self._on_cancel is not None:
-            self._on_cancel()
-
-    @contextlib.contextmanager
-    def watch(self, function):
-        """Call `function` if the group is or has been cancelled."""
-        self._on_cancel = function
-        if self._is_cancelled:
-            function()
-        try:
-            yield
-        finally:
-            self._on_cancel = None
-
-
 class GroupReporter(RelayObserver):
     """Reports the answers of a group to the node that asked for them.
 
@@ -143,7 +118,7 @@
             self._reply(sender, message.call, 'declined')
             return
         self._reply(sender, message.call, 'accepted')
-        self._running[key] = _RunningGroup()
+        self._running[key] = Cancellation()
         plan, reporter = self._plan(sender, message, decision)
         eventlet.spawn_n(self._serve, sender, message, plan, reporter, key)
 
