Serve nothing from a first read of the store that may be stale

Cause: a node that had started served callers as soon as it had read the store with AllowStale, also while the store did not answer the read of the changes since: a server that had left and a withdrawn route were in use again, although the readiness check failed. An update that could not be decoded counted as confirmation, and a reader that had been paused vouched for what it had read before.

Change: the configuration comes into force when the data is confirmed; readers pass on nothing older than a long poll.

--- a/hawthornfold/directory/update_codec.py
+++ b/hawthornfold/directory/update_codec.py
@@ -2,7 +2,9 @@
 
 import logbook
 
+from hawthornfold.directory.records import ServerChange
 from hawthornfold.directory.updates import StoreNews
+from hawthornfold.directory.updates import StoreSnapshot
 from hawthornfold.directory.updates import decode_change
 from hawthornfold.directory.updates import decode_configuration
 from hawthornfold.directory.updates import encode_change
@@ -46,6 +48,28 @@
     )
 
 
+def create_snapshot(position, records, configuration, as_msgpack):
+    """Create the `StoreSnapshot` of what a node holds at a position.
+
+    Parameters
+    ----------
+    position : StorePosition
+        The node's position.
+    records : iterable of ServerRecord
+        The servers that the store lists.
+    configuration : RoutingConfiguration or None
+        The configuration in force.
+    as_msgpack : bool
+        As for `encode_configuration`.
+    """
+    return StoreSnapshot(
+        position.revision,
+        tuple(ServerChange(record.server_id, record) for record in records),
+        encode_configuration(configuration, as_msgpack),
+        position.era,
+    )
+
+
 class UpdateDecoder:
     """Decodes the configurations in messages of readers.
 
--- a/hawthornfold/directory/view.py
+++ b/hawthornfold/directory/view.py
@@ -40,6 +40,26 @@
         self._position = None
         self._configuration = None
         self._configuration_era = UNKNOWN_ERA
+        # Whether what was read may be seconds old, and whether there is a
+        # configuration that has not come into force because of that.
+        self._is_provisional = False
+        self._is_held_back = False
+
+    @property
+    def is_provisional(self):
+        """Whether what the node holds may be seconds old.
+
+        A configuration does not come into force then, so that the node serves
+        no request with servers and rules that had been withdrawn.
+        """
+        return self._is_provisional
+
+    def confirm(self):
+        """Record that what the node holds is current."""
+        self._is_provisional = False
+        if self._is_held_back:
+            self._is_held_back = False
+            self._on_configuration(self._configuration)
 
     @property
     def position(self):
@@ -57,7 +77,7 @@
             return era
         return UNKNOWN_ERA if self._position is None else self._position.era
 
-    def apply_complete(self, changes, now_ms):
+    def apply_complete(self, changes, now_ms, is_provisional=False):
         """Replace everything by a complete read or snapshot.
 
         Parameters
@@ -67,7 +87,10 @@
             one.
         now_ms : float
             Current time.
+        is_provisional : bool
+            Whether they may be seconds old.
         """
+        self._is_provisional = self._is_provisional or is_provisional
         before = self._position
         era = self.resolve_era(changes.era)
         is_restored = before is not None and era > before.era
@@ -87,9 +110,11 @@
             )
         self._commit(changes, era, events)
         self._report_deferred(deferred)
+        if not is_provisional:
+            self.confirm()
 
     def apply_changes(self, changes, now_ms):
-        """Apply changes that follow on the position.
+        """Apply changes that follow on the position and make it current.
 
         Changes that were received from another source already are skipped.
 
@@ -109,6 +134,7 @@
         events = self._directory.apply(newer, now_ms)
         self._commit(changes, self._position.era, events)
         self._report_deferred(deferred)
+        self.confirm()
 
     def expire(self, now_ms):
         """Carry out what has been deferred and is due."""
@@ -158,7 +184,9 @@
         if is_newer:
             self._configuration = configuration
             self._configuration_era = era
-            self._on_configuration(configuration)
+            self._is_held_back = self._is_provisional
+            if not self._is_provisional:
+                self._on_configuration(configuration)
             return
         self._metrics.count('configurations_ignored')
         if configuration.version == before.version:
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -10,13 +10,11 @@
 from hawthornfold.directory.reachability import StoreReachability
 from hawthornfold.directory.read_intervals import ReadIntervals
 from hawthornfold.directory.reader_tracker import create_reader_tracker
-from hawthornfold.directory.records import ServerChange
 from hawthornfold.directory.records import StoreChanges
 from hawthornfold.directory.update_codec import UpdateDecoder
+from hawthornfold.directory.update_codec import create_snapshot
 from hawthornfold.directory.update_codec import create_update
 from hawthornfold.directory.updates import StoreNews
-from hawthornfold.directory.updates import StoreSnapshot
-from hawthornfold.directory.updates import encode_configuration
 from hawthornfold.directory.view import StoreView
 
 _LOG = logbook.Logger('directory')
@@ -32,6 +30,8 @@
 # Interval at which a node that relies on its readers checks whether it still
 # can.
 FOLLOWER_CHECK_MS = 100.0
+# Delay until the next long poll; a reader passes on nothing older than both.
+VOUCH_GRACE_MS = 2_000.0
 # Interval at which due removals are carried out.
 EXPIRY_INTERVAL_MS = 250.0
 
@@ -76,9 +76,6 @@
         )
         # Whether everything has to be read before the next long poll.
         self._needs_reload = True
-        # Whether what was read first may be seconds old. The node does not
-        # count as loaded until it has read the changes since then.
-        self._may_be_stale = False
         # Whether the era may have changed since the last answer.
         self._is_era_uncertain = False
         self._intervals = ReadIntervals()
@@ -92,7 +89,7 @@
     @property
     def is_loaded(self):
         """Whether servers and configuration have been loaded once."""
-        return self._reachability.has_data and not self._may_be_stale
+        return self._reachability.has_data and not self._view.is_provisional
 
     @property
     def position(self):
@@ -147,19 +144,22 @@
             return
         if update.outage_age_ms is not None:
             self._directory.record_outage(now_ms - update.outage_age_ms)
-        if update.after <= own.revision <= update.revision:
-            self._reachability.confirm(now_ms)
-            self._may_be_stale = False
-        if not update.after <= own.revision < update.revision:
+        if not update.after <= own.revision <= update.revision:
             return
-        decoded = self._decoder.decode_update(update, self._view.configuration)
-        if decoded.is_err():
-            return
-        self._metrics.count('store_news', outcome='taken')
-        changes = StoreChanges(
-            update.revision, update.servers, decoded.ok_value, era=update.era
-        )
-        self._view.apply_changes(changes, now_ms)
+        if own.revision < update.revision:
+            decoded = self._decoder.decode_update(
+                update, self._view.configuration
+            )
+            if decoded.is_err():
+                return
+            self._metrics.count('store_news', outcome='taken')
+            servers, configuration = update.servers, decoded.ok_value
+            changes = StoreChanges(
+                update.revision, servers, configuration, era=update.era
+            )
+            self._view.apply_changes(changes, now_ms)
+        self._reachability.confirm(now_ms)
+        self._view.confirm()
 
     def try_query_snapshot(self):
         """Record a query of a reader for a snapshot, if one is due now.
@@ -186,14 +186,11 @@
         position = self._view.position
         if self._needs_reload or not self._can_vouch_for(position):
             return None
-        return StoreSnapshot(
-            position.revision,
-            tuple(
-                ServerChange(record.server_id, record)
-                for record in self._directory.listed_records
-            ),
-            encode_configuration(self._view.configuration, as_msgpack),
-            position.era,
+        return create_snapshot(
+            position,
+            self._directory.listed_records,
+            self._view.configuration,
+            as_msgpack,
         )
 
     def apply_snapshot(self, snapshot):
@@ -213,7 +210,7 @@
             len(snapshot.servers),
         )
         self._reachability.confirm(now_ms)
-        self._needs_reload = self._may_be_stale = False
+        self._needs_reload = False
         changes = StoreChanges(
             snapshot.revision,
             snapshot.servers,
@@ -272,8 +269,9 @@
         position = self._view.position
         if position is None:
             return self._reload()
-        if not self._may_be_stale and self._reader_tracker.relies_on_readers(
-            position, now_ms
+        if (
+            not self._view.is_provisional
+            and self._reader_tracker.relies_on_readers(position, now_ms)
         ):
             return FOLLOWER_CHECK_MS
         if self._needs_reload:
@@ -282,7 +280,7 @@
 
     def _wait_for_changes(self, position):
         wait_ms = self._intervals.long_poll_ms
-        if self._is_era_uncertain or self._may_be_stale:
+        if self._is_era_uncertain or self._view.is_provisional:
             # The store may have returned from an older copy. An answer tells
             # its era; a long poll might wait until it is at the revision that
             # this node had reached before.
@@ -297,7 +295,7 @@
             return self._record_failure(changes, self._retry_delay_ms)
         now_ms = self._clock.now_ms()
         self._reachability.record_success(position, now_ms)
-        self._is_era_uncertain = self._may_be_stale = False
+        self._is_era_uncertain = False
         held = self._view.configuration
         self._view.apply_changes(changes, now_ms)
         if self._view.position > position:
@@ -309,10 +307,13 @@
 
     def _can_vouch_for(self, position):
         """Return whether this node may pass on what it holds of the store."""
+        age_ms = self._reachability.age_ms(self._clock.now_ms())
         return (
             position is not None
             and self._reachability.is_reachable
-            and not self._may_be_stale
+            and not self._view.is_provisional
+            # Otherwise this node was paused, and has not read the store since.
+            and age_ms <= self._intervals.long_poll_ms + VOUCH_GRACE_MS
         )
 
     @property
@@ -334,11 +335,10 @@
         now_ms = self._clock.now_ms()
         self._reachability.record_success(own, now_ms)
         self._needs_reload = self._is_era_uncertain = False
-        self._may_be_stale = is_first
         if own is not None and era > own.era:
             # The followers defer removals, as this node does.
             self._reachability.record_outage(now_ms)
-        self._view.apply_complete(changes, now_ms)
+        self._view.apply_complete(changes, now_ms, is_first)
         if own is not None and era > own.era:
             # Followers ask for a snapshot when they learn of the new era.
             self._on_update(
