Count a part that ends in the middle of a record as lost

Cause: a part's body without a length is completed by the end of the connection, also when the server dies, and a shorter remainder of it was ignored: the part counted as answered.

Change: such a body that is not a whole number of records is a lost response. With a length or chunks a remainder is still ignored.

Measured: test_truncated_parts: two cases fail before ('0' != '1' missing parts) and pass after, also for a part that another node gathers; test_truncated_answer passed before and stays as proof.

--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -12,6 +12,7 @@
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import ServerResponse
 from hawthornfold.gathering import ServerSignals
+from hawthornfold.gathering.merging import RECORD_BYTES
 
 _HOP_BY_HOP = frozenset(
     (
@@ -47,6 +48,8 @@
         The caller's id of the request.
     is_idempotent : bool
         Whether the request may be executed twice.
+    is_gathered : bool
+        Whether the body of a response consists of records.
     """
 
     method: str
@@ -54,6 +57,7 @@
     body: bytes
     request_id: str
     is_idempotent: bool = True
+    is_gathered: bool = False
 
 
 def create_outgoing_request(method, target, headers, body, request_id, names):
@@ -168,6 +172,8 @@
             return outcome, waiting_count
         seal = fields.get(self._seal, b'').decode('latin-1')
         fault = self._find_fault(status, fields, seal)
+        if request.is_gathered and _ends_in_record(reader, fields):
+            fault = 'the body ends in the middle of a record'
         if is_unidentified:
             fault = 'the connection was in use and there is no request id'
         if fault:
@@ -213,6 +219,18 @@
         return ''
 
 
+def _ends_in_record(reader, fields):
+    """Return whether a body without a length ends in the middle of a record.
+
+    The end of the connection completes it, also if the server failed.
+    """
+    return (
+        b'content-length' not in fields
+        and b'transfer-encoding' not in fields
+        and len(reader.body) % RECORD_BYTES != 0
+    )
+
+
 def _parse_waiting_count(text):
     """Return the number of waiting requests in a load header, or None."""
     fields = text.split(b',', 2)
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -262,7 +262,10 @@
             incoming.body,
             plan.request_id,
             self._names,
-        )._replace(is_idempotent=plan.decision.idempotent)
+        )._replace(
+            is_idempotent=plan.decision.idempotent,
+            is_gathered=plan.decision.gather is not None,
+        )
         run = self._runner.run(
             plan, outgoing, watch_caller, self._plan_groups(plan, outgoing)
         )
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -151,6 +151,7 @@
             message.body,
             message.request_id,
             plan.decision.idempotent,
+            is_gathered=True,
         )
         try:
             run = self._runner.run(
