--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -166,8 +166,7 @@
     def _plan(self, sender, message, decision):
         arrived_ms = self._clock.now_ms()
         margin_ms = self._state.answer_margin.margin_ms(TRAVEL_MS)
-        # The rule's limit comes first, so that it also replaces NaN, with
-        # which the group would never end.
+        # As the first argument the rule's limit also replaces NaN.
         limit_ms = float(decision.deadline_ms)
         objective_left_ms = min(limit_ms, message.objective_left_ms)
         due_ms = arrived_ms + objective_left_ms - margin_ms
