--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -29,6 +29,8 @@
 # Interval at which a node that relies on its readers checks whether it still
 # can.
 FOLLOWER_CHECK_MS = 100.0
+# Delay until the next long poll; a reader passes on nothing older than both.
+VOUCH_GRACE_MS = 2_000.0
 # Interval at which due removals are carried out.
 EXPIRY_INTERVAL_MS = 250.0
 
@@ -73,9 +75,6 @@
         )
         # Whether everything has to be read before the next long poll.
         self._needs_reload = True
-        # Whether what was read first may be seconds old. The node does not
-        # count as loaded until it has read the changes since then.
-        self._may_be_stale = False
         # Whether the era may have changed since the last answer.
         self._is_era_uncertain = False
         self._intervals = ReadIntervals()
@@ -89,7 +88,7 @@
     @property
     def is_loaded(self):
         """Whether servers and configuration have been loaded once."""
-        return self._reachability.has_data and not self._may_be_stale
+        return self._reachability.has_data and not self._view.is_provisional
 
     @property
     def position(self):
@@ -148,16 +147,18 @@
             return
         if update.outage_age_ms is not None:
             self._directory.record_outage(now_ms - update.outage_age_ms)
-        if update.after <= own.revision <= update.revision:
-            self._reachability.confirm(now_ms)
-            self._may_be_stale = False
-        if not update.after <= own.revision < update.revision:
+        if not update.after <= own.revision <= update.revision:
             return
-        decoded = self._decoder.decode_update(update, self._view.configuration)
-        if decoded.is_err():
-            return
-        self._metrics.count('store_news', outcome='taken')
-        self._view.apply_changes(decoded.ok_value, now_ms)
+        if own.revision < update.revision:
+            decoded = self._decoder.decode_update(
+                update, self._view.configuration
+            )
+            if decoded.is_err():
+                return
+            self._metrics.count('store_news', outcome='taken')
+            self._view.apply_changes(decoded.ok_value, now_ms)
+        self._reachability.confirm(now_ms)
+        self._view.confirm()
 
     def try_query_snapshot(self):
         """Record a query of a reader for a snapshot, if one is due now.
@@ -210,7 +211,7 @@
             len(snapshot.servers),
         )
         self._reachability.confirm(now_ms)
-        self._needs_reload = self._may_be_stale = False
+        self._needs_reload = False
         self._view.apply_complete(decoded.ok_value, now_ms)
 
     def handle_position(self, position):
@@ -263,8 +264,9 @@
         position = self._view.position
         if position is None:
             return self._reload()
-        if not self._may_be_stale and self._reader_tracker.relies_on_readers(
-            position, now_ms
+        if (
+            not self._view.is_provisional
+            and self._reader_tracker.relies_on_readers(position, now_ms)
         ):
             return FOLLOWER_CHECK_MS
         if self._needs_reload:
@@ -273,7 +275,7 @@
 
     def _wait_for_changes(self, position):
         wait_ms = self._intervals.long_poll_ms
-        if self._is_era_uncertain or self._may_be_stale:
+        if self._is_era_uncertain or self._view.is_provisional:
             # The store may have returned from an older copy. An answer tells
             # its era; a long poll might wait until it is at the revision that
             # this node had reached before.
@@ -288,7 +290,7 @@
             return self._record_failure(changes, self._retry_delay_ms)
         now_ms = self._clock.now_ms()
         self._reachability.record_success(position, now_ms)
-        self._is_era_uncertain = self._may_be_stale = False
+        self._is_era_uncertain = False
         held = self._view.configuration
         self._view.apply_changes(changes, now_ms)
         if self._view.position > position:
@@ -306,10 +308,13 @@
 
     def _can_vouch_for(self, position):
         """Return whether this node may pass on what it holds of the store."""
+        age_ms = self._reachability.age_ms(self._clock.now_ms())
         return (
             position is not None
             and self._reachability.is_reachable
-            and not self._may_be_stale
+            and not self._view.is_provisional
+            # Otherwise this node was paused, and has not read the store since.
+            and age_ms <= self._intervals.long_poll_ms + VOUCH_GRACE_MS
         )
 
     @property
@@ -331,11 +336,10 @@
         now_ms = self._clock.now_ms()
         self._reachability.record_success(own, now_ms)
         self._needs_reload = self._is_era_uncertain = False
-        self._may_be_stale = is_first
         if own is not None and era > own.era:
             # The followers defer removals, as this node does.
             self._reachability.record_outage(now_ms)
-        self._view.apply_complete(changes, now_ms)
+        self._view.apply_complete(changes, now_ms, is_first)
         if own is not None and era > own.era:
             # Followers ask for a snapshot when they learn of the new era.
             evacuations = self._directory.evacuations.create_list(now_ms)
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -1,13 +1,12 @@
 """Gathers groups of parts for other nodes."""
 
-import contextlib
-
 import eventlet
 import logbook
 
 from hawthornfold.delegation import GatherCancel
 from hawthornfold.delegation import GatherParts
 from hawthornfold.delegation import PartsReply
+from hawthornfold.gateway.cancellation import Cancellation
 from hawthornfold.gateway.exchange import OutgoingRequest
 from hawthornfold.gateway.observers import RelayObserver
 from hawthornfold.gateway.runner import RequestPlan
@@ -21,30 +20,6 @@
 TRAVEL_MS = 3.0
 
 
-class _RunningGroup:
-    """A group in progress, which may be cancelled before it starts."""
-
-    def __init__(self):
-        self._is_cancelled = False
-        self._on_cancel = None
-
-    def cancel(self):
-        self._is_cancelled = True
-        if self._on_cancel is not None:
-            self._on_cancel()
-
-    @contextlib.contextmanager
-    def watch(self, function):
-        """Call `function` if the group is or has been cancelled."""
-        self._on_cancel = function
-        if self._is_cancelled:
-            function()
-        try:
-            yield
-        finally:
-            self._on_cancel = None
-
-
 class GroupReporter(RelayObserver):
     """Reports the answers of a group to the node that asked for them.
 
@@ -162,7 +137,7 @@
             self._reply(sender, message.call, 'declined')
             return
         self._reply(sender, message.call, 'accepted')
-        self._running[key] = _RunningGroup()
+        self._running[key] = Cancellation()
         plan, reporter = self._plan(sender, message, decision)
         eventlet.spawn_n(self._serve, sender, message, plan, reporter, key)
 
@@ -190,7 +165,11 @@
 
     def _serve(self, sender, message, plan, reporter, key):
         outgoing = OutgoingRequest(
-            message.method, message.head, message.body, message.request_id
+            message.method,
+            message.head,
+            message.body,
+            message.request_id,
+            plan.decision.idempotent,
         )
         try:
             run = self._runner.run(
@@ -205,8 +184,11 @@
     def _plan(self, sender, message, decision):
         arrived_ms = self._clock.now_ms()
         margin_ms = self._state.answer_margin.margin_ms(TRAVEL_MS)
-        due_ms = arrived_ms + message.objective_left_ms - margin_ms
-        deadline_ms = arrived_ms + message.deadline_left_ms
+        # As the first argument the rule's limit also replaces NaN.
+        limit_ms = float(decision.deadline_ms)
+        objective_left_ms = min(limit_ms, message.objective_left_ms)
+        due_ms = arrived_ms + objective_left_ms - margin_ms
+        deadline_ms = arrived_ms + min(limit_ms, message.deadline_left_ms)
         plan = RequestPlan(
             message.request_id,
             decision,
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -79,9 +79,9 @@
         self._timer_due_ms = 0.0
         self._end = eventlet.event.Event()
 
-    def notify_caller_left(self):
-        """End the request because its caller has disconnected."""
-        self._end_request(None)
+    def end(self, verdict=None):
+        """End the request, without a verdict if its caller disconnected."""
+        self._end_request(verdict)
 
     def run(self, deadline_ms):
         """Run the request to its end.
--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -179,6 +179,8 @@
             if not self._is_complete:
                 raise ValueError(f'{type(error).__name__}: {error}')
             self._has_extra_bytes = True
+        except httptools.HttpParserUpgrade:
+            raise ValueError('the server switches to another protocol')
         if not self._is_complete or len(data) + self._size > FREE_BYTES:
             self._check_bounds(len(data), self._size - size_before)
 
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -12,6 +12,7 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import ServiceRecord
 from hawthornfold.directory import StoreChanges
+from hawthornfold.gateway.endpoints import parse_endpoint
 from hawthornfold.platform.evacuations import decode_evacuation
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import EVACUATIONS_PREFIX
@@ -25,12 +26,19 @@
 from hawthornfold.rules import When
 from hawthornfold.rules import compile_document
 
+# Larger numbers would not fit into the messages between nodes, or become
+# infinite in computations, so that one item would stop a node from reading the
+# store or from passing it on.
+Integer = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+_Number = typing.Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+
 
 class Item(msgspec.Struct):
     """An item of the store in a reply, or an event that it was deleted."""
 
     Key: str
-    Revision: int = 0
+    Revision: Integer = 0
     # Base64 text in the reply; msgspec decodes it.
     Value: bytes = b''
     Deleted: bool = False
@@ -44,16 +52,16 @@
     Zone: str
     State: typing.Literal['ready', 'draining']
     # Number of requests that the server executes at the same time.
-    MaxConcurrency: typing.Annotated[int, msgspec.Meta(ge=0)] = 1
-    WarmupLeftMs: float = 0.0
+    MaxConcurrency: typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 1
+    WarmupLeftMs: _Number = 0.0
     # Start of the server's process, in milliseconds since the Unix epoch.
-    born: int = 0
+    born: Integer = 0
 
 
 class _Split(msgspec.Struct):
     # Name of a service.
     Backend: str
-    Weight: float
+    Weight: _Number
 
 
 class _Route(msgspec.Struct):
@@ -61,21 +69,21 @@
     Host: str
     Prefix: str
     RouteType: typing.Literal['idempotent', 'non_idempotent']
-    TimeoutMs: float
-    TargetLatencyMs: float | None = None
+    TimeoutMs: _Number
+    TargetLatencyMs: _Number | None = None
     # 0 is the most urgent.
-    Priority: int = 0
+    Priority: _Count = 0
     # Maximum number of servers that a request is sent to.
-    MaxAttempts: int = 1
+    MaxAttempts: _Count = 1
     # Name of the only service; see _create_rule for the order in which
     # FanoutServices, Split and Backend apply.
     Backend: str | None = None
     Split: list[_Split] | None = None
     FanoutServices: list[str] | None = None
     # Maximum number of records in a gathered answer.
-    TopK: int = 1
+    TopK: _Count = 1
     # Minimum share of the shards, from 0 to 1, that an answer must cover.
-    MinSuccessShare: float = 1.0
+    MinSuccessShare: _Number = 1.0
     # Regions to whose servers requests may be sent; all if there are none.
     AllowedRegions: list[str] | None = None
 
@@ -83,22 +91,22 @@
 class _Service(msgspec.Struct):
     Name: str
     HealthPath: str = '/health'
-    MaxConns: int = 1
+    MaxConns: _Count = 1
     # How long a server remains cold after its start, in seconds.
-    WarmupS: float = 0.0
+    WarmupS: _Number = 0.0
     # Requests a second that a cold server accepts; 0 if no limit is given.
-    WarmupPerS: float = 0.0
+    WarmupPerS: _Number = 0.0
 
 
 class _Limits(msgspec.Struct):
-    MaxHeaderBytes: int
-    MaxBodyBytes: int
-    HeaderTimeoutMs: float
-    IdleTimeoutMs: float
+    MaxHeaderBytes: _Count
+    MaxBodyBytes: _Count
+    HeaderTimeoutMs: _Number
+    IdleTimeoutMs: _Number
 
 
 class _Configuration(msgspec.Struct):
-    Version: int
+    Version: _Count
     # Each a `_Route`, which is decoded only if it has changed.
     Routes: list[msgspec.Raw]
     Services: list[_Service]
@@ -195,6 +203,9 @@
     server_id = item.Key[len(SERVERS_PREFIX) :]
     record = None
     if not item.Deleted:
+        if not server_id.isprintable() or not server_id:
+            # Requests carry the id in a header.
+            raise ValueError('the id is not printable text')
         record = decode_server_entry(server_id, item.Value)
     return ServerChange(server_id, record, item.Revision)
 
@@ -205,12 +216,10 @@
     Raises
     ------
     ValueError
-        If it cannot be decoded, or its address is not ``host:port``.
+        If it cannot be decoded, or its address is not ``ip:port``.
     """
     entry = _ENTRY_DECODER.decode(value)
-    host, _, port = entry.Address.rpartition(':')
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError(f'{entry.Address!r} is not host:port')
+    parse_endpoint(entry.Address)
     return ServerRecord(
         server_id,
         entry.Backend,
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -12,6 +12,7 @@
 from hawthornfold.directory import PublishedStore
 from hawthornfold.directory import ReadFailure
 from hawthornfold.platform.documents import ConfigurationDecoder
+from hawthornfold.platform.documents import Integer
 from hawthornfold.platform.documents import Item
 from hawthornfold.platform.documents import decode_items
 from hawthornfold.platform.names import OPERATORS_PREFIX
@@ -51,13 +52,13 @@
 
 class _Page(msgspec.Struct):
     items: list[Item]
-    CurrentRev: int
+    CurrentRev: Integer
     HasMore: bool = False
 
 
 class _Events(msgspec.Struct):
     events: list[Item]
-    CurrentRev: int
+    CurrentRev: Integer
 
 
 # Larger numbers would not fit into the messages between nodes.
@@ -211,7 +212,8 @@
         try:
             data = read_body(response, MAX_REPLY_BYTES)
             is_complete = data is not None
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            # ValueError: chunks of a negative length.
             raise _ReadError(f'{type(error).__name__}: {error}')
         finally:
             # A connection with an unread body cannot be reused.
