Import the codec of configurations from its module in the fault tests

Change: imports and the new argument of create_update; no check changed. Measured: test_malformed_store and test_restart_faults pass.

--- a/hawthornfold/platform/tests/test_malformed_store.py
+++ b/hawthornfold/platform/tests/test_malformed_store.py
@@ -8,9 +8,9 @@
 import unittest
 
 from hawthornfold.directory import StorePosition
+from hawthornfold.directory.configuration_codec import encode_configuration
 from hawthornfold.directory.positions import UNKNOWN_ERA
 from hawthornfold.directory.update_codec import create_update
-from hawthornfold.directory.updates import encode_configuration
 from hawthornfold.peers import codec
 from hawthornfold.platform import documents
 from hawthornfold.platform.tests import test_documents
@@ -77,7 +77,9 @@
         changes = documents.decode_items([bad, good], 9)
         self.assertEqual(changes.servers[-1].record.server_id, 'good')
         position = StorePosition(UNKNOWN_ERA, 1)
-        self.encoder.encode(create_update(position, changes, self.held, None))
+        self.encoder.encode(
+            create_update(position, changes, self.held, None, None)
+        )
         if changes.configuration is not None:
             self.encoder.encode(
                 encode_configuration(changes.configuration, True)
