Move deferred removals and last-resort servers out of the directory

The module of the server directory had grown to 448 lines and kept three subjects beside the records: removals deferred around an outage, leaving servers that are used as a last resort, and the kinds of events. They are now `DeferredRemovals`, `LastResortServers` and `DirectoryEvent` with `classify_change`, each in its own module of the package. The constants `REMOVAL_GRACE_MS` and `LAST_RESORT_MS` moved with them; imports follow.

The directory's module has 376 lines.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -1,51 +1,17 @@
 """Tracks the backend servers that the store lists.
 
-A removed record normally means that the server leaves. After an outage of the
-store, however, records of live servers may have expired, and those servers
-write them again soon after the store returns. Removals that are received
-around an outage are therefore deferred.
+A removed record normally means that the server leaves. Removals that are
+received around an outage of the store are deferred.
 """
 
-import typing
-
 from hawthornfold.directory.departures import Departures
 from hawthornfold.directory.evacuations import create_evacuations
+from hawthornfold.directory.events import DirectoryEvent
+from hawthornfold.directory.events import classify_change
+from hawthornfold.directory.last_resort import create_last_resort_servers
 from hawthornfold.directory.leaving import create_leaving_servers
-from hawthornfold.directory.records import ServerRecord
-
-# Removals are deferred until this long after an outage. Servers write expired
-# records again within 2 s of the store's return.
-REMOVAL_GRACE_MS = 2_300.0
-# If a service has no other server, a leaving server is used for this long
-# after it announced that it leaves, since it still serves for some time. Nodes
-# may receive the announcement late, so this stays well below any drain time.
-LAST_RESORT_MS = 1_000.0
-
-
-class DirectoryEvent(typing.NamedTuple):
-    """A change of a server in the directory.
-
-    Parameters
-    ----------
-    kind : str
-        ``added``, ``draining``, ``ready``, ``restarted``, ``moved`` or
-        ``removed``.
-    record : ServerRecord
-        The server's latest record.
-    """
-
-    kind: str
-    record: ServerRecord
-
-
-class _Leaving(typing.NamedTuple):
-    record: ServerRecord
-    since_ms: float
-
-
-class _PendingRemoval(typing.NamedTuple):
-    received_ms: float
-    due_ms: float
+from hawthornfold.directory.removals import REMOVAL_GRACE_MS
+from hawthornfold.directory.removals import create_deferred_removals
 
 
 class ServerDirectory:
@@ -68,10 +34,8 @@
         # The ready servers of a service, until one of them changes.
         self._ready_lists = {}
         self._version = 0
-        self._leaving = {}
-        # Deferred removals, by server id.
-        self._pending_removals = {}
-        self._removals_deferred_until_ms = 0.0
+        self._last_resort = create_last_resort_servers()
+        self._removals = create_deferred_removals()
         self._departures = Departures()
         self._on_evacuations = on_evacuations
         self._evacuations = create_evacuations(
@@ -105,7 +69,7 @@
         listed = {
             server_id: record
             for server_id, record in self._records.items()
-            if server_id not in self._pending_removals
+            if not self._removals.covers(server_id)
         }
         for record in self._departures.distrusted_records:
             listed[record.server_id] = record
@@ -114,7 +78,7 @@
     @property
     def pending_removal_ids(self):
         """The ids of the servers whose removal is deferred."""
-        return tuple(self._pending_removals)
+        return self._removals.server_ids
 
     @property
     def distrusted_ids(self):
@@ -150,7 +114,9 @@
         ready = self._ready_lists.get(service)
         if ready is None:
             ready = self._ready_lists[service] = self._list_ready(service)
-        return ready or self._list_last_resort(service, now_ms)
+        return ready or self._last_resort.list_servers(
+            service, self._evacuations.in_force, now_ms
+        )
 
     def is_available(self, record, now_ms):
         """Return whether a server may receive new work.
@@ -199,19 +165,12 @@
         if was_leaving:
             return []
         self._remove_ready(current)
-        self._leaving[record.server_id] = _Leaving(current, now_ms)
+        self._last_resort.add(current, now_ms)
         return [DirectoryEvent('draining', current)]
 
     def record_outage(self, now_ms):
         """Record that the store did not answer; defer removals."""
-        until_ms = now_ms + REMOVAL_GRACE_MS
-        if until_ms <= self._removals_deferred_until_ms:
-            return
-        self._removals_deferred_until_ms = until_ms
-        self._pending_removals = {
-            server_id: removal._replace(due_ms=until_ms)
-            for server_id, removal in self._pending_removals.items()
-        }
+        self._removals.record_outage(now_ms)
 
     def replace_all(self, changes, now_ms, is_restored=False):
         """Replace all records by a complete list of servers.
@@ -287,24 +246,17 @@
         -------
         list of DirectoryEvent
         """
-        due = [
-            server_id
-            for server_id, removal in self._pending_removals.items()
-            if removal.due_ms <= now_ms
-        ]
         events = []
-        for server_id in due:
+        for server_id in self._removals.list_due(now_ms):
             events += self._remove_now(server_id, now_ms)
-        for server_id, leaving in list(self._leaving.items()):
-            if now_ms - leaving.since_ms >= LAST_RESORT_MS:
-                del self._leaving[server_id]
+        self._last_resort.expire(now_ms)
         for record in self._departures.take_trusted(now_ms):
             events += self._update_record(record, now_ms)
         return events + self._expire_announced(now_ms)
 
     def _update_record(self, record, now_ms, is_repeated=False):
         server_id = record.server_id
-        self._pending_removals.pop(server_id, None)
+        self._removals.discard(server_id)
         before = self._records.get(server_id)
         if before is not None and record.born_ms < before.born_ms:
             # An earlier incarnation of the server wrote this record.
@@ -315,7 +267,7 @@
         is_leaving = self.is_leaving(record)
         if not is_repeated:
             self._on_record(record, now_ms)
-        kind = _classify_change(before, record, was_leaving, is_leaving)
+        kind = classify_change(before, record, was_leaving, is_leaving)
         return [] if kind is None else [DirectoryEvent(kind, record)]
 
     def _expire_announced(self, now_ms):
@@ -345,11 +297,11 @@
                 if self._announced.covers(record):
                     # Another listing does not extend the last resort.
                     since_ms = self._announced.since_ms(server_id)
-                self._leaving[server_id] = _Leaving(record, since_ms)
+                self._last_resort.add(record, since_ms)
             if record.is_draining:
                 self._departures.record_departure(record, now_ms)
         else:
-            self._leaving.pop(server_id, None)
+            self._last_resort.discard(server_id)
             servers = self._ready_by_service.setdefault(record.service, {})
             servers[server_id] = record
             self._forget_ready_list(record.service)
@@ -357,16 +309,14 @@
     def _remove_or_defer(self, server_id, now_ms):
         if server_id not in self._records:
             return []
-        if now_ms < self._removals_deferred_until_ms:
-            self._pending_removals.setdefault(
-                server_id,
-                _PendingRemoval(now_ms, self._removals_deferred_until_ms),
-            )
+        if self._removals.defers(now_ms):
+            self._removals.add(server_id, now_ms)
             return []
         return self._remove_now(server_id, now_ms)
 
     def _remove_now(self, server_id, now_ms):
-        pending = self._pending_removals.pop(server_id, None)
+        received_ms = self._removals.received_ms(server_id, now_ms)
+        self._removals.discard(server_id)
         record = self._records.pop(server_id, None)
         if record is None:
             return []
@@ -375,8 +325,7 @@
         if not self.is_leaving(record):
             # The server may have left when the removal was received, so that
             # a deferral counts towards the time of last resort.
-            since_ms = now_ms if pending is None else pending.received_ms
-            self._leaving[server_id] = _Leaving(record, since_ms)
+            self._last_resort.add(record, received_ms)
         return [DirectoryEvent('removed', record)]
 
     def _remove_ready(self, record):
@@ -392,16 +341,6 @@
             if record.data_centre not in evacuated
         )
 
-    def _list_last_resort(self, service, now_ms):
-        evacuated = self._evacuations.in_force
-        return tuple(
-            leaving.record
-            for leaving in self._leaving.values()
-            if leaving.record.service == service
-            and now_ms - leaving.since_ms < LAST_RESORT_MS
-            and leaving.record.data_centre not in evacuated
-        )
-
     def _handle_evacuations(self, events):
         self._ready_lists.clear()
         self._version += 1
@@ -412,18 +351,6 @@
         self._version += 1
 
 
-def _classify_change(before, record, was_leaving, is_leaving):
-    if before is None:
-        return 'added'
-    if record.born_ms > before.born_ms > 0:
-        return 'restarted'
-    if (record.address, record.service) != (before.address, before.service):
-        return 'moved'
-    if is_leaving != was_leaving:
-        return 'draining' if is_leaving else 'ready'
-    return None
-
-
 def create_server_directory(
     on_evacuations=lambda events: None,
     on_record=lambda record, now_ms: None,
@@ -438,6 +365,7 @@
     Examples
     --------
     >>> from hawthornfold.directory.records import ServerChange
+    >>> from hawthornfold.directory.records import ServerRecord
     >>> directory = create_server_directory()
     >>> record = ServerRecord('s1', 'portal', '127.0.0.1:1', 'dc-a', 2)
     >>> directory.apply([ServerChange('s1', record)], 0.0)[0].kind
--- a/hawthornfold/directory/reachability.py
+++ b/hawthornfold/directory/reachability.py
@@ -2,7 +2,7 @@
 
 import logbook
 
-from hawthornfold.directory.directory import REMOVAL_GRACE_MS
+from hawthornfold.directory.removals import REMOVAL_GRACE_MS
 
 _LOG = logbook.Logger('directory')
 
--- /dev/null
+++ b/hawthornfold/directory/removals.py
@@ -0,0 +1,88 @@
+"""Defers removals of servers that are received around an outage.
+
+A removed record normally means that the server leaves. After an outage of the
+store, however, records of live servers may have expired, and those servers
+write them again soon after the store returns.
+"""
+
+import typing
+
+# Removals are deferred until this long after an outage. Servers write expired
+# records again within 2 s of the store's return.
+REMOVAL_GRACE_MS = 2_300.0
+
+
+class _PendingRemoval(typing.NamedTuple):
+    received_ms: float
+    due_ms: float
+
+
+class DeferredRemovals:
+    """The deferred removals, by server id."""
+
+    def __init__(self):
+        self._pending = {}
+        self._deferred_until_ms = 0.0
+
+    @property
+    def server_ids(self):
+        """The ids of the servers whose removal is deferred."""
+        return tuple(self._pending)
+
+    def covers(self, server_id):
+        """Return whether the removal of a server is deferred."""
+        return server_id in self._pending
+
+    def defers(self, now_ms):
+        """Return whether a removal that is received now is deferred."""
+        return now_ms < self._deferred_until_ms
+
+    def received_ms(self, server_id, default_ms):
+        """Return when a removal was received; a default if not deferred."""
+        removal = self._pending.get(server_id)
+        return default_ms if removal is None else removal.received_ms
+
+    def list_due(self, now_ms):
+        """Return the ids of the servers whose removal is due."""
+        return [
+            server_id
+            for server_id, removal in self._pending.items()
+            if removal.due_ms <= now_ms
+        ]
+
+    def record_outage(self, now_ms):
+        """Record that the store did not answer; defer removals."""
+        until_ms = now_ms + REMOVAL_GRACE_MS
+        if until_ms <= self._deferred_until_ms:
+            return
+        self._deferred_until_ms = until_ms
+        self._pending = {
+            server_id: removal._replace(due_ms=until_ms)
+            for server_id, removal in self._pending.items()
+        }
+
+    def add(self, server_id, now_ms):
+        """Defer a removal; a repeated one keeps its time."""
+        self._pending.setdefault(
+            server_id, _PendingRemoval(now_ms, self._deferred_until_ms)
+        )
+
+    def discard(self, server_id):
+        """Forget a removal that is carried out, or no longer applies."""
+        self._pending.pop(server_id, None)
+
+
+def create_deferred_removals():
+    """Create an empty set of removals that defers none yet.
+
+    Examples
+    --------
+    >>> removals = create_deferred_removals()
+    >>> removals.record_outage(1_000.0)
+    >>> removals.defers(1_001.0)
+    True
+    >>> removals.add('s1', 1_001.0)
+    >>> removals.list_due(1_000.0 + REMOVAL_GRACE_MS)
+    ['s1']
+    """
+    return DeferredRemovals()
--- a/hawthornfold/directory/tests/test_directory.py
+++ b/hawthornfold/directory/tests/test_directory.py
@@ -3,8 +3,8 @@
 from hawthornfold.directory import ServerChange
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import create_server_directory
-from hawthornfold.directory.directory import LAST_RESORT_MS
-from hawthornfold.directory.directory import REMOVAL_GRACE_MS
+from hawthornfold.directory.last_resort import LAST_RESORT_MS
+from hawthornfold.directory.removals import REMOVAL_GRACE_MS
 
 
 def create_record(server_id='s1', **fields):
--- a/hawthornfold/directory/tests/test_evacuations.py
+++ b/hawthornfold/directory/tests/test_evacuations.py
@@ -17,13 +17,13 @@
 from hawthornfold.directory import StorePosition
 from hawthornfold.directory import StoreSnapshot
 from hawthornfold.directory import create_server_directory
-from hawthornfold.directory.directory import LAST_RESORT_MS
-from hawthornfold.directory.directory import REMOVAL_GRACE_MS
 from hawthornfold.directory.evacuations import LIST_REPEAT_MS
 from hawthornfold.directory.evacuations import create_evacuations
+from hawthornfold.directory.last_resort import LAST_RESORT_MS
 from hawthornfold.directory.reader_tracker import ERA_GRACE_MS
 from hawthornfold.directory.reader_tracker import ERA_SPREAD_MS
 from hawthornfold.directory.reader_tracker import MISSED_UPDATE_GRACE_MS
+from hawthornfold.directory.removals import REMOVAL_GRACE_MS
 from hawthornfold.directory.tests import test_restore
 from hawthornfold.directory.tests.test_restore import create_record
 from hawthornfold.directory.updates import limit_update
--- a/hawthornfold/directory/tests/test_restore.py
+++ b/hawthornfold/directory/tests/test_restore.py
@@ -20,11 +20,11 @@
 from hawthornfold.directory import create_server_directory
 from hawthornfold.directory import create_store_watcher
 from hawthornfold.directory.departures import DISTRUST_MS
-from hawthornfold.directory.directory import LAST_RESORT_MS
-from hawthornfold.directory.directory import REMOVAL_GRACE_MS
+from hawthornfold.directory.last_resort import LAST_RESORT_MS
 from hawthornfold.directory.reader_tracker import ERA_GRACE_MS
 from hawthornfold.directory.reader_tracker import ERA_SPREAD_MS
 from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
+from hawthornfold.directory.removals import REMOVAL_GRACE_MS
 from hawthornfold.directory.tests.test_watcher import configuration
 from hawthornfold.metrics import create_metrics
 
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -18,11 +18,11 @@
 from hawthornfold.directory import StorePosition
 from hawthornfold.directory import create_server_directory
 from hawthornfold.directory import create_store_watcher
-from hawthornfold.directory.directory import REMOVAL_GRACE_MS
 from hawthornfold.directory.read_intervals import LONG_POLL_MS
 from hawthornfold.directory.reader_tracker import MISSED_UPDATE_GRACE_MS
 from hawthornfold.directory.reader_tracker import READER_TIMEOUT_MS
 from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
+from hawthornfold.directory.removals import REMOVAL_GRACE_MS
 from hawthornfold.directory.watcher import FOLLOWER_CHECK_MS
 from hawthornfold.directory.watcher import REVISION_GRACE_MS
 from hawthornfold.metrics import create_metrics
--- a/hawthornfold/gateway/tests/test_leaving_servers.py
+++ b/hawthornfold/gateway/tests/test_leaving_servers.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from hawthornfold.directory import ServerChange
-from hawthornfold.directory.directory import LAST_RESORT_MS
+from hawthornfold.directory.last_resort import LAST_RESORT_MS
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.tests import support
 from hawthornfold.gateway.tests.signal_support import ARRIVAL_MS
