Move the messages of readers out of the store watcher

The latter is now `ReaderMessages` in `reader_messages.py`, together with `VOUCH_GRACE_MS`. A message is created with one reading of the clock instead of two.

--- a/hawthornfold/directory/tests/test_restart_faults.py
+++ b/hawthornfold/directory/tests/test_restart_faults.py
@@ -11,11 +11,11 @@
 from hawthornfold.directory import StoreNews
 from hawthornfold.directory.configuration_codec import encode_configuration
 from hawthornfold.directory.read_intervals import LONG_POLL_MS
+from hawthornfold.directory.reader_messages import VOUCH_GRACE_MS
 from hawthornfold.directory.tests.test_watcher import REMOVED
 from hawthornfold.directory.tests.test_watcher import WRITTEN
 from hawthornfold.directory.tests.test_watcher import WatcherTestCase
 from hawthornfold.directory.tests.test_watcher import configuration
-from hawthornfold.directory.watcher import VOUCH_GRACE_MS
 
 STALE = result.Ok(StoreChanges(10, (WRITTEN,), configuration(3)))
 FAILED = result.Err(ReadFailure('down'))
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -9,11 +9,9 @@
 from hawthornfold.directory.positions import StorePosition
 from hawthornfold.directory.reachability import StoreReachability
 from hawthornfold.directory.read_intervals import ReadIntervals
+from hawthornfold.directory.reader_messages import ReaderMessages
 from hawthornfold.directory.reader_tracker import create_reader_tracker
 from hawthornfold.directory.update_codec import UpdateDecoder
-from hawthornfold.directory.update_codec import create_heartbeat
-from hawthornfold.directory.update_codec import create_snapshot
-from hawthornfold.directory.update_codec import create_update
 from hawthornfold.directory.view import StoreView
 
 _LOG = logbook.Logger('directory')
@@ -29,8 +27,6 @@
 # Interval at which a node that relies on its readers checks whether it still
 # can.
 FOLLOWER_CHECK_MS = 100.0
-# Delay until the next long poll; a reader passes on nothing older than both.
-VOUCH_GRACE_MS = 2_000.0
 # Interval at which due removals are carried out.
 EXPIRY_INTERVAL_MS = 250.0
 
@@ -82,6 +78,13 @@
         self._waiting_since_ms = None
         self._reader_tracker = create_reader_tracker(clock.now_ms())
         self._reachability = StoreReachability(directory, metrics)
+        self._messages = ReaderMessages(
+            directory,
+            self._view,
+            self._reachability,
+            self._intervals,
+            self._reader_tracker,
+        )
         self._decoder = UpdateDecoder(metrics)
         self._rng = random.Random()
 
@@ -118,19 +121,7 @@
 
     def create_heartbeat(self):
         """Return a `StoreNews` without changes, or None without the store."""
-        position = self._view.position
-        if not self._can_vouch_for(position):
-            return None
-        position = max(position, self._reader_tracker.known_position)
-        if position.era > self._view.position.era:
-            # This node has yet to read the new era, and cannot vouch for it.
-            return None
-        now_ms = self._clock.now_ms()
-        return create_heartbeat(
-            position,
-            self._reachability.outage_age_ms(now_ms),
-            self._directory.evacuations.create_list(now_ms),
-        )
+        return self._messages.create_heartbeat(self._clock.now_ms())
 
     def apply_update(self, update):
         """Apply a `StoreNews` from a reader."""
@@ -176,17 +167,10 @@
 
     def create_snapshot(self, as_msgpack=True, needs_evacuations=False):
         """Answer the fields of a `SnapshotQuery`; None if it is stale."""
-        position = self._view.position
-        if self._needs_reload or not self._can_vouch_for(position):
+        if self._needs_reload:
             return None
-        return create_snapshot(
-            position,
-            self._directory,
-            self._view.configuration,
-            as_msgpack,
-            self._directory.evacuations.create_list(
-                self._clock.now_ms(), needs_evacuations
-            ),
+        return self._messages.create_snapshot(
+            as_msgpack, needs_evacuations, self._clock.now_ms()
         )
 
     def apply_snapshot(self, snapshot):
@@ -294,29 +278,11 @@
         held = self._view.configuration
         self._view.apply_changes(changes, now_ms)
         if self._view.position > position:
-            outage_age_ms = self._reachability.outage_age_ms(now_ms)
             self._on_update(
-                create_update(
-                    position,
-                    changes,
-                    held,
-                    outage_age_ms,
-                    self._directory.evacuations.create_list(now_ms),
-                )
+                self._messages.create_update(position, changes, held, now_ms)
             )
         return self._intervals.batch_delay_ms if changes.servers else 0.0
 
-    def _can_vouch_for(self, position):
-        """Return whether this node may pass on what it holds of the store."""
-        age_ms = self._reachability.age_ms(self._clock.now_ms())
-        return (
-            position is not None
-            and self._reachability.is_reachable
-            and not self._view.is_provisional
-            # Otherwise this node was paused, and has not read the store since.
-            and age_ms <= self._intervals.long_poll_ms + VOUCH_GRACE_MS
-        )
-
     @property
     def _retry_delay_ms(self):
         return self._intervals.retry_delay_ms(self._reader_tracker.is_reader)
@@ -341,11 +307,7 @@
             self._reachability.record_outage(now_ms)
         self._view.apply_complete(changes, now_ms, is_first)
         if own is not None and era > own.era:
-            # Followers ask for a snapshot when they learn of the new era.
-            evacuations = self._directory.evacuations.create_list(now_ms)
-            self._on_update(
-                create_heartbeat(self._view.position, None, evacuations)
-            )
+            self._on_update(self._messages.create_era_heartbeat(now_ms))
         return 0.0
 
     def _handle_other_era(self, era):
