Move the headers on the reuse of connections to their own module

What the headers of responses say about the reuse of a connection (Keep-Alive, the request id) is now `ConnectionReuse` in `connection_reuse.py`, with the idle limits; `test_exchange` imports `NON_IDEMPOTENT_IDLE_MS` from there. The name of the request id header is passed with the headers, because connections that never receive a response are also created without a classifier.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -12,6 +12,7 @@
 from eventlet.hubs import hub
 import logbook
 
+from hawthornfold.gateway.connection_reuse import create_connection_reuse
 from hawthornfold.gateway.endpoints import describe_error
 from hawthornfold.gateway.endpoints import describe_error_code
 from hawthornfold.gateway.endpoints import parse_endpoint
@@ -29,20 +30,9 @@
 # if the server pauses.
 CONNECT_TIMEOUT_MS = 250.0
 _RECEIVE_BYTES = 1 << 16
-# Idle connections are not reused from this long before the server's announced
-# idle limit. When a request and the server's close cross, it is unknown
-# whether the request was executed.
-IDLE_MARGIN_MS = 1_000.0
-# Assumed idle limit of servers that announce none.
-DEFAULT_IDLE_LIMIT_MS = 4_000.0
-# Non-idempotent requests reuse a connection only within this time after its
-# last answer. A reset would leave it unknown whether they were executed.
-NON_IDEMPOTENT_IDLE_MS = 300.0
 # A new connection is used after this time. A server that has reached its limit
 # resets further connections right after it has accepted them.
 SETTLE_MS = 2.0
-# Longer numbers of seconds are ignored: they would not fit into a float.
-_MAX_DIGITS = 9
 _SOCKET_TYPE = _socket.SOCK_STREAM | _socket.SOCK_NONBLOCK
 
 
@@ -83,7 +73,7 @@
         self._timer = None
         self._is_reusable = True
         self._has_answered = False
-        self._idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
+        self._reuse = create_connection_reuse()
         self._answered_ms = 0.0
         self._opened_ms = 0.0
         self._sent_ms = 0.0
@@ -118,9 +108,7 @@
             Whether the request may be executed twice.
         """
         idle_ms = self._clock.now_ms() - self._answered_ms
-        limit_ms = self._idle_limit_ms
-        if not is_idempotent:
-            limit_ms = min(limit_ms, NON_IDEMPOTENT_IDLE_MS)
+        limit_ms = self._reuse.idle_limit_ms(is_idempotent)
         if idle_ms >= limit_ms or self._socket is None:
             return False
         try:
@@ -377,24 +365,11 @@
             or self._unsent
         ):
             self._is_reusable = False
-        is_identified = False
-        for name, value in reader.raw_headers:
-            name = name.lower()
-            if name == b'keep-alive':
-                self._apply_keep_alive(value)
-            elif name == self._classifier.request_id_name:
-                is_identified = bool(value)
-        # A late copy without an id could not be told from the next response.
-        self._is_reusable = self._is_reusable and is_identified
-
-    def _apply_keep_alive(self, text):
-        for token in text.split(b','):
-            name, _, value = token.strip().partition(b'=')
-            if name.lower() == b'timeout' and value.isdigit():
-                if len(value) > _MAX_DIGITS:
-                    continue
-                limit_ms = int(value) * 1000.0 - IDLE_MARGIN_MS
-                self._idle_limit_ms = max(limit_ms, NON_IDEMPOTENT_IDLE_MS)
+        self._reuse.record_headers(
+            reader.raw_headers, self._classifier.request_id_name
+        )
+        if not self._reuse.is_identified:
+            self._is_reusable = False
 
     def _fail(self, detail):
         """Close the connection and end the exchange without a response."""
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -10,6 +10,7 @@
 from hawthornfold.clock import create_system_clock
 from hawthornfold.gateway import connections
 from hawthornfold.gateway import exchange as exchanges
+from hawthornfold.gateway.connection_reuse import NON_IDEMPOTENT_IDLE_MS
 from hawthornfold.gateway.names import HeaderNames
 from hawthornfold.gateway.tests import support
 from hawthornfold.gathering import OutcomeKind
@@ -308,7 +309,7 @@
         connection = self.open()
         self.send()
         self.assertTrue(connection.can_carry_request(False))
-        time.sleep(connections.NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
+        time.sleep(NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
         self.assertFalse(connection.can_carry_request(False))
         self.assertTrue(connection.can_carry_request(True))
 
@@ -326,7 +327,7 @@
         connection = self.open(script)
         self.send()
         self.assertTrue(connection.can_carry_request(True))
-        time.sleep(connections.NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
+        time.sleep(NON_IDEMPOTENT_IDLE_MS / 1000.0 + 0.05)
         self.assertFalse(connection.can_carry_request(True))
 
     def test_idle_connection_that_the_server_closes_is_reported(self):
