--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -1,7 +1,6 @@
 """The state of a gateway node: configuration, servers, repeat budgets."""
 
 import logbook
-import xxhash
 
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
@@ -10,6 +9,7 @@
 from hawthornfold.eligibility import create_warmup_limiter
 from hawthornfold.gateway.evacuations import EVACUATED_CONNECTIONS
 from hawthornfold.gateway.evacuations import EvacuationReporter
+from hawthornfold.gateway.gathered_rules import create_gathered_rules
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
@@ -60,10 +60,7 @@
         self._gathered_share = None
         # Number that increases when the shares of the limits change.
         self._shares_version = 0
-        self._gathered_services = frozenset()
-        # Decisions that gather and their digests, by rule.
-        self._digests = {}
-        self._gatherings = {}
+        self._gathered_rules = create_gathered_rules()
         self._repeat_budgets = {}
         self._started_ms = clock.now_ms()
         self._is_settled = False
@@ -184,18 +181,7 @@
         before = self._configuration
         self._warmup.set_services(configuration.services)
         self._configuration = configuration
-        self._gathered_services = frozenset(
-            shard
-            for rule in configuration.rules.rules
-            if rule.decision.gather is not None
-            for shard in rule.decision.gather.shards
-        )
-        self._gatherings = {
-            rule.decision.rule: rule.decision
-            for rule in configuration.rules.rules
-            if rule.decision.gather is not None
-        }
-        self._digests = {}
+        self._gathered_rules.set_rules(configuration.rules.rules)
         self.latency_tracker.retain_rules(
             rule.name for rule in configuration.rules.rules
         )
@@ -215,18 +201,11 @@
 
         Nodes with the same digest agree on the shards of a query.
         """
-        known, digest = self._digests.get(decision.rule, (None, ''))
-        if known is not decision:
-            digest = xxhash.xxh3_64_hexdigest(describe_decision(decision))
-            self._digests[decision.rule] = (decision, digest)
-        return digest
+        return self._gathered_rules.get_digest(decision)
 
     def find_gathering(self, rule, digest):
         """Return the decision of a rule with a digest, or None."""
-        decision = self._gatherings.get(rule)
-        if decision is None or self.get_digest(decision) != digest:
-            return None
-        return decision
+        return self._gathered_rules.find(rule, digest)
 
     def handle_server_events(self, events):
         """Update pools and placement from a list of `DirectoryEvent`."""
@@ -349,7 +328,7 @@
 
     def _service_share(self, service):
         """Return this node's share of the limits of a service, 0 to 1."""
-        if service not in self._gathered_services:
+        if not self._gathered_rules.covers(service):
             return 1.0 / self._node_counts.total
         if self._gathered_share is not None:
             return self._gathered_share
@@ -378,18 +357,5 @@
                 pool.set_limits(self._connection_limits(record))
 
 
-def describe_decision(decision):
-    """Return all fields of a decision as bytes, to compare it between nodes.
-
-    Nodes of an older release do not know of allowed regions. A decision
-    without any is described as they do it.
-    """
-    text = repr(decision)
-    suffix = ', allowed_regions=())'
-    if text.endswith(suffix):
-        text = text.removesuffix(suffix) + ')'
-    return text.encode()
-
-
 def _describe_share(share):
     return '-' if share is None else f'{share:.4f}'
--- a/hawthornfold/gathering/tests/test_regions.py
+++ b/hawthornfold/gathering/tests/test_regions.py
@@ -17,7 +17,7 @@
 from hawthornfold.directory import ServerChange
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import create_server_directory
-from hawthornfold.gateway.state import describe_decision
+from hawthornfold.gateway.gathered_rules import describe_decision
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import OutcomeKind
