Join the checks whether a server's record has been replaced

The directory, the pauses and the handler of signals each compared start and address of two records of a server. `ServerRecord.is_replaced_by` is now the one place.

The whole gateway suite was not run on this commit.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -154,10 +154,7 @@
         list of DirectoryEvent
         """
         current = self._records.get(record.server_id)
-        if current is not None and (
-            current.born_ms > record.born_ms
-            or current.address != record.address
-        ):
+        if current is not None and record.is_replaced_by(current):
             # The server has restarted since the request was sent.
             return []
         was_leaving = current is None or self.is_leaving(current)
--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -40,6 +40,21 @@
     warmup_ms: float = 0.0
     born_ms: int = 0
 
+    def is_replaced_by(self, other):
+        """Return whether another record is of a later process of the server.
+
+        Without the start of the process, only another address tells this.
+
+        Examples
+        --------
+        >>> record = ServerRecord('s1', 'portal', '127.0.0.1:1', 'dc-a', 2)
+        >>> record.is_replaced_by(record._replace(address='127.0.0.1:2'))
+        True
+        >>> record.is_replaced_by(record)
+        False
+        """
+        return other.born_ms > self.born_ms or other.address != self.address
+
 
 class ServiceRecord(typing.NamedTuple):
     """Settings that all servers of a service share.
--- a/hawthornfold/eligibility/pauses.py
+++ b/hawthornfold/eligibility/pauses.py
@@ -40,7 +40,7 @@
         return (
             pause is not None
             and now_ms < pause.until_ms
-            and not _has_restarted(pause.record, record)
+            and not pause.record.is_replaced_by(record)
         )
 
     def free_ms(self, record, now_ms):
@@ -70,7 +70,7 @@
         """
         until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
         before = self._pauses.get(record.server_id)
-        if before is not None and not _has_restarted(before.record, record):
+        if before is not None and not before.record.is_replaced_by(record):
             until_ms = max(until_ms, before.until_ms)
         self._pauses[record.server_id] = _Pause(record, until_ms)
 
@@ -92,11 +92,6 @@
         return ended
 
 
-def _has_restarted(paused, record):
-    """Return whether a record is of a later process than a paused one."""
-    return record.born_ms > paused.born_ms or record.address != paused.address
-
-
 def create_server_pauses():
     """Create the pauses of a node's servers.
 
--- a/hawthornfold/gateway/server_signals.py
+++ b/hawthornfold/gateway/server_signals.py
@@ -85,11 +85,7 @@
             Current time on the node's clock.
         """
         current = self._directory.get(record.server_id)
-        if (
-            current is None
-            or current.born_ms > record.born_ms
-            or current.address != record.address
-        ):
+        if current is None or record.is_replaced_by(current):
             self._metrics.count('server_pause_requests', outcome='obsolete')
             return
         parsed = self._parse(retry_after)
