End an exchange also if the signals of its response cannot be read

A response that is given up is asked for what it says about its server; an error there left the exchange without an end, and its connection and slot were lost (test_unexpected_error_ends_the_exchange hung).

Change: an error while the signals are read is logged and the exchange ends.

--- a/hawthornfold/directory/tests/test_evacuations.py
+++ b/hawthornfold/directory/tests/test_evacuations.py
@@ -424,6 +424,8 @@
         self.assertLess(self.follower.watcher.position, silent.position)
         self.assertTrue(self.follower.watcher.has_evacuations)
         self.clock.advance(LIST_REPEAT_MS + 1.0)
+        # A reader passes on only what it has confirmed recently.
+        self.reader.read(1)
         self.follower.watcher.apply_snapshot(
             self.reader.watcher.create_snapshot(needs_evacuations=True)
         )
--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -377,16 +377,22 @@
         if self._request is None:
             kind = OutcomeKind.UNREACHABLE
         elif self._reader.has_head:
-            # What a response says about its server counts also if the rest of
-            # it is missing.
-            signals = self._classifier.read_signals(
-                self._reader.status, self._reader.read_fields()
-            )
+            signals = self._read_signals()
         on_end = self._on_end
         self.close()
         if on_end is not None:
             on_end(ExchangeOutcome(kind, None, detail, signals), None)
 
+    def _read_signals(self):
+        """Return what an incomplete response says about its server."""
+        try:
+            return self._classifier.read_signals(
+                self._reader.status, self._reader.read_fields()
+            )
+        except Exception:  # noqa: BLE001
+            _LOG.exception('event=signals_failed server={}', self._address)
+            return NO_SIGNALS
+
     def _handle_obsolete(self):
         """Give up the descriptor, which another owner has closed."""
         self._listeners.clear()
