--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -42,8 +42,8 @@
 MAX_REPLY_BYTES = 4 << 20
 # Bounds each reply as a whole; a reply that arrives byte by byte must not
 # occupy the reader. A value of 1 MB, 1.4 MB as base64, takes 1.6 s on a link
-# of 7 Mbit/s, and a multiple of that while callers use the link as well.
-_LIMITS = ReplyLimits(transfer_ms=6_000.0, total_bytes=5 << 20)
+# of 7 Mbit/s, and about twice that while callers use the link as well.
+_LIMITS = ReplyLimits(transfer_ms=3_000.0, total_bytes=5 << 20)
 # Bound the pages of one prefix together, as a faulty store may claim that
 # there are always more. 32 MB hold some 100,000 items.
 MAX_PREFIX_BYTES = 32 << 20
--- a/hawthornfold/platform/tests/test_malformed_input.py
+++ b/hawthornfold/platform/tests/test_malformed_input.py
@@ -134,8 +134,9 @@
             )
         )
         # The loop that probes members is alive, although the addresses of
-        # these are malformed.
-        removal = re.compile('subject=other .*after=removed')
+        # these are malformed. It probes one member a second in random order,
+        # so that any of the three that sent messages may be removed first.
+        removal = re.compile('subject=(other|peer|x{200}) .*after=removed')
         self.node.wait_until(lambda: removal.search(self.node.read_log()))
         # Bytes that are not of the protocol, on a plain connection.
         for data in (b'GET / HTTP/1.1\r\n\r\n', b'\xff' * 100, b'\xff\0\0'):
--- a/hawthornfold/platform/tests/test_truncated_answer.py
+++ b/hawthornfold/platform/tests/test_truncated_answer.py
@@ -6,8 +6,9 @@
 from hawthornfold.gateway.tests import support as gateway_support
 from hawthornfold.platform.tests.test_node import NodeTestCase
 
-# More than the socket buffers between node and caller hold.
-BODY_BYTES = 12 << 20
+# More than the socket buffers between node and caller hold, and less than a
+# node of 300 MB, which the settings of these tests give, accepts of a server.
+BODY_BYTES = 8 << 20
 
 
 class DyingNodeTest(NodeTestCase):
@@ -34,7 +35,7 @@
         )
         self.addCleanup(caller.close)
         caller.connect()
-        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
         caller.request(
             'GET', '/f/1', headers={'Host': 'a.example', 'X-Request-Id': 'r'}
         )
