Record the rate limits that servers name, and the requests they get

Cause: logs and metrics could not tell whether nodes know of a limit, keep it each by itself, or exceed it by hedges, retries and parts for other nodes. Change: the header is parsed and kept by server and start, logged and counted; requests to servers with a limit are counted by kind. No decision uses it.

--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -83,7 +83,7 @@
         """Release the connection and report the end of the exchange."""
         # Before the release: the next request that waits for the connection
         # is sent within it, but not to a server that wants no more requests.
-        self.relay.handle_signals(self, outcome.signals)
+        self.relay.handle_signals(self, outcome)
         if self.connection is not None:
             self.pool.release(self.connection)
         self.relay.handle_end(self, outcome, waiting_count)
--- a/hawthornfold/gateway/exchange.py
+++ b/hawthornfold/gateway/exchange.py
@@ -120,6 +120,7 @@
         self._warmup = names.warmup.lower().encode()
         self._leaving = names.leaving.lower().encode()
         self._retry_after = names.retry_after.lower().encode()
+        self._rate_limit = names.rate_limit.lower().encode()
 
     @property
     def request_id_name(self):
@@ -210,13 +211,17 @@
         warmup = fields.get(self._warmup, b'')
         is_full = status == 503
         retry_after = fields.get(self._retry_after, b'') if is_full else b''
-        if status == 421 or not (is_leaving or warmup or is_full):
+        rate_limit = fields.get(self._rate_limit)
+        if status == 421 or not (
+            is_leaving or warmup or is_full or rate_limit is not None
+        ):
             return NO_SIGNALS
         return ServerSignals(
             is_leaving,
             warmup.decode('latin-1'),
             retry_after.decode('latin-1'),
             is_full,
+            None if rate_limit is None else rate_limit.decode('latin-1'),
         )
 
     def _find_origin_fault(self, request, fields):
--- a/hawthornfold/gateway/names.py
+++ b/hawthornfold/gateway/names.py
@@ -30,6 +30,8 @@
         Marks the answers of a server that leaves, with the value 1.
     retry_after : str
         With status 503: for how long the sender wants no request, in seconds.
+    rate_limit : str
+        Requests a second that a server takes from all nodes together.
     """
 
     request_id: str = 'X-Request-Id'
@@ -43,3 +45,4 @@
     warmup: str = 'X-Warmup-Left'
     leaving: str = 'X-Leaving'
     retry_after: str = 'Retry-After'
+    rate_limit: str = 'X-Rate-Limit'
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -292,6 +292,8 @@
             )
             return
         self._state.eligibility.record_send(record, now_ms)
+        if self._state.rate_limits.get(record.server_id) is not None:
+            self._count_limited(exchange)
         exchange.connection.start_exchange(
             self._request,
             record.server_id,
@@ -299,14 +301,26 @@
             exchange.handle_end,
         )
 
-    def handle_signals(self, exchange, signals):
+    def _count_limited(self, exchange):
+        kind = 'first'
+        if exchange.send.is_repeat:
+            kind = 'repeat'
+        elif self._observer is not None:
+            kind = 'group'
+        self._metrics.count('limited_server_requests', kind=kind)
+
+    def handle_signals(self, exchange, outcome):
         """Apply what a response says about its server."""
-        if signals is NO_SIGNALS:
-            return
+        record, signals = exchange.send.record, outcome.signals
         try:
-            self._state.handle_signals(
-                exchange.send.record, signals, self._clock.now_ms()
-            )
+            if outcome.kind.has_response and signals.rate_limit is None:
+                self._state.signals.handle_no_limit(
+                    record, exchange.connection.sent_ms, self._clock.now_ms()
+                )
+            if signals is not NO_SIGNALS:
+                self._state.handle_signals(
+                    record, signals, self._clock.now_ms()
+                )
         except Exception as error:  # noqa: BLE001
             self._end_with_error(error)
 
--- a/hawthornfold/gateway/server_signals.py
+++ b/hawthornfold/gateway/server_signals.py
@@ -1,10 +1,14 @@
-"""Applies what responses say about their servers: leaving, pause requests."""
+"""Applies what responses say about their servers.
+
+Servers announce that they leave, request pauses and name rate limits.
+"""
 
 import logbook
 import result
 
 from hawthornfold.eligibility import MAX_PAUSE_MS
 from hawthornfold.eligibility import PauseFault
+from hawthornfold.eligibility import parse_rate_limit
 from hawthornfold.eligibility import parse_retry_after_ms
 
 _LOG = logbook.Logger('gateway')
@@ -18,7 +22,7 @@
 
 
 class ServerSignalHandler:
-    """Applies signals to the directory and the pauses, and reports them.
+    """Applies signals to what the node knows of its servers, and reports them.
 
     Parameters
     ----------
@@ -26,15 +30,20 @@
         The servers.
     pauses : ServerPauses
         The pauses that servers have requested.
+    rate_limits : RateLimitRegister
+        The limits that servers have named.
     on_servers : callable
         Called with a list of `DirectoryEvent` after servers changed.
     clock, metrics : object
         The node's clock and metrics registry.
     """
 
-    def __init__(self, directory, pauses, on_servers, clock, metrics):
+    def __init__(
+        self, directory, pauses, rate_limits, on_servers, clock, metrics
+    ):
         self._directory = directory
         self._pauses = pauses
+        self._rate_limits = rate_limits
         self._on_servers = on_servers
         self._clock = clock
         self._metrics = metrics
@@ -110,8 +119,67 @@
                 _quote(retry_after),
             )
 
+    def handle_limit(self, record, text, now_ms):
+        """Handle a response that names a rate limit.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            The record that the request was sent by.
+        text : str
+            The value of the header.
+        now_ms : float
+            Current time on the node's clock.
+        """
+        current = self._directory.get(record.server_id)
+        if current is None or record.is_replaced_by(current):
+            self._metrics.count('server_rate_limits', outcome='obsolete')
+            return
+        parsed = parse_rate_limit(text)
+        if isinstance(parsed, result.Err):
+            fault = parsed.err_value.value
+            self._metrics.count('server_rate_limits', outcome=fault)
+            if self._may_log('limit-ignored', record, now_ms):
+                _LOG.warning(
+                    'event=server_limit_ignored server={} service={} cause={} '
+                    'limit="{}"',
+                    record.server_id,
+                    record.service,
+                    fault,
+                    _quote(text),
+                )
+            return
+        self._metrics.count('server_rate_limits', outcome='applied')
+        is_new = self._rate_limits.get(record.server_id) is None
+        self._rate_limits.record_limit(record, parsed.ok_value, now_ms)
+        if is_new:
+            self._set_gauges()
+            if self._may_log('limited', record, now_ms):
+                _LOG.notice(
+                    'event=server_limited server={} service={} '
+                    'limit_per_s={:.2f}',
+                    record.server_id,
+                    record.service,
+                    parsed.ok_value,
+                )
+
+    def handle_no_limit(self, record, sent_ms, now_ms):
+        """Handle a response that names no rate limit.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            The record that the request was sent by.
+        sent_ms : float
+            When the request was sent, on the node's clock.
+        now_ms : float
+            Current time on the node's clock.
+        """
+        if self._rate_limits.record_absence(record, sent_ms):
+            self._report_unlimited(record, 'response', now_ms)
+
     def expire(self, now_ms):
-        """End the pauses that are due; to be called at regular intervals."""
+        """End what is due; to be called at regular intervals."""
         for record in self._pauses.take_ended(now_ms):
             if self._may_log('ended', record, now_ms):
                 _LOG.notice(
@@ -119,6 +187,8 @@
                     record.server_id,
                     record.service,
                 )
+        for record in self._rate_limits.take_expired(now_ms):
+            self._report_unlimited(record, 'silence', now_ms)
         self._set_gauges()
         if self._logged_ms:
             self._logged_ms = {
@@ -145,6 +215,16 @@
                 _quote(retry_after),
             )
 
+    def _report_unlimited(self, record, cause, now_ms):
+        self._set_gauges()
+        if self._may_log('unlimited', record, now_ms):
+            _LOG.notice(
+                'event=server_unlimited server={} service={} cause={}',
+                record.server_id,
+                record.service,
+                cause,
+            )
+
     def _may_log(self, event, record, now_ms):
         """Return whether a line may be logged, and record that it is."""
         key = (event, record.server_id)
@@ -159,6 +239,7 @@
             'servers_announced_leaving', self._directory.announced_count
         )
         self._metrics.set_gauge('servers_paused', self._pauses.count)
+        self._metrics.set_gauge('servers_limited', self._rate_limits.count)
 
 
 def _quote(text):
@@ -168,7 +249,9 @@
 
 
 def create_server_signal_handler(
-    directory, pauses, on_servers, clock, metrics
+    directory, pauses, rate_limits, on_servers, clock, metrics
 ):
     """Create the handler of the signals of a node's servers."""
-    return ServerSignalHandler(directory, pauses, on_servers, clock, metrics)
+    return ServerSignalHandler(
+        directory, pauses, rate_limits, on_servers, clock, metrics
+    )
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -4,6 +4,7 @@
 
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
+from hawthornfold.eligibility import create_rate_limit_register
 from hawthornfold.eligibility import create_server_eligibility
 from hawthornfold.eligibility import create_server_pauses
 from hawthornfold.eligibility import create_warmup_limiter
@@ -84,12 +85,14 @@
             names, clock, metrics, self._record_connect, self.response_bounds
         )
         self.pauses = create_server_pauses()
+        self.rate_limits = create_rate_limit_register()
         self.eligibility = create_server_eligibility(
             (self._warmup, self.pauses)
         )
         self.signals = create_server_signal_handler(
             self.directory,
             self.pauses,
+            self.rate_limits,
             self.handle_server_events,
             clock,
             metrics,
@@ -245,6 +248,8 @@
             self.signals.handle_leaving(record, now_ms)
         if signals.is_full:
             self.signals.handle_full(record, signals.retry_after, now_ms)
+        if signals.rate_limit is not None:
+            self.signals.handle_limit(record, signals.rate_limit, now_ms)
         if signals.warmup:
             self._warmup.record_header(record, signals.warmup, now_ms)
 
@@ -303,6 +308,7 @@
         self.pools.close_pool(server_id)
         self.placement.remove_server(server_id)
         self.eligibility.remove_server(server_id)
+        self.rate_limits.remove_server(server_id)
 
     def _record_connect(self, elapsed_ms):
         self.placement.record_connect(elapsed_ms)
--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -230,7 +230,7 @@
         eligibility.record_send(attempt.send.record, now_ms)
         attempt.connection.send(self._request_id, attempt.handle_end)
 
-    def handle_signals(self, attempt, signals):
+    def handle_signals(self, attempt, outcome):
         """Ignore the signals: simulated servers send none."""
 
     def handle_end(self, attempt, outcome, waiting):
--- a/hawthornfold/gateway/tests/test_server_signals.py
+++ b/hawthornfold/gateway/tests/test_server_signals.py
@@ -7,6 +7,7 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import MAX_PAUSE_MS
+from hawthornfold.eligibility import create_rate_limit_register
 from hawthornfold.eligibility import create_server_pauses
 from hawthornfold.gateway.exchange import ResponseClassifier
 from hawthornfold.gateway.names import HeaderNames
@@ -26,10 +27,12 @@
         self.directory = create_server_directory()
         self.directory.apply([ServerChange('s1', RECORD)], 0.0)
         self.pauses = create_server_pauses()
+        self.rate_limits = create_rate_limit_register()
         self.events = []
         self.handler = create_server_signal_handler(
             self.directory,
             self.pauses,
+            self.rate_limits,
             self.events.extend,
             self.clock,
             self.metrics,
--- a/hawthornfold/gathering/actions.py
+++ b/hawthornfold/gathering/actions.py
@@ -17,11 +17,14 @@
         Index of the part.
     record : ServerRecord
         The server.
+    is_repeat : bool
+        Whether the part was sent before: a hedge or a retry.
     """
 
     attempt: int
     part: int
     record: ServerRecord
+    is_repeat: bool = False
 
 
 class SendGroup(typing.NamedTuple):
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -259,12 +259,13 @@
         attempt = next(self._attempts)
         part.running[attempt] = record.server_id
         part.tried_server_ids.add(record.server_id)
+        is_repeat = part.sent_count > 0
         part.sent_count += 1
         self._part_indexes[attempt] = index
         self._server_choice.record_start(
             record, self.attempt_key(attempt), now_ms
         )
-        return Send(attempt, index, record)
+        return Send(attempt, index, record, is_repeat)
 
     def _retry_part(self, index, part, kind, now_ms):
         """Start another attempt after a failure if rule and budget allow."""
--- a/hawthornfold/gathering/outcomes.py
+++ b/hawthornfold/gathering/outcomes.py
@@ -27,6 +27,11 @@
         """Whether the request may have been executed."""
         return self in _MAY_HAVE_RUN
 
+    @property
+    def has_response(self):
+        """Whether the server has responded to the request itself."""
+        return self in _RESPONDED
+
     @property
     def may_have_arrived(self):
         """Whether the request may have reached the server."""
@@ -36,6 +41,9 @@
 _MAY_HAVE_RUN = frozenset(
     (OutcomeKind.ANSWERED, OutcomeKind.FAILED, OutcomeKind.LOST)
 )
+_RESPONDED = frozenset(
+    (OutcomeKind.ANSWERED, OutcomeKind.FAILED, OutcomeKind.NOT_EXECUTED)
+)
 _NOT_SENT = frozenset((OutcomeKind.UNREACHABLE, OutcomeKind.WITHHELD))
 
 
@@ -84,12 +92,16 @@
         seconds.
     is_full : bool
         Whether the response has status 503.
+    rate_limit : str or None
+        Requests a second that the server takes from all nodes together; None
+        if the header is missing.
     """
 
     is_leaving: bool = False
     warmup: str = ''
     retry_after: str = ''
     is_full: bool = False
+    rate_limit: str | None = None
 
 
 NO_SIGNALS = ServerSignals()
--- a/hawthornfold/platform/names.py
+++ b/hawthornfold/platform/names.py
@@ -26,4 +26,5 @@
     warmup='X-Warmup-Ms',
     leaving='Server-Leaving',
     retry_after='Retry-After',
+    rate_limit='Server-Limit',
 )
