Add tests that fail because nodes ignore the limits that servers name

Cause: servers that name how many requests a second they take get as many as before. Played servers name limits in their responses.

--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -18,11 +18,13 @@
 from hawthornfold.gateway.attempts import ServerAttempt
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPool
+from hawthornfold.gathering import NO_SIGNALS
 from hawthornfold.gathering import Cancel
 from hawthornfold.gathering import ExchangeOutcome
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import OutcomeKind
 from hawthornfold.gathering import ServerResponse
+from hawthornfold.gathering import ServerSignals
 from hawthornfold.gathering import Verdict
 from hawthornfold.gathering import create_execution
 from hawthornfold.limits import create_repeat_budget
@@ -83,6 +85,8 @@
         self._simulation = simulation
         self.factor = 1.0
         self.shed_share = 0.0
+        # Requests a second that the server's responses name, or None.
+        self.rate_limit = None
         self.is_gone = False
         self.data_centre = 'dc'
         self.executed = set()
@@ -175,7 +179,12 @@
         on_outcome, self._on_outcome = self._on_outcome, None
         if on_outcome is not None:
             response = _RESPONSE if kind is OutcomeKind.ANSWERED else None
-            on_outcome(ExchangeOutcome(kind, response), waiting)
+            signals = NO_SIGNALS
+            if kind.has_response and self._server.rate_limit is not None:
+                signals = ServerSignals(
+                    rate_limit=str(self._server.rate_limit)
+                )
+            on_outcome(ExchangeOutcome(kind, response, '', signals), waiting)
 
 
 class CallerResult(typing.NamedTuple):
@@ -231,7 +240,13 @@
         attempt.connection.send(self._request_id, attempt.handle_end)
 
     def handle_signals(self, attempt, outcome):
-        """Ignore the signals: simulated servers send none."""
+        """Pass on what the response says about its server."""
+        if outcome.kind.has_response:
+            self._node.handle_response(
+                attempt.send.record,
+                outcome.signals,
+                attempt.connection.sent_ms,
+            )
 
     def handle_end(self, attempt, outcome, waiting):
         now_ms = self._simulation.now_ms
@@ -348,6 +363,9 @@
         )
         simulation.schedule(SWEEP_MS, self._sweep)
 
+    def handle_response(self, record, signals, sent_ms):
+        """Handle what a response says about its server."""
+
     def _sweep(self):
         self.placement.block_silent_servers(self.simulation.now_ms)
         self.simulation.schedule(SWEEP_MS, self._sweep)
