Keep the rate limits of servers by shares of the fleet's demand

What callers saw: nothing; a server in need got up to twice what it takes. Cause: no node read the limit that servers name in their responses. Class of fault: a signal of servers that nothing acts on, and with it a bound on the sum over all nodes for which every node decides alone. Evidence: the nodes know the limit 0.01 to 13 s after it is first named, and the rate at which requests arrive stays as it was; hedges are 4 in 100. Change: a node sends the share of the requests for which a server is the best choice that the limit allows over the demand of all nodes. One node a service adds up the demand; without its sums a node assumes equal demand. All parts of a query share one drawn number, so that the shards agree on which queries they take; a query without room is refused whole, finally and with the time of the next room. Nothing changes while no server names a limit.

--- a/hawthornfold/codes/registry.py
+++ b/hawthornfold/codes/registry.py
@@ -76,6 +76,7 @@
     CANCELLED = 508, 'the sub-request was cancelled'
     BACKEND_CONNECTION_LOST = 510, 'the backend server cut the connection'
     QUEUE_FULL = 509, 'the queue of the backend server is full'
+    RATE_LIMITED = 511, 'the rate limits of backend servers leave no room'
 
     PEER_BAD_MESSAGE = 601, 'a peer message is not valid'
     PEER_UNREACHABLE = 603, 'the peer does not answer'
--- a/hawthornfold/eligibility/eligibility.py
+++ b/hawthornfold/eligibility/eligibility.py
@@ -10,10 +10,19 @@
     ----------
     restrictions : sequence of SendRestriction
         Each of them can refuse.
+    rate_limiter : RateLimiter or None
+        Divides the requests among servers with a rate limit.
     """
 
-    def __init__(self, restrictions):
+    def __init__(self, restrictions, rate_limiter):
         self._restrictions = tuple(restrictions)
+        self._rate_limiter = rate_limiter
+
+    @property
+    def rate_limiter(self):
+        """The `RateLimiter`, or None while no server has a rate limit."""
+        limiter = self._rate_limiter
+        return limiter if limiter is not None and limiter.has_limits else None
 
     def allows(self, record, now_ms):
         """Return whether a request may be sent to a server now."""
@@ -73,12 +82,19 @@
             restriction.remove_server(server_id)
 
 
-def create_server_eligibility(restrictions=()):
+def create_server_eligibility(restrictions=(), rate_limiter=None):
     """Create the eligibility of a node's servers.
 
+    Parameters
+    ----------
+    restrictions : sequence of SendRestriction
+        Each of them can refuse.
+    rate_limiter : RateLimiter, optional
+        Divides the requests among servers with a rate limit.
+
     Examples
     --------
     >>> create_server_eligibility().allows(None, 0.0)
     True
     """
-    return ServerEligibility(restrictions)
+    return ServerEligibility(restrictions, rate_limiter)
--- a/hawthornfold/eligibility/rate_limits.py
+++ b/hawthornfold/eligibility/rate_limits.py
@@ -53,7 +53,13 @@
         """Return the `RateLimit` of a server, or None."""
         return self._limits.get(server_id)
 
-    def record_limit(self, record, per_s, now_ms):
+    def describe(self):
+        """Return the requests a second of each server with a limit."""
+        return {
+            server_id: limit.per_s for server_id, limit in self._limits.items()
+        }
+
+    def record_limit(self, record, per_s, heard_ms):
         """Record that a response names a limit.
 
         Parameters
@@ -62,11 +68,11 @@
             The record that the request was sent by.
         per_s : float
             Requests a second.
-        now_ms : float
-            Current time on the node's clock.
+        heard_ms : float
+            When this node or another one received the response.
         """
         before = self._limits.get(record.server_id)
-        since_ms = now_ms
+        since_ms = heard_ms
         if before is not None:
             if record.is_replaced_by(before.record):
                 # The response is from before the server's restart.
@@ -74,7 +80,7 @@
             if not before.record.is_replaced_by(record):
                 since_ms = before.since_ms
         self._limits[record.server_id] = RateLimit(
-            record, per_s, since_ms, now_ms
+            record, per_s, since_ms, heard_ms
         )
 
     def record_absence(self, record, sent_ms):
--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -16,6 +16,7 @@
     ResultCode.BELIEFS_STALE: 1_000.0,
     ResultCode.BACKEND_UNREACHABLE: 300.0,
     ResultCode.DEADLINE_EXCEEDED: 300.0,
+    ResultCode.RATE_LIMITED: 500.0,
 }
 # Statuses that tell a caller that the request was not executed. A server's
 # failure with such a status is not passed on, because the server may have
@@ -36,6 +37,9 @@
     due_ms : float or None
         When the answer was due, on the node's clock, if it was sent at that
         time and not earlier. Its delay is then a sample of the node's.
+    is_final : bool
+        Whether a refusal holds for the whole fleet, so that no other node is
+        to try the request.
     """
 
     status: int
@@ -43,6 +47,7 @@
     body: bytes
     overdue_ms: float = 0.0
     due_ms: float | None = None
+    is_final: bool = False
 
     @property
     def status_line(self):
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -183,6 +183,15 @@
             members = self._membership.members
             self._roles = assign_roles(members, members[0], preferred)
 
+    @property
+    def own_name(self):
+        """Name of this node."""
+        return self._membership.members[0].name
+
+    def list_live(self):
+        """Return the live nodes as `Member` tuples, this one first."""
+        return list(self._membership.members)
+
     def list_others(self):
         """Return the other live nodes as `Member` tuples."""
         return list(self._membership.members[1:])
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -197,7 +197,9 @@
         # The sender runs the query itself only if no server has executed it
         # here. Any other answer is final: a second run would use more
         # servers than the rule allows.
-        if answer is None or answer.status in _OWN_NOT_RUN_STATUSES:
+        if answer is None or (
+            answer.status in _OWN_NOT_RUN_STATUSES and not answer.is_final
+        ):
             return None
         self.record_sent(answer)
         return answer
@@ -266,29 +268,39 @@
         run = self._runner.run(
             plan, outgoing, watch_caller, self._plan_groups(plan, outgoing)
         )
+        answer = self._create_answer(plan.decision, run)
+        due_ms = self._runner.find_due_ms(run)
+        if answer is not None and due_ms is not None:
+            answer = answer._replace(
+                overdue_ms=due_ms - plan.times.answer_ms, due_ms=due_ms
+            )
+        self._runner.report_end(plan, run, answer and answer.status)
+        return answer
+
+    def _create_answer(self, decision, run):
+        """Return the `GatewayAnswer` to a request that has ended."""
         verdict = run.result.verdict
         retry_after_ms = None
         if verdict is Verdict.NOT_RUN:
             now_ms = self._clock.now_ms()
+            wait_ms = run.execution.rate_wait_ms(now_ms)
+            if wait_ms is not None:
+                return create_refusal(
+                    ResultCode.RATE_LIMITED,
+                    503,
+                    'the servers have no room',
+                    self._state.return_schedule.assign_wait_ms(
+                        decision.urgency, wait_ms, now_ms
+                    ),
+                )._replace(is_final=True)
             free_ms = run.execution.free_ms(now_ms)
             # Servers that may receive requests now were tried in vain, so that
             # the usual time applies.
             if free_ms is not None and free_ms > now_ms:
                 retry_after_ms = free_ms - now_ms
-        answer = create_answer(
-            plan.decision,
-            run.execution,
-            verdict,
-            self._names,
-            retry_after_ms,
+        return create_answer(
+            decision, run.execution, verdict, self._names, retry_after_ms
         )
-        due_ms = self._runner.find_due_ms(run)
-        if answer is not None and due_ms is not None:
-            answer = answer._replace(
-                overdue_ms=due_ms - plan.times.answer_ms, due_ms=due_ms
-            )
-        self._runner.report_end(plan, run, answer and answer.status)
-        return answer
 
     def _plan_groups(self, plan, outgoing):
         """Return the `GroupCalls` of a query, or None to gather all parts."""
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -22,6 +22,7 @@
 from hawthornfold.gateway.ingress import GatewayApplication
 from hawthornfold.gateway.ingress import GatewayProtocol
 from hawthornfold.gateway.ingress import IngressLimits
+from hawthornfold.gateway.rate_exchange import RateExchange
 from hawthornfold.gateway.readiness import ReadyApplication
 from hawthornfold.gateway.readiness import ReadyLimits
 from hawthornfold.gateway.runner import RequestRunner
@@ -148,6 +149,7 @@
             'nodes': state.node_count,
             'servers': len(state.directory.records),
             'blocked_servers': state.placement.blocked_server_ids(),
+            'rate_limits': state.rate_limits.describe(),
             'evacuated_data_centres': sorted(
                 state.directory.evacuations.in_force
             ),
@@ -193,6 +195,9 @@
                     self._watcher.run,
                     self._watcher.run_expiry,
                     self._store_exchange.run_heartbeats,
+                    RateExchange(
+                        self._state.rate_limiter, self._fleet, self._clock
+                    ).run,
                     ServerSweep(self._state, self._clock, self._metrics).run,
                     self._run_count,
                     self._run_room_queries,
@@ -333,6 +338,7 @@
             policy,
             self._delegations.policy,
             self._state.directory,
+            self._state.rate_limiter,
             self._fleet,
             settings.node_name,
         )
@@ -381,6 +387,9 @@
         policy = self._delegations.policy
         share = policy.compute_limit_share(counts.total, self._clock.now_ms())
         self._state.set_shares(counts, share)
+        self._state.rate_limiter.set_nodes(
+            len(self._fleet.list_others()) + 1, counts.total
+        )
         self._fleet.update_nodes()
         self._state.set_fleet_nodes(self._fleet.nodes)
 
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -6,6 +6,7 @@
 import eventlet.event
 import logbook
 
+from hawthornfold.eligibility import get_demand_class
 from hawthornfold.gateway.attempts import ServerAttempt
 from hawthornfold.gateway.relay_result import RelayResult
 from hawthornfold.gathering import NO_SIGNALS
@@ -284,7 +285,17 @@
         """
         record = exchange.send.record
         now_ms = self._clock.now_ms()
-        if not self._state.may_send(record, now_ms):
+        if not (
+            self._state.may_send(record, now_ms)
+            and self._state.rate_limiter.admits_waiting(
+                record,
+                exchange.started_ms,
+                get_demand_class(
+                    self._decision.urgency, exchange.send.is_repeat
+                ),
+                now_ms,
+            )
+        ):
             # Releasing the connection at once would serve the next request
             # that waits for it within this call, and so on for all of them.
             self._hub.schedule_call_global(
@@ -292,7 +303,7 @@
             )
             return
         self._state.eligibility.record_send(record, now_ms)
-        if self._state.rate_limits.get(record.server_id) is not None:
+        if self._state.rate_limiter.is_limited(record.server_id):
             self._count_limited(exchange)
         exchange.connection.start_exchange(
             self._request,
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -5,6 +5,8 @@
 from hawthornfold.audit import create_audit_trail
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import create_rate_limit_register
+from hawthornfold.eligibility import create_rate_limiter
+from hawthornfold.eligibility import create_return_schedule
 from hawthornfold.eligibility import create_server_eligibility
 from hawthornfold.eligibility import create_server_pauses
 from hawthornfold.eligibility import create_warmup_limiter
@@ -86,8 +88,10 @@
         )
         self.pauses = create_server_pauses()
         self.rate_limits = create_rate_limit_register()
+        self.rate_limiter = create_rate_limiter(self.rate_limits, metrics)
+        self.return_schedule = create_return_schedule()
         self.eligibility = create_server_eligibility(
-            (self._warmup, self.pauses)
+            (self._warmup, self.pauses), self.rate_limiter
         )
         self.signals = create_server_signal_handler(
             self.directory,
--- a/hawthornfold/gateway/tests/loads.py
+++ b/hawthornfold/gateway/tests/loads.py
@@ -15,6 +15,7 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import create_server_directory
 from hawthornfold.eligibility import create_server_eligibility
+from hawthornfold.eligibility import get_demand_class
 from hawthornfold.gateway.attempts import ServerAttempt
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPool
@@ -92,6 +93,8 @@
         self.executed = set()
         self.arrived = []
         self.arrived_ms = []
+        # The nodes that the arrived requests are from.
+        self.origins = []
         self._running = set()
         self._queue = []
 
@@ -100,6 +103,7 @@
         request_id = connection.request_id
         self.arrived.append(request_id)
         self.arrived_ms.append(self._simulation.now_ms)
+        self.origins.append(connection.origin)
         is_free = len(self._running) < SLOTS
         if self._simulation.rng.random() < self.shed_share or (
             not is_free and len(self._queue) >= QUEUE_LIMIT
@@ -141,8 +145,9 @@
 
     connect_ms = 6.0
 
-    def __init__(self, simulation, server):
+    def __init__(self, simulation, server, origin):
         self._simulation, self._server = simulation, server
+        self.origin = origin
         self._on_outcome = None
         self.request_id = None
         self.sent_ms = 0.0
@@ -233,7 +238,18 @@
 
     def send_request(self, attempt):
         eligibility, now_ms = self._node.eligibility, self._simulation.now_ms
-        if not eligibility.allows(attempt.send.record, now_ms):
+        limiter = eligibility.rate_limiter
+        if not eligibility.allows(attempt.send.record, now_ms) or (
+            limiter is not None
+            and not limiter.admits_waiting(
+                attempt.send.record,
+                attempt.started_ms,
+                get_demand_class(
+                    self._decision.urgency, attempt.send.is_repeat
+                ),
+                now_ms,
+            )
+        ):
             self._simulation.schedule(0.0, lambda: attempt.withhold(''))
             return
         eligibility.record_send(attempt.send.record, now_ms)
@@ -304,7 +320,8 @@
                 urgency,
                 elapsed_ms,
                 verdict,
-                None if free_ms is None else free_ms - now_ms,
+                self._execution.rate_wait_ms(now_ms)
+                or (None if free_ms is None else free_ms - now_ms),
             )
         )
 
@@ -324,10 +341,13 @@
         servers,
         data_centre='dc',
         restrictions=(),
+        rate_limiter=None,
         on_record=lambda record, now_ms: None,
     ):
         self.simulation = simulation
-        self.eligibility = create_server_eligibility(restrictions)
+        self.eligibility = create_server_eligibility(
+            restrictions, rate_limiter
+        )
         self.directory = create_server_directory(on_record=on_record)
         for server_id in servers:
             shard = server_id.rpartition('/')[0]
@@ -347,7 +367,7 @@
                 server_id,
                 limits,
                 lambda _, on_idle_end, server=server: SimulatedConnection(
-                    simulation, server
+                    simulation, server, self
                 ),
                 metrics,
                 lambda elapsed_ms: None,
--- a/hawthornfold/gateway/tests/test_cold_servers.py
+++ b/hawthornfold/gateway/tests/test_cold_servers.py
@@ -89,7 +89,7 @@
             self.servers,
             DATA_CENTRES[int(name[1:]) % 2],
             (limiter,),
-            limiter.record_entry,
+            on_record=limiter.record_entry,
         )
 
     def _refresh(self):
--- a/hawthornfold/gateway/tests/test_rate_limits.py
+++ b/hawthornfold/gateway/tests/test_rate_limits.py
@@ -1,26 +1,124 @@
 """Played loads: servers that name how many requests a second they take."""
 
 import bisect
+import functools
+import math
+import types
 import unittest
 
+from hawthornfold.directory import ServerChange
+from hawthornfold.directory import ServerRecord
+from hawthornfold.eligibility import create_rate_limit_register
+from hawthornfold.eligibility import create_rate_limiter
+from hawthornfold.gateway.rate_exchange import RateExchange
 from hawthornfold.gateway.tests import loads
 from hawthornfold.gathering import Verdict
+from hawthornfold.membership import Member
+from hawthornfold.metrics import create_metrics
+from hawthornfold.rendezvous import choose_names
 
 # The bound of the users: in any window of 4 s, one and a half times what the
 # limit allows, and five more.
 WINDOW_MS = 4_000.0
 OVERAGE = 1.5
 SLACK = 5.0
-# Time after which the bound holds once a server has named its limit.
+# The bound holds this long after a server has first named its limit, and
+# counts the requests of nodes that have known it for TOLD_MS.
 SETTLE_MS = 4_000.0
+TOLD_MS = 500.0
 # Queries a second of a fleet. Each of a shard's two servers gets half of them.
 QUERIES_PER_S = 45.0
 LIMIT_PER_S = 11.0
 PLAY_MS = 12_000.0
+# Each has one server of each shard, and half of the nodes.
+DATA_CENTRES = ('dc-0', 'dc-1')
 # Least share of the limit that is used while there is more demand.
 MIN_USE = 0.8
 
 
+class SimulatedFleet:
+    """Delivers messages between the nodes of a load, unless they are cut."""
+
+    def __init__(self, load, name):
+        self._load = load
+        self.own_name = name
+        self.handlers = {}
+        self.version = 1
+        # The names that this node regards as live; all by default.
+        self.live = None
+        self.is_cut = False
+
+    def list_live(self):
+        names = self._load.fleets if self.live is None else self.live
+        return [Member(name, name, 'dc', 1, 'live') for name in names]
+
+    def set_live(self, names):
+        self.version += 1
+        self.live = names
+
+    def list_others(self):
+        return self.list_live()[1:]
+
+    def register(self, body_type, handler):
+        self.handlers[body_type] = handler
+
+    def send(self, name, address, body, keeps_open=False):
+        sender = types.SimpleNamespace(
+            name=self.own_name, address=self.own_name
+        )
+        receiver = self._load.fleets[name]
+        if self.is_cut != receiver.is_cut:
+            return
+        handler = receiver.handlers[type(body)]
+        self._load.simulation.schedule(
+            loads.NETWORK_MS, functools.partial(handler, sender, body)
+        )
+
+
+class LimitedNode(loads.SimulatedNode):
+    """A node that keeps the limits that servers name."""
+
+    def __init__(self, load, name, data_centre):
+        simulation = load.simulation
+        self._register = create_rate_limit_register()
+        self.limiter = create_rate_limiter(
+            self._register, create_metrics(), simulation.rng
+        )
+        super().__init__(
+            simulation, load.servers, data_centre, rate_limiter=self.limiter
+        )
+        for server_id in load.servers:
+            shard, _, number = server_id.rpartition('/')
+            record = ServerRecord(
+                server_id, shard, '', DATA_CENTRES[int(number)], loads.SLOTS
+            )
+            self.directory.apply([ServerChange(server_id, record)], 0.0)
+        clock = types.SimpleNamespace(now_ms=lambda: simulation.now_ms)
+        load.fleets[name] = SimulatedFleet(load, name)
+        self._exchange = RateExchange(self.limiter, load.fleets[name], clock)
+        # When the node was first told of the limit of a server, by its id.
+        self.told_ms = {}
+        simulation.schedule(
+            simulation.rng.uniform(0.0, 500.0), self._run_exchange
+        )
+
+    def handle_response(self, record, signals, sent_ms):
+        if signals.rate_limit is None:
+            self._register.record_absence(record, sent_ms)
+        else:
+            now_ms = self.simulation.now_ms
+            self.told_ms.setdefault(record.server_id, now_ms)
+            self._register.record_limit(
+                record, float(signals.rate_limit), now_ms
+            )
+
+    def _run_exchange(self):
+        self._exchange.report()
+        self.simulation.schedule(
+            self._exchange.interval_ms, self._run_exchange
+        )
+
+
 class LimitedLoad(loads.Load):
     """A load on a number of nodes, of which some may get no callers.
 
@@ -34,20 +132,56 @@
 
     def __init__(self, seed, node_count, busy_count=None):
         super().__init__(seed)
-        self.fleet = [self._create_node(f'n{x}') for x in range(node_count)]
-        self.nodes = self.fleet[:busy_count]
+        self.fleets = {}
+        self.fleet = {
+            f'n{x}': LimitedNode(self, f'n{x}', DATA_CENTRES[x % 2])
+            for x in range(node_count)
+        }
+        for node in self.fleet.values():
+            node.limiter.set_nodes(node_count, node_count)
+        self.nodes = list(self.fleet.values())[:busy_count]
 
     def limit(self, shards, rate_limit, servers_per_shard=1):
-        """Have servers of some shards name a limit; return these servers."""
+        """Have servers of some shards name a limit; return their ids."""
         limited = [
-            self.servers[f'{shard}/{number}']
+            f'{shard}/{number}'
             for shard in shards
             for number in range(servers_per_shard)
         ]
-        for server in limited:
-            server.rate_limit = rate_limit
+        for server_id in limited:
+            self.servers[server_id].rate_limit = rate_limit
         return limited
 
+    def list_arrivals(self, server_id, since_ms):
+        """Return the times of arrivals from nodes that know the limit."""
+        server = self.servers[server_id]
+        return [
+            arrived_ms
+            for arrived_ms, node in zip(
+                server.arrived_ms, server.origins, strict=True
+            )
+            if arrived_ms >= since_ms
+            and node.told_ms.get(server_id, math.inf) <= arrived_ms - TOLD_MS
+        ]
+
+    def cut(self, names):
+        """Cut some nodes off from the others; nobody knows it yet."""
+        for name in names:
+            self.fleets[name].is_cut = True
+
+    def detect_cut(self):
+        """Have all nodes know which nodes they can reach."""
+        for name, fleet in self.fleets.items():
+            live = [
+                x for x, y in self.fleets.items() if y.is_cut == fleet.is_cut
+            ]
+            fleet.set_live(live)
+            self.fleet[name].limiter.set_nodes(len(live), len(self.fleets))
+
+    def find_collecting(self, shard):
+        """Return the name of the node that adds up a shard's demand."""
+        return choose_names(self.fleets, shard, 1)[0]
+
     def play_rate(self, per_s, duration_ms):
         """Play a number of queries a second."""
         capacity_per_s = (
@@ -55,13 +189,9 @@
         )
         return self.play(per_s / capacity_per_s, duration_ms)
 
-    def _create_node(self, name):
-        return loads.SimulatedNode(self.simulation, self.servers)
-
 
-def find_worst_window(arrived_ms, since_ms):
-    """Return the most arrivals in any window from a time on."""
-    times = [t for t in arrived_ms if t >= since_ms]
+def find_worst_window(times):
+    """Return the most arrivals in any window."""
     return max(
         (
             bisect.bisect_right(times, t + WINDOW_MS) - index
@@ -72,17 +202,17 @@
 
 
 class RateLimitTest(unittest.TestCase):
-    def check_bound(self, servers, since_ms, rate_limit=LIMIT_PER_S):
-        bound = OVERAGE * rate_limit * WINDOW_MS / 1_000.0 + SLACK
-        for server in servers:
-            self.assertLessEqual(
-                find_worst_window(server.arrived_ms, since_ms), bound
-            )
+    def check_bound(self, load, server_ids, since_ms):
+        bound = OVERAGE * LIMIT_PER_S * WINDOW_MS / 1_000.0 + SLACK
+        for server_id in server_ids:
+            arrivals = load.list_arrivals(server_id, since_ms)
+            self.assertLessEqual(find_worst_window(arrivals), bound)
 
-    def check_use(self, servers, since_ms, until_ms, rate_limit=LIMIT_PER_S):
-        taken = rate_limit * (until_ms - since_ms) / 1_000.0
-        for server in servers:
-            used = sum(since_ms <= t < until_ms for t in server.arrived_ms)
+    def check_use(self, load, server_ids, since_ms):
+        taken = LIMIT_PER_S * (load.simulation.now_ms - since_ms) / 1_000.0
+        for server_id in server_ids:
+            arrived_ms = load.servers[server_id].arrived_ms
+            used = sum(t >= since_ms for t in arrived_ms)
             self.assertGreaterEqual(used, MIN_USE * taken)
 
     def check_one_limited_server_a_shard(self, node_count, busy_count=None):
@@ -92,8 +222,8 @@
         load.play_rate(QUERIES_PER_S, SETTLE_MS)
         since_ms = load.simulation.now_ms
         results = load.play_rate(QUERIES_PER_S, PLAY_MS)
-        self.check_bound(limited, since_ms)
-        self.check_use(limited, since_ms, load.simulation.now_ms)
+        self.check_bound(load, limited, since_ms)
+        self.check_use(load, limited, since_ms)
         served = sum(result.is_served for result in results)
         self.assertGreaterEqual(served, 0.99 * len(results))
 
@@ -122,10 +252,9 @@
         load.play_rate(QUERIES_PER_S, SETTLE_MS)
         since_ms = load.simulation.now_ms
         results = load.play_rate(QUERIES_PER_S, PLAY_MS)
-        until_ms = load.simulation.now_ms
+        self.check_bound(load, limited, since_ms)
+        self.check_use(load, limited, since_ms)
         load.finish()
-        self.check_bound(limited, since_ms)
-        self.check_use(limited, since_ms, until_ms)
         refused = [r for r in results if not r.is_served]
         self.assertGreater(len(refused), 0)
         executed_ids = load.executed_ids()
@@ -151,6 +280,53 @@
         self.assertGreater(shares[0], 0.8)
         self.assertLess(shares[2], 0.5 * shares[0])
 
+    def check_burst(self, node_count, factor):
+        load = LimitedLoad(1, node_count)
+        load.play_rate(QUERIES_PER_S, 2_000.0)
+        limited = load.limit(loads.SHARDS[:4], LIMIT_PER_S)
+        load.play_rate(QUERIES_PER_S, 2.0 * SETTLE_MS)
+        since_ms = load.simulation.now_ms
+        load.play_rate(factor * QUERIES_PER_S, 6_000.0)
+        load.play_rate(QUERIES_PER_S, SETTLE_MS)
+        self.check_bound(load, limited, since_ms)
+
+    def test_limit_holds_over_9_nodes_when_5_times_the_callers_come(self):
+        # Guards against shares that follow the demand too late.
+        self.check_burst(9, 5.0)
+
+    def test_limit_holds_over_80_nodes_when_3_times_the_callers_come(self):
+        self.check_burst(80, 3.0)
+
+    def test_limit_holds_when_the_collecting_node_ends(self):
+        # Guards against sums of some reports only, and against old sums.
+        load = LimitedLoad(1, 9)
+        shard = loads.SHARDS[0]
+        load.play_rate(QUERIES_PER_S, 2_000.0)
+        limited = load.limit([shard], LIMIT_PER_S, 2)
+        load.play_rate(QUERIES_PER_S, SETTLE_MS)
+        since_ms = load.simulation.now_ms
+        name = load.find_collecting(shard)
+        load.cut([name])
+        load.nodes.remove(load.fleet[name])
+        load.play_rate(QUERIES_PER_S, 3_000.0)
+        load.detect_cut()
+        load.play_rate(QUERIES_PER_S, 2.0 * SETTLE_MS)
+        self.check_bound(load, limited, since_ms)
+
+    def test_limit_holds_in_sum_over_both_sides_of_a_partition(self):
+        # Guards against sides that each use the whole limit.
+        load = LimitedLoad(1, 9)
+        load.play_rate(QUERIES_PER_S, 2_000.0)
+        limited = load.limit(loads.SHARDS[:4], LIMIT_PER_S, 2)
+        load.play_rate(QUERIES_PER_S, SETTLE_MS)
+        since_ms = load.simulation.now_ms
+        load.cut(['n0', 'n1', 'n2', 'n3'])
+        load.play_rate(QUERIES_PER_S, 2_000.0)
+        load.detect_cut()
+        load.play_rate(QUERIES_PER_S, 2.0 * SETTLE_MS)
+        self.check_bound(load, limited, since_ms)
+        self.check_use(load, limited, since_ms)
+
     def test_limit_ends_with_the_first_response_that_names_none(self):
         # Guards against a server that stays without its share of the load.
         load = LimitedLoad(1, 9)
@@ -161,8 +337,9 @@
         load.play_rate(QUERIES_PER_S, SETTLE_MS)
         since_ms = load.simulation.now_ms
         load.play_rate(QUERIES_PER_S, PLAY_MS)
-        for server in limited:
-            used = sum(t >= since_ms for t in server.arrived_ms)
+        for server_id in limited:
+            arrived_ms = load.servers[server_id].arrived_ms
+            used = sum(t >= since_ms for t in arrived_ms)
             self.assertGreater(used, 1.4 * LIMIT_PER_S * PLAY_MS / 1_000.0)
 
 
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -221,15 +221,20 @@
         float or None
             A time on the node's clock; None if it is unknown.
         """
-        missing = [part for part in self._parts if not part.is_achievable]
-        achievable_count = len(self._parts) - len(missing)
-        times = sorted(
-            self._server_choice.free_ms(part, now_ms) for part in missing
+        return self._find_sufficient(self._server_choice.free_ms, now_ms)
+
+    def rate_wait_ms(self, now_ms):
+        """Return how long it takes until rate limits have room for it.
+
+        Returns
+        -------
+        float or None
+            Milliseconds; None if the limits are not what it lacks.
+        """
+        return (
+            self._find_sufficient(self._server_choice.rate_wait_ms, now_ms)
+            or None
         )
-        for count, free_ms in enumerate(times, achievable_count + 1):
-            if self._collected.is_sufficient(count):
-                return free_ms if math.isfinite(free_ms) else None
-        return None
 
     def determine_verdict(self, now_ms):
         """Return the `Verdict`, or None while the request is in progress."""
@@ -238,6 +243,27 @@
         )
         return self._collected.determine_verdict(is_running, now_ms)
 
+    def _find_sufficient(self, get_time_ms, now_ms):
+        """Return the time at which enough of the missing parts are possible.
+
+        Parameters
+        ----------
+        get_time_ms : callable
+            Takes a part and the current time; returns the time for this part.
+
+        Returns
+        -------
+        float or None
+            None if it is unknown.
+        """
+        missing = [part for part in self._parts if not part.is_achievable]
+        achievable_count = len(self._parts) - len(missing)
+        times = sorted(get_time_ms(part, now_ms) for part in missing)
+        for count, time_ms in enumerate(times, achievable_count + 1):
+            if self._collected.is_sufficient(count):
+                return time_ms if math.isfinite(time_ms) else None
+        return None
+
     def _start_group(self, group, indexes):
         attempt = next(self._attempts)
         self._group_attempts.start(attempt, indexes)
--- a/hawthornfold/gathering/server_choice.py
+++ b/hawthornfold/gathering/server_choice.py
@@ -1,5 +1,7 @@
 """Chooses the servers of the parts of one request."""
 
+from hawthornfold.eligibility import RateAdmission
+from hawthornfold.eligibility import get_demand_class
 from hawthornfold.gathering.regions import create_regions
 
 
@@ -24,6 +26,10 @@
         self._regions = regions or create_regions()
         self._directory = directory
         self._placement = placement
+        # The number that the request has drawn for servers with a rate limit.
+        # All parts have the same, so that the shards agree on the queries that
+        # they take.
+        self._place = None
 
     def choose(self, part, now_ms):
         """Return the `ServerRecord` for the next attempt at a part, or None.
@@ -36,13 +42,14 @@
             Current time on the node's clock.
         """
         servers = self._list_servers(part, now_ms)
+        admission = self._create_admission(part)
         if not part.tried_server_ids:
             # Rules with different servers have different choices.
             key = part.service
             if self._allowed_regions:
                 key = (key, self._allowed_regions)
             return self._placement.choose_first_server(
-                key, servers, self._decision, now_ms
+                key, servers, self._decision, now_ms, admission
             )
         candidates = [
             record
@@ -50,7 +57,7 @@
             if record.server_id not in part.tried_server_ids
         ]
         return self._placement.choose_server(
-            candidates, self._decision, now_ms
+            candidates, self._decision, now_ms, admission
         )
 
     def free_ms(self, part, now_ms):
@@ -65,6 +72,20 @@
             self._list_servers(part, now_ms), now_ms
         )
 
+    def rate_wait_ms(self, part, now_ms):
+        """Return how long it takes until a rate limit has room for a part.
+
+        Returns
+        -------
+        float
+            As for `Placement.rate_wait_ms`.
+        """
+        return self._placement.rate_wait_ms(
+            self._list_servers(part, now_ms),
+            get_demand_class(self._decision.urgency, False),
+            now_ms,
+        )
+
     def is_unservable(self, part, now_ms):
         """Return whether no node may send the part to any of its servers now.
 
@@ -101,6 +122,21 @@
             for server_id in part.running.values()
         )
 
+    def _create_admission(self, part):
+        """Return the `RateAdmission` of an attempt; None without limits."""
+        limiter = self._placement.rate_limiter
+        if limiter is None:
+            return None
+        is_repeat = part.sent_count > 0
+        demand_class = get_demand_class(self._decision.urgency, is_repeat)
+        if is_repeat:
+            place = limiter.draw_place(demand_class)
+        else:
+            if self._place is None:
+                self._place = limiter.draw_place(demand_class)
+            place = self._place
+        return RateAdmission(limiter, demand_class, place)
+
     def _list_servers(self, part, now_ms):
         servers = self._directory.available_servers(part.service, now_ms)
         if self._allowed_regions:
--- a/hawthornfold/placement/placement.py
+++ b/hawthornfold/placement/placement.py
@@ -81,7 +81,14 @@
         """Return the ids of the servers excluded from selection."""
         return [i for i, health in self._health.items() if health.is_blocked]
 
-    def choose_first_server(self, service, candidates, decision, now_ms):
+    @property
+    def rate_limiter(self):
+        """The `RateLimiter`, or None while no server has a rate limit."""
+        return self._eligibility.rate_limiter
+
+    def choose_first_server(
+        self, service, candidates, decision, now_ms, admission=None
+    ):
         """Return the server of the first attempt of a part.
 
         Parameters
@@ -90,13 +97,13 @@
             The service of the part.
         candidates : tuple of ServerRecord
             Its servers, as the same object while they do not change.
-        decision, now_ms : Decision, float
+        decision, now_ms, admission : Decision, float, RateAdmission
             As for `choose_server`.
 
         Returns
         -------
         ServerRecord or None
-            None if there is no candidate or all of them are blocked.
+            As for `choose_server`.
         """
         choice = self._choices.get(service)
         if choice is not None:
@@ -107,9 +114,10 @@
                 and self._health[record.server_id].is_undisturbed
                 and self._has_connection(record.server_id)
                 and self._eligibility.allows(record, now_ms)
+                and not self._is_rate_limited(record)
             ):
                 return record
-        record = self.choose_server(candidates, decision, now_ms)
+        record = self.choose_server(candidates, decision, now_ms, admission)
         if record is None:
             self._choices.pop(service, None)
         elif self._has_restricted_share(candidates, now_ms):
@@ -127,9 +135,12 @@
             )
         return record
 
-    def choose_server(self, candidates, decision, now_ms):
+    def choose_server(self, candidates, decision, now_ms, admission=None):
         """Return the candidate with the lowest estimated cost.
 
+        If it has a rate limit without room for the request, the next one
+        follows.
+
         Parameters
         ----------
         candidates : list of ServerRecord
@@ -138,6 +149,9 @@
             What the rules decided for the request.
         now_ms : float
             Current time.
+        admission : RateAdmission, optional
+            Decides which servers with a rate limit take the request. Without
+            it, no limit is applied.
 
         Returns
         -------
@@ -145,11 +159,28 @@
             None if there is no candidate, or all of them are blocked or may
             receive no request now.
         """
+        costs = self._estimate_costs(candidates, decision, now_ms)
+        if admission is None:
+            return min(costs, key=_get_cost, default=(0.0, None))[1]
+        costs.sort(key=_get_cost)
+        for _, record in costs:
+            if admission.admits(record, now_ms):
+                return record
+        return None
+
+    def _estimate_costs(self, candidates, decision, now_ms):
+        """Return the costs of the candidates that may get the request.
+
+        Returns
+        -------
+        list of (float, ServerRecord)
+            In the order of the candidates.
+        """
         typical_ms = self._latency_tracker.typical_ms(decision)
         remote_ms = REMOTE_COST_MS
         if decision.objective_ms is not None:
             remote_ms = REMOTE_OBJECTIVE_SHARE * decision.objective_ms
-        best, best_cost = None, 0.0
+        costs = []
         for record in candidates:
             health = self.health(record.server_id)
             if health.is_blocked:
@@ -167,9 +198,8 @@
                 cost += remote_ms
             # The random factor spreads requests over equal servers.
             cost *= 1.0 + 0.02 * self._rng.random()
-            if best is None or cost < best_cost:
-                best, best_cost = record, cost
-        return best
+            costs.append((cost, record))
+        return costs
 
     def free_ms(self, candidates, now_ms):
         """Return when one of the candidates is expected to be allowed.
@@ -190,6 +220,37 @@
             default=math.inf,
         )
 
+    def rate_wait_ms(self, candidates, demand_class, now_ms):
+        """Return how long it takes until a rate limit has room for a request.
+
+        Parameters
+        ----------
+        candidates : iterable of ServerRecord
+            Servers that may execute the request.
+        demand_class : int
+            Class of the request.
+        now_ms : float
+            Current time on the node's clock.
+
+        Returns
+        -------
+        float
+            Milliseconds; 0 if a candidate without a limit is available,
+            infinity if none is available for another reason.
+        """
+        limiter = self.rate_limiter
+        return min(
+            (
+                0.0
+                if limiter is None
+                else limiter.estimate_wait_ms(record, demand_class, now_ms)
+                for record in candidates
+                if not self.health(record.server_id).is_blocked
+                and self._eligibility.allows(record, now_ms)
+            ),
+            default=math.inf,
+        )
+
     def may_other_nodes_use(self, candidates, now_ms):
         """Return whether another node may be allowed to use a candidate."""
         return any(
@@ -197,8 +258,14 @@
             for record in candidates
         )
 
+    def _is_rate_limited(self, record):
+        limiter = self.rate_limiter
+        return limiter is not None and limiter.is_limited(record.server_id)
+
     def _has_restricted_share(self, candidates, now_ms):
         for record in candidates:
+            if self._is_rate_limited(record):
+                return True
             share = self._eligibility.estimate_share(record, now_ms)
             if share is not None and share < 1.0:
                 return True
@@ -296,6 +363,10 @@
         )
 
 
+def _get_cost(cost_and_record):
+    return cost_and_record[0]
+
+
 def create_placement(
     data_centre,
     latency_tracker,
--- a/hawthornfold/platform/tests/test_signals.py
+++ b/hawthornfold/platform/tests/test_signals.py
@@ -107,3 +107,20 @@
             sum(len(server.requests) for server in servers), received
         )
         self.assertIn('hawthornfold_servers_paused 3', self.read_metrics(node))
+
+    def test_limit_that_a_server_names_is_kept_and_refusals_say_when(self):
+        # Guards against the platform's header that no node reads.
+        self.publish_configuration()
+        server = self.add_server(
+            'i-1', 'z', create_script(Server_Limit='2'), born=5
+        )
+        node = self.start_node()
+        answers = [node.query('/f/', f'l{number}') for number in range(60)]
+        self.assertLessEqual(len(server.requests), 20)
+        refused = [x for x in answers if x.status == 503]
+        self.assertGreaterEqual(len(refused), 40)
+        for answer in refused:
+            self.assertGreater(float(answer.headers['Retry-After']), 0.0)
+        self.assertIn('event=server_limited server=i-1', node.read_log())
+        metrics = self.read_metrics(node)
+        self.assertIn('hawthornfold_servers_limited 1', metrics)
