Have two nodes add up the demand for a limited server

What callers saw: nothing. Cause: after a restart some nodes know the restarted node, which adds up the demand, up to 0.7 s earlier than others. Each of two nodes then had the reports of a part of the fleet only, and each part used the whole limit. Change: every node reports to the first two nodes of the order and uses the greater sum. Nodes whose lists differ by one node have a collecting node in common. Reports name up to 8 servers, so that traffic stays below 4 KB/s.

--- a/hawthornfold/eligibility/rate_limiter.py
+++ b/hawthornfold/eligibility/rate_limiter.py
@@ -23,7 +23,7 @@
 # Larger limits are no limits in practice; they are reported as this one.
 MAX_LIMIT_PER_S = 1e9
 # Servers that a node reports on at a time; further ones take turns.
-MAX_REPORTED_SERVERS = 16
+MAX_REPORTED_SERVERS = 8
 # In any window of this length a node sends at most its own part of a limit
 # times the factor, and one more. The sums follow a burst only after a second.
 BURST_WINDOW_MS = 4_000.0
@@ -78,7 +78,6 @@
 
     __slots__ = (
         'estimate',
-        'expiry_ms',
         'has_reported',
         'own_part',
         'reported_ms',
@@ -89,9 +88,9 @@
 
     def __init__(self, since_ms, own_part):
         self.estimate = create_demand_estimate(since_ms)
-        # Requests a second of each class, until they are out of date.
-        self.totals = None
-        self.expiry_ms = 0.0
+        # By the node that added them up: requests a second of each class, and
+        # until when they count.
+        self.totals = {}
         # Part of the limit that this node has, as the sums were last known.
         self.own_part = own_part
         self.sample_count = 0
@@ -101,6 +100,19 @@
         # Whether the last report had any demand.
         self.has_reported = False
 
+    def find_totals(self, now_ms):
+        """Return the greatest sums that are not out of date, or None.
+
+        A node that does not get the reports of all nodes has a lower sum.
+        """
+        greatest = None
+        for rates, expiry_ms in self.totals.values():
+            if now_ms < expiry_ms and (
+                greatest is None or sum(rates) > sum(greatest)
+            ):
+                greatest = rates
+        return greatest
+
 
 class RateLimiter:
     """Admits requests to servers with a rate limit.
@@ -271,13 +283,15 @@
         turns = -(-len(wanted) // MAX_REPORTED_SERVERS)
         return turns, reports
 
-    def apply_totals(self, totals, now_ms):
+    def apply_totals(self, node_name, totals, now_ms):
         """Apply the demand of the fleet.
 
         Parameters
         ----------
+        node_name : str
+            The node that has added it up.
         totals : DemandTotals
-            From the node that adds it up.
+            The sums.
         now_ms : float
             Current time on the node's clock.
         """
@@ -289,27 +303,34 @@
             rates = [max(x, 0) / _MILLI for x in demand.demand_milli]
             rates += [0.0] * (CLASS_COUNT - len(rates))
             server = self._get_server(limit)
-            server.totals, server.expiry_ms = tuple(rates), expiry_ms
-            own_rates = server.estimate.compute_rates(now_ms)
-            own_part = min(sum(own_rates) / max(sum(rates), 1e-9), 1.0)
-            server.sample_count += 1
-            weight = max(PART_SMOOTHING, 1.0 / server.sample_count)
-            server.own_part += weight * (own_part - server.own_part)
+            server.totals[node_name] = (tuple(rates), expiry_ms)
+            self._update_own_part(server, now_ms)
             heard_ms = now_ms - max(demand.age_ms, 0)
             if heard_ms > limit.heard_ms:
                 self._register.record_limit(
                     limit.record, max(demand.limit_milli, 0) / _MILLI, heard_ms
                 )
 
-    def expire(self):
-        """Forget the demand for servers whose limit has ended."""
-        if self._servers:
-            self._servers = {
-                server_id: server
-                for server_id, server in self._servers.items()
-                if self.is_limited(server_id)
+    def expire(self, now_ms):
+        """Forget what is out of date, and servers whose limit has ended."""
+        for server_id, server in list(self._servers.items()):
+            if not self.is_limited(server_id):
+                del self._servers[server_id]
+                continue
+            server.totals = {
+                name: totals
+                for name, totals in server.totals.items()
+                if now_ms < totals[1]
             }
 
+    def _update_own_part(self, server, now_ms):
+        own_rates = server.estimate.compute_rates(now_ms)
+        fleet_per_s = sum(server.find_totals(now_ms))
+        own_part = min(sum(own_rates) / max(fleet_per_s, 1e-9), 1.0)
+        server.sample_count += 1
+        weight = max(PART_SMOOTHING, 1.0 / server.sample_count)
+        server.own_part += weight * (own_part - server.own_part)
+
     def _get_server(self, limit):
         server_id = limit.record.server_id
         server = self._servers.get(server_id)
@@ -322,8 +343,8 @@
     def _compute_share(self, limit, server, demand_class, now_ms):
         """Return the share of the requests of a class that a server takes."""
         left_per_s = USED_SHARE * max(limit.per_s, MIN_LIMIT_PER_S)
-        if server.totals is not None and now_ms < server.expiry_ms:
-            rates = server.totals
+        rates = server.find_totals(now_ms)
+        if rates is not None:
             left_per_s *= self._live_share
         else:
             own_rates = server.estimate.compute_rates(now_ms)
--- a/hawthornfold/eligibility/tests/test_rate_limits.py
+++ b/hawthornfold/eligibility/tests/test_rate_limits.py
@@ -107,7 +107,7 @@
     def set_totals(self, limiter, now_ms, *demand):
         rates = tuple(int(x * 1_000) for x in demand)
         server = ServerDemand('s1', 5, 11_000, 0, rates)
-        limiter.apply_totals(DemandTotals(60_000, (server,)), now_ms)
+        limiter.apply_totals('n1', DemandTotals(60_000, (server,)), now_ms)
 
     def test_limit_holds_and_is_used_with_7200_nodes(self):
         # Guards against a part of less than one request a node that is lost,
@@ -156,7 +156,7 @@
             ServerDemand('s9', 5, 1_000, 0, ()),
             ServerDemand('s1', 5, 2**60, 10**15, (0,) * 40),
         ):
-            limiter.apply_totals(DemandTotals(-1, (demand,)), 10.0)
+            limiter.apply_totals('n1', DemandTotals(-1, (demand,)), 10.0)
         self.assertIn(self.send(limiter, 20.0), (True, False))
         self.assertTrue(limiter.is_limited('s1'))
 
@@ -165,7 +165,7 @@
         # sends to the server.
         limiter = self.create_limiter(11.0)
         demand = ServerDemand('s1', 5, 3_000, 5, (9_000, 0, 0, 0))
-        limiter.apply_totals(DemandTotals(250, (demand,)), 1_000.0)
+        limiter.apply_totals('n1', DemandTotals(250, (demand,)), 1_000.0)
         sent = sum(self.send(limiter, 1_000.0 + x) for x in range(0, 700, 10))
         self.assertLessEqual(sent, 0.35 * 70)
 
@@ -178,8 +178,8 @@
             register.record_limit(record, 5.0, 0.0)
             limiter.record_demand(record, 0, 1.0)
         seen = set()
-        for now_ms in (2.0, 3.0, 4.0):
+        for now_ms in (2.0, 3.0, 4.0, 5.0, 6.0):
             turns, reports = limiter.create_reports(now_ms)
-            self.assertEqual(turns, 3)
+            self.assertEqual(turns, 5)
             seen.update(demand.server_id for _, demand in reports)
         self.assertEqual(len(seen), 40)
--- a/hawthornfold/gateway/rate_exchange.py
+++ b/hawthornfold/gateway/rate_exchange.py
@@ -5,6 +5,9 @@
 from hawthornfold.eligibility import create_demand_collector
 from hawthornfold.rendezvous import choose_names
 
+# Number of nodes that add up the demand for a service. Nodes that disagree on
+# whether one node lives have another one in common, which gets all reports.
+COLLECTING_COUNT = 2
 # Interval of the reports, and the number of reports a second that one node
 # collects at most for a service: where there are more nodes, the interval is
 # longer.
@@ -15,7 +18,7 @@
 class RateExchange:
     """Reports a node's demand, and adds up what other nodes report.
 
-    Each service has one node that adds up the demand for its servers.
+    Each service has a few nodes that add up the demand for its servers.
 
     Parameters
     ----------
@@ -32,7 +35,7 @@
         self._fleet = fleet
         self._clock = clock
         self._collector = create_demand_collector()
-        # The collecting node of each service, for a version of the members.
+        # The collecting nodes of each service, for a version of the members.
         self._collecting = {}
         self._collecting_version = None
         fleet.register(DemandReport, self._handle_report)
@@ -55,13 +58,13 @@
     def report(self):
         """Report the node's demand, if there is any."""
         now_ms = self._clock.now_ms()
-        self._limiter.expire()
+        self._limiter.expire(now_ms)
         self._collector.expire(now_ms)
         turns, reports = self._limiter.create_reports(now_ms)
         by_node = {}
         for service, demand in reports:
-            member = self._find_collecting(service)
-            by_node.setdefault(member, []).append(demand)
+            for member in self._find_collecting(service):
+                by_node.setdefault(member, []).append(demand)
         for member, servers in by_node.items():
             report = DemandReport(
                 int(self.interval_ms * turns), tuple(servers)
@@ -72,16 +75,18 @@
                 self._fleet.send(member.name, member.address, report, True)
 
     def _find_collecting(self, service):
-        """Return the `Member` that adds up the demand for a service."""
+        """Return the `Member` tuples that add up the demand for a service."""
         if self._collecting_version != self._fleet.version:
             self._collecting_version = self._fleet.version
             self._collecting = {}
-        member = self._collecting.get(service)
-        if member is None:
+        collecting = self._collecting.get(service)
+        if collecting is None:
             members = {x.name: x for x in self._fleet.list_live()}
-            (name,) = choose_names(members, service, 1)
-            member = self._collecting[service] = members[name]
-        return member
+            collecting = self._collecting[service] = tuple(
+                members[name]
+                for name in choose_names(members, service, COLLECTING_COUNT)
+            )
+        return collecting
 
     def _handle_report(self, sender, report):
         totals = self._collector.record_report(
@@ -91,10 +96,10 @@
             self._fleet.send(sender.name, sender.address, totals, True)
 
     def _handle_totals(self, sender, totals):
-        self._limiter.apply_totals(totals, self._clock.now_ms())
+        self._limiter.apply_totals(sender.name, totals, self._clock.now_ms())
 
     def _apply(self, name, report):
         now_ms = self._clock.now_ms()
         self._limiter.apply_totals(
-            self._collector.record_report(name, report, now_ms), now_ms
+            name, self._collector.record_report(name, report, now_ms), now_ms
         )
--- a/hawthornfold/gateway/tests/test_rate_limits.py
+++ b/hawthornfold/gateway/tests/test_rate_limits.py
@@ -315,6 +315,25 @@
         load.play_rate(QUERIES_PER_S, 2.0 * SETTLE_MS)
         self.check_bound(load, limited, since_ms)
 
+    def test_limit_holds_while_nodes_disagree_on_the_collecting_node(self):
+        # Guards against sums of a part of the fleet after a node's restart,
+        # which some nodes know earlier than others.
+        load = LimitedLoad(1, 9)
+        shard = loads.SHARDS[0]
+        load.play_rate(QUERIES_PER_S, 2_000.0)
+        limited = load.limit([shard], LIMIT_PER_S, 2)
+        load.play_rate(QUERIES_PER_S, SETTLE_MS)
+        since_ms = load.simulation.now_ms
+        restarted = load.find_collecting(shard)
+        names = list(load.fleets)
+        for fleet in load.fleets.values():
+            fleet.set_live([x for x in names if x != restarted])
+        load.play_rate(QUERIES_PER_S, SETTLE_MS)
+        for name in names[::2]:
+            load.fleets[name].set_live(names)
+        load.play_rate(QUERIES_PER_S, 2.0 * SETTLE_MS)
+        self.check_bound(load, limited, since_ms)
+
     def test_limit_holds_in_sum_over_both_sides_of_a_partition(self):
         # Guards against sides that each use the whole limit.
         load = LimitedLoad(1, 9)
@@ -343,7 +362,3 @@
             arrived_ms = load.servers[server_id].arrived_ms
             used = sum(t >= since_ms for t in arrived_ms)
             self.assertGreater(used, 1.4 * LIMIT_PER_S * PLAY_MS / 1_000.0)
-
-
-if __name__ == '__main__':
-    unittest.main()
