Log under which requests servers end

Change: requests have a fingerprint of method, target, host, caller and body, alike on all nodes. A connection that breaks before any byte of a response is followed by a connection attempt, which a server that has ended refuses; the log line names request, fingerprint and server. No decision uses it.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -73,6 +73,8 @@
         self._timer = None
         self._is_reusable = True
         self._has_answered = False
+        # Whether any byte of the running exchange's response has arrived.
+        self._has_received = False
         self._reuse = create_connection_reuse()
         self._answered_ms = 0.0
         self._opened_ms = 0.0
@@ -184,6 +186,7 @@
             self._schedule(0.0, lambda: self._fail('no time left'))
             return
         self._request = request
+        self._has_received = False
         self._reader.begin(request.method)
         self._unsent = b'%b%b%d%b%b\r\n\r\n%b' % (
             request.head,
@@ -301,12 +304,15 @@
                 _LOG.exception(
                     'event=response_failed server={}', self._address
                 )
-            self._fail(describe_error(error))
+            self._fail(
+                describe_error(error),
+                isinstance(error, OSError) and not self._has_received,
+            )
             return
         if ended is not None:
             self._end_exchange(*ended)
         elif not self._is_reusable:
-            self._fail('the response ends early')
+            self._fail('the response ends early', not self._has_received)
 
     def _receive(self, reader):
         try:
@@ -314,6 +320,7 @@
         except BlockingIOError:
             return
         if data:
+            self._has_received = True
             reader.feed(data)
         else:
             self._is_reusable = False
@@ -371,7 +378,7 @@
         if not self._reuse.is_identified:
             self._is_reusable = False
 
-    def _fail(self, detail):
+    def _fail(self, detail, is_interrupted=False):
         """Close the connection and end the exchange without a response."""
         kind, signals = OutcomeKind.LOST, NO_SIGNALS
         if self._request is None:
@@ -381,7 +388,10 @@
         on_end = self._on_end
         self.close()
         if on_end is not None:
-            on_end(ExchangeOutcome(kind, None, detail, signals), None)
+            on_end(
+                ExchangeOutcome(kind, None, detail, signals, is_interrupted),
+                None,
+            )
 
     def _read_signals(self):
         """Return what an incomplete response says about its server."""
--- a/hawthornfold/gateway/pools.py
+++ b/hawthornfold/gateway/pools.py
@@ -284,7 +284,7 @@
         pool = self._pools[record.server_id] = ServerPool(
             record.address,
             compute_limits(record),
-            self._create_connection,
+            self.create_connection,
             self._metrics,
             self._on_connect,
         )
@@ -310,7 +310,8 @@
         for server_id in list(self._pools):
             self.close_pool(server_id)
 
-    def _create_connection(self, address, on_idle_end):
+    def create_connection(self, address, on_idle_end=None):
+        """Create a `ServerConnection` that belongs to no pool yet."""
         return ServerConnection(
             address,
             self._names,
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -339,6 +339,12 @@
         """Continue the request after the end of an exchange."""
         attempt = exchange.send.attempt
         self._running.pop(attempt, None)
+        if outcome.is_interrupted and not exchange.is_cancelled:
+            self._state.interruptions.handle(
+                self._request,
+                exchange.send.record,
+                exchange.elapsed_ms(self._clock.now_ms()),
+            )
         try:
             now_ms = self._clock.now_ms()
             self._record_outcome(exchange, outcome, waiting_count, now_ms)
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -13,6 +13,7 @@
 from hawthornfold.gateway.evacuations import EVACUATED_CONNECTIONS
 from hawthornfold.gateway.evacuations import EvacuationReporter
 from hawthornfold.gateway.gathered_rules import create_gathered_rules
+from hawthornfold.gateway.interruptions import create_interruption_handler
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ServerPools
 from hawthornfold.gateway.pools import compute_connection_limits
@@ -27,6 +28,7 @@
 from hawthornfold.placement import create_latency_tracker
 from hawthornfold.placement import create_placement
 from hawthornfold.placement import create_weighted_round_robin
+from hawthornfold.quarantine import create_request_fingerprints
 from hawthornfold.rendezvous import compute_score
 
 _LOG = logbook.Logger('gateway')
@@ -86,6 +88,10 @@
         self.pools = ServerPools(
             names, clock, metrics, self._record_connect, self.response_bounds
         )
+        self.fingerprints = create_request_fingerprints(settings.store_address)
+        self.interruptions = create_interruption_handler(
+            self.fingerprints, self.pools, metrics
+        )
         self.pauses = create_server_pauses()
         self.rate_limits = create_rate_limit_register()
         self.rate_limiter = create_rate_limiter(self.rate_limits, metrics)
--- a/hawthornfold/gathering/outcomes.py
+++ b/hawthornfold/gathering/outcomes.py
@@ -120,9 +120,13 @@
         The reason of a failure, for the log.
     signals : ServerSignals
         What the response says about the server.
+    is_interrupted : bool
+        Whether the connection broke before any byte of a response. The server
+        may have ended while it ran the request.
     """
 
     kind: OutcomeKind
     response: ServerResponse | None = None
     detail: str = ''
     signals: ServerSignals = NO_SIGNALS
+    is_interrupted: bool = False
