--- a/hawthornfold/gateway/tests/signal_support.py
+++ b/hawthornfold/gateway/tests/signal_support.py
@@ -154,7 +154,7 @@
                 compile_document(document, 1),
                 {
                     x: ServiceRecord(x, '/health', MAX_CONNECTIONS)
-                    for x in 'ab'
+                    for x in (gather.shards if gather else 'ab')
                 },
                 CallerLimits(16_384, 262_144, 3e3, 15e3),
                 document,
@@ -180,10 +180,10 @@
             directory.apply([ServerChange(server_id, record)], now_ms())
         )
 
-    def send(self, method='GET'):
+    def send(self, method='GET', target='/a'):
         headers = (('Host', 'a.x'), ('X-Request-Id', f'r{next(self.ids)}'))
         incoming = IncomingRequest(
-            method, '/a', 'a.x', headers, b'', self.clock.now_ms(), 0.0
+            method, target, 'a.x', headers, b'', self.clock.now_ms(), 0.0
         )
 
         @contextlib.contextmanager
