Keep requests that end servers away from them

What callers saw: for 45 s in all nearly every search failed with 502 or 503, since all 40 servers of a service were gone and back every two to three seconds. Cause: a request that ends each server that begins to run it came again under new ids. No node recognised it, so that each time it was sent to all shards, and by retries and at other nodes to the second servers too. Class of fault: a request of death whose damage grows with what is sent at once; no memory of evidence. Change: nodes recognise requests by a fingerprint, share which servers ended under them, and send a suspect to one server first. Two proofs and three ended servers quarantine it on all nodes: 400, final. Within one attempt, parts of ended servers wait for an answer to another part, and a query ends with the second ended server if it has no answer.

--- a/hawthornfold/callers/requests.py
+++ b/hawthornfold/callers/requests.py
@@ -72,6 +72,7 @@
     ResultCode.RULE_NOT_MATCHED: 403,
     ResultCode.PATH_UNKNOWN: 404,
     ResultCode.METHOD_NOT_ALLOWED: 405,
+    ResultCode.REQUEST_QUARANTINED: 400,
     ResultCode.TICKET_INVALID: 400,
     ResultCode.TICKET_EXPIRED: 410,
     ResultCode.TICKET_CONFLICT: 409,
--- a/hawthornfold/codes/registry.py
+++ b/hawthornfold/codes/registry.py
@@ -52,6 +52,7 @@
     TICKET_EXPIRED = 310, 'the ticket is too old to be used'
     TICKET_CONFLICT = 311, 'the ticket was used with another request'
     TICKET_REQUIRED = 313, 'a non-idempotent request needs a ticket'
+    REQUEST_QUARANTINED = 314, 'servers have ended while they ran the request'
     REQUEST_ID_UNKNOWN = 312, 'no record of this request id is held'
 
     NOT_READY = 401, 'the node holds no configuration yet'
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -265,10 +265,22 @@
             plan.request_id,
             self._names,
         )._replace(is_idempotent=plan.decision.idempotent)
+        suspicion = self._state.suspects.examine(outgoing)
+        group_calls = None
+        if suspicion is None:
+            group_calls = self._plan_groups(plan, outgoing)
+        elif suspicion.is_quarantined:
+            return self._refuse(
+                incoming,
+                plan.request_id,
+                ResultCode.REQUEST_QUARANTINED,
+                f'fingerprint {suspicion.fingerprint}',
+                400,
+            )._replace(is_final=True)
         run = self._runner.run(
-            plan, outgoing, watch_caller, self._plan_groups(plan, outgoing)
+            plan, outgoing, watch_caller, group_calls, suspicion=suspicion
         )
-        answer = self._create_answer(plan.decision, run)
+        answer = self._create_answer(plan.decision, outgoing, run)
         due_ms = self._runner.find_due_ms(run)
         if answer is not None and due_ms is not None:
             answer = answer._replace(
@@ -277,9 +289,15 @@
         self._runner.report_end(plan, run, answer and answer.status)
         return answer
 
-    def _create_answer(self, decision, run):
+    def _create_answer(self, decision, outgoing, run):
         """Return the `GatewayAnswer` to a request that has ended."""
         verdict = run.result.verdict
+        if verdict is Verdict.UNKNOWN and self._state.suspects.is_quarantined(
+            outgoing
+        ):
+            return create_refusal(
+                ResultCode.REQUEST_QUARANTINED, 400, 'servers have ended'
+            )._replace(is_final=True)
         retry_after_ms = None
         if verdict is Verdict.NOT_RUN:
             now_ms = self._clock.now_ms()
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -137,9 +137,23 @@
             self._reply(sender, message.call, 'declined')
             return
         self._reply(sender, message.call, 'accepted')
+        outgoing = OutgoingRequest(
+            message.method,
+            message.head,
+            message.body,
+            message.request_id,
+            decision.idempotent,
+        )
+        suspicion = self._state.suspects.examine(outgoing)
+        if suspicion is not None and suspicion.is_quarantined:
+            # Without the parts, which the other node must not send either.
+            self._reply(sender, message.call, 'finished')
+            return
         self._running[key] = Cancellation()
         plan, reporter = self._plan(sender, message, decision)
-        eventlet.spawn_n(self._serve, sender, message, plan, reporter, key)
+        eventlet.spawn_n(
+            self._serve, sender, outgoing, plan, reporter, key, suspicion
+        )
 
     def _find_decision(self, message):
         """Return the decision of a group, or None and why it is declined."""
@@ -163,17 +177,14 @@
         if group is not None:
             group.cancel()
 
-    def _serve(self, sender, message, plan, reporter, key):
-        outgoing = OutgoingRequest(
-            message.method,
-            message.head,
-            message.body,
-            message.request_id,
-            plan.decision.idempotent,
-        )
+    def _serve(self, sender, outgoing, plan, reporter, key, suspicion):
         try:
             run = self._runner.run(
-                plan, outgoing, self._running[key].watch, observer=reporter
+                plan,
+                outgoing,
+                self._running[key].watch,
+                observer=reporter,
+                suspicion=suspicion,
             )
         finally:
             del self._running[key]
--- a/hawthornfold/gateway/interruptions.py
+++ b/hawthornfold/gateway/interruptions.py
@@ -1,57 +1,51 @@
 """Handles exchanges whose connection broke before any byte of a response."""
 
-import logbook
-
 from hawthornfold.gateway.server_ends import create_server_end_checks
 
-_LOG = logbook.Logger('request')
-
 
 class InterruptionHandler:
-    """Finds out under which requests servers end, and reports it.
+    """Finds out under which requests servers end, and records it.
 
     Parameters
     ----------
-    fingerprints : RequestFingerprints
-        Recognises requests.
+    suspects : SuspectHandler
+        Records the evidence.
     checks : ServerEndChecks
         Finds out whether a server has ended.
     """
 
-    def __init__(self, fingerprints, checks):
-        self._fingerprints = fingerprints
+    def __init__(self, suspects, checks):
+        self._suspects = suspects
         self._checks = checks
 
-    def handle(self, request, record, elapsed_ms):
+    def handle(self, request, rule, record, is_alone, on_checked):
         """Handle the interrupted exchange of a request.
 
         Parameters
         ----------
         request : OutgoingRequest
             The request.
+        rule : str
+            Name of its rule.
         record : ServerRecord
             The record that it was sent by.
-        elapsed_ms : float
-            How long the exchange took.
+        is_alone : bool
+            Whether this was the only part of the request that was sent.
+        on_checked : callable
+            Takes whether the server has ended; called from the event loop.
+            Must not raise errors.
         """
 
         def end(has_ended):
-            _LOG.info(
-                'event=exchange_interrupted request={} fingerprint={} '
-                'server={} service={} server_ended={} ms={:.1f}',
-                request.request_id,
-                self._fingerprints.compute(request.head, request.body),
-                record.server_id,
-                record.service,
-                has_ended,
-                elapsed_ms,
-            )
+            if has_ended:
+                self._suspects.record_end(request, rule, record, is_alone)
+            on_checked(has_ended)
 
         self._checks.check(record, end)
 
 
-def create_interruption_handler(fingerprints, pools, metrics):
+def create_interruption_handler(suspects, pools, metrics):
     """Create the handler of a node."""
     return InterruptionHandler(
-        fingerprints, create_server_end_checks(pools, metrics)
+        suspects, create_server_end_checks(pools, metrics)
     )
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -29,12 +29,15 @@
 from hawthornfold.gateway.settings import split_address
 from hawthornfold.gateway.state import GatewayState
 from hawthornfold.gateway.store_exchange import StoreExchange
+from hawthornfold.gateway.suspect_exchange import create_suspect_exchange
 from hawthornfold.gateway.sweep import ServerSweep
 from hawthornfold.metrics import create_metrics
 from hawthornfold.rules import describe_rules
 
 _LOG = logbook.Logger('gateway')
 
+# Operators lift the quarantine of a request with DELETE below this path.
+QUARANTINE_PATH = '/quarantine/'
 # Interval at which a stopping node checks whether requests are in progress.
 _STOP_POLL_INTERVAL_MS = 50.0
 # A node that starts waits this long before it assigns reader roles: it finds
@@ -150,6 +153,7 @@
             'servers': len(state.directory.records),
             'blocked_servers': state.placement.blocked_server_ids(),
             'rate_limits': state.rate_limits.describe(),
+            'suspect_requests': state.suspects.describe(),
             'evacuated_data_centres': sorted(
                 state.directory.evacuations.in_force
             ),
@@ -198,6 +202,9 @@
                     RateExchange(
                         self._state.rate_limiter, self._fleet, self._clock
                     ).run,
+                    create_suspect_exchange(
+                        self._state.suspects, self._fleet, self._clock
+                    ).run,
                     ServerSweep(self._state, self._clock, self._metrics).run,
                     self._run_count,
                     self._run_room_queries,
@@ -213,7 +220,11 @@
                 '/audit': self.describe_changes,
             }
             ready = ReadyApplication(
-                self._ready_path, self.is_ready, pages, self._metrics
+                self._ready_path,
+                self.is_ready,
+                pages,
+                {QUARANTINE_PATH: self._state.suspects.lift},
+                self._metrics,
             )
             addresses = [split_address(settings.ready_address)]
             if settings.metrics_port:
--- a/hawthornfold/gateway/readiness.py
+++ b/hawthornfold/gateway/readiness.py
@@ -27,14 +27,18 @@
         Returns whether the balancer should send callers to this node.
     pages : dict of str to callable
         By path, a function that returns the content of a JSON page.
+    deletions : dict of str to callable
+        By path prefix, a function that takes the rest of the path of a DELETE
+        request, and returns whether there was something to remove.
     metrics : Metrics
         Rendered at ``/metrics``.
     """
 
-    def __init__(self, ready_path, is_ready, pages, metrics):
+    def __init__(self, ready_path, is_ready, pages, deletions, metrics):
         self._ready_path = ready_path
         self._is_ready = is_ready
         self._pages = pages
+        self._deletions = deletions
         self._metrics = metrics
 
     @contextlib.contextmanager
@@ -50,7 +54,10 @@
         """Answer one request according to WSGI."""
         path = environ['PATH_INFO']
         status, kind, body = '404 Not Found', 'text/plain', b''
-        if path == self._ready_path:
+        if environ['REQUEST_METHOD'] == 'DELETE':
+            if self._delete(path):
+                status = '204 No Content'
+        elif path == self._ready_path:
             is_ready = self._is_ready()
             status = '200 OK' if is_ready else '503 Service Unavailable'
         elif path == '/metrics':
@@ -62,3 +69,9 @@
         headers = [('Content-Type', kind), ('Content-Length', str(len(body)))]
         start_response(status, headers)
         return [body]
+
+    def _delete(self, path):
+        for prefix, delete in self._deletions.items():
+            if path.startswith(prefix):
+                return delete(path.removeprefix(prefix))
+        return False
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -179,10 +179,9 @@
 
     def _record_group_answers(self, attempt, reply, now_ms):
         answers = tuple(zip(reply.parts, reply.seals, strict=True))
-        self._execution.handle_group_answers(
+        return self._execution.handle_group_answers(
             attempt, answers, reply.records, now_ms
         )
-        return ()
 
     def _handle_group(self, handle, *arguments):
         """Continue the request after a report of another node.
@@ -339,24 +338,39 @@
         """Continue the request after the end of an exchange."""
         attempt = exchange.send.attempt
         self._running.pop(attempt, None)
-        if outcome.is_interrupted and not exchange.is_cancelled:
-            self._state.interruptions.handle(
-                self._request,
-                exchange.send.record,
-                exchange.elapsed_ms(self._clock.now_ms()),
-            )
         try:
             now_ms = self._clock.now_ms()
             self._record_outcome(exchange, outcome, waiting_count, now_ms)
-            if not self._end.ready():
-                self._continue_request(attempt, outcome, now_ms)
+            if outcome.is_interrupted and not exchange.is_cancelled:
+                self._state.interruptions.handle(
+                    self._request,
+                    self._decision.rule,
+                    exchange.send.record,
+                    self._execution.is_testing,
+                    lambda has_ended: self._handle_checked(
+                        attempt, outcome, has_ended
+                    ),
+                )
+            else:
+                self._continue_request(attempt, outcome)
         except Exception as error:  # noqa: BLE001
             self._end_with_error(error)
 
-    def _continue_request(self, attempt, outcome, now_ms):
-        self._repeat_parts(
-            self._execution.handle_outcome(attempt, outcome, now_ms), now_ms
-        )
+    def _handle_checked(self, attempt, outcome, has_server_ended):
+        try:
+            self._continue_request(attempt, outcome, has_server_ended)
+        except Exception as error:  # noqa: BLE001
+            self._end_with_error(error)
+
+    def _continue_request(self, attempt, outcome, has_server_ended=False):
+        if self._end.ready():
+            return
+        now_ms = self._clock.now_ms()
+        if has_server_ended:
+            actions = self._execution.handle_server_end(attempt, now_ms)
+        else:
+            actions = self._execution.handle_outcome(attempt, outcome, now_ms)
+        self._repeat_parts(actions, now_ms)
         self._check_verdict(now_ms)
 
     def _repeat_parts(self, actions, now_ms):
--- a/hawthornfold/gateway/runner.py
+++ b/hawthornfold/gateway/runner.py
@@ -86,7 +86,13 @@
             relay.end(execution.determine_verdict(deadline_ms))
 
     def run(
-        self, plan, outgoing, watch_caller, group_calls=None, observer=None
+        self,
+        plan,
+        outgoing,
+        watch_caller,
+        group_calls=None,
+        observer=None,
+        suspicion=None,
     ):
         """Run a request until it has a verdict.
 
@@ -103,6 +109,8 @@
         observer : RelayObserver, optional
             Reports the answers to another node, for which this one gathers
             the parts.
+        suspicion : Suspicion, optional
+            If servers have ended under the same request before.
 
         Returns
         -------
@@ -120,6 +128,7 @@
             group_calls.parts if group_calls else (),
             observer is not None,
             state.regions,
+            suspicion and suspicion.services,
         )
         relay = Relay(
             state,
@@ -138,6 +147,10 @@
                 result = relay.run(deadline_ms)
         finally:
             del self._running[relay]
+        if suspicion is not None:
+            state.suspects.record_answers(
+                suspicion, execution.collected.answered_services
+            )
         if plan.decision.gather is not None:
             self._record_costs(plan, execution, result)
         return RequestRun(execution, result)
--- a/hawthornfold/gateway/server_ends.py
+++ b/hawthornfold/gateway/server_ends.py
@@ -40,6 +40,7 @@
             The record that the request was sent by.
         on_end : callable
             Takes whether the server has ended; called from the event loop.
+            Must not raise errors.
         """
         key = (record.server_id, record.born_ms, record.address)
         waiting = self._waiting.get(key)
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -19,6 +19,7 @@
 from hawthornfold.gateway.pools import compute_connection_limits
 from hawthornfold.gateway.response_bounds import create_response_bounds
 from hawthornfold.gateway.server_signals import create_server_signal_handler
+from hawthornfold.gateway.suspects import create_suspect_handler
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.gathering import create_regions
 from hawthornfold.gathering import report_regions
@@ -29,6 +30,7 @@
 from hawthornfold.placement import create_placement
 from hawthornfold.placement import create_weighted_round_robin
 from hawthornfold.quarantine import create_request_fingerprints
+from hawthornfold.quarantine import create_suspect_table
 from hawthornfold.rendezvous import compute_score
 
 _LOG = logbook.Logger('gateway')
@@ -88,9 +90,15 @@
         self.pools = ServerPools(
             names, clock, metrics, self._record_connect, self.response_bounds
         )
-        self.fingerprints = create_request_fingerprints(settings.store_address)
+        self.suspects = create_suspect_handler(
+            create_suspect_table(settings.node_name),
+            create_request_fingerprints(settings.store_address),
+            self.audit,
+            clock,
+            metrics,
+        )
         self.interruptions = create_interruption_handler(
-            self.fingerprints, self.pools, metrics
+            self.suspects, self.pools, metrics
         )
         self.pauses = create_server_pauses()
         self.rate_limits = create_rate_limit_register()
--- a/hawthornfold/gateway/sweep.py
+++ b/hawthornfold/gateway/sweep.py
@@ -43,6 +43,7 @@
         """Block silent servers and start the probes that are due."""
         placement = self._state.placement
         self._state.signals.expire(now_ms)
+        self._state.suspects.check()
         for server_id in placement.block_silent_servers(now_ms):
             self._metrics.count('servers_blocked')
             _LOG.warning(
--- a/hawthornfold/gateway/tests/crash_support.py
+++ b/hawthornfold/gateway/tests/crash_support.py
@@ -76,8 +76,8 @@
             ).start()
 
     def _serve(self, connection):
-        connection.settimeout(HANG_S)
         with contextlib.suppress(OSError, ValueError):
+            connection.settimeout(HANG_S)
             stream = connection.makefile('rb')
             while (request := read_request(stream)) is not None:
                 self.arrivals.append((time.monotonic(), request.target))
--- a/hawthornfold/gateway/tests/test_rate_limits.py
+++ b/hawthornfold/gateway/tests/test_rate_limits.py
@@ -1,7 +1,6 @@
 """Played loads: servers that name how many requests a second they take."""
 
 import bisect
-import functools
 import math
 import types
 import unittest
@@ -12,8 +11,8 @@
 from hawthornfold.eligibility import create_rate_limiter
 from hawthornfold.gateway.rate_exchange import RateExchange
 from hawthornfold.gateway.tests import loads
+from hawthornfold.gateway.tests.fleets import SimulatedFleet
 from hawthornfold.gathering import Verdict
-from hawthornfold.membership import Member
 from hawthornfold.metrics import create_metrics
 from hawthornfold.rendezvous import choose_names
 
@@ -36,45 +35,6 @@
 MIN_USE = 0.8
 
 
-class SimulatedFleet:
-    """Delivers messages between the nodes of a load, unless they are cut."""
-
-    def __init__(self, load, name):
-        self._load = load
-        self.own_name = name
-        self.handlers = {}
-        self.version = 1
-        # The names that this node regards as live; all by default.
-        self.live = None
-        self.is_cut = False
-
-    def list_live(self):
-        names = self._load.fleets if self.live is None else self.live
-        return [Member(name, name, 'dc', 1, 'live') for name in names]
-
-    def set_live(self, names):
-        self.version += 1
-        self.live = names
-
-    def list_others(self):
-        return self.list_live()[1:]
-
-    def register(self, body_type, handler):
-        self.handlers[body_type] = handler
-
-    def send(self, name, address, body, keeps_open=False):
-        sender = types.SimpleNamespace(
-            name=self.own_name, address=self.own_name
-        )
-        receiver = self._load.fleets[name]
-        if self.is_cut != receiver.is_cut:
-            return
-        handler = receiver.handlers[type(body)]
-        self._load.simulation.schedule(
-            loads.NETWORK_MS, functools.partial(handler, sender, body)
-        )
-
-
 class LimitedNode(loads.SimulatedNode):
     """A node that keeps the limits that servers name."""
 
@@ -94,7 +54,7 @@
             )
             self.directory.apply([ServerChange(server_id, record)], 0.0)
         clock = types.SimpleNamespace(now_ms=lambda: simulation.now_ms)
-        load.fleets[name] = SimulatedFleet(load, name)
+        load.fleets[name] = SimulatedFleet(load.fleets, simulation, name)
         self._exchange = RateExchange(self.limiter, load.fleets[name], clock)
         # When the node was first told of the limit of a server, by its id.
         self.told_ms = {}
--- a/hawthornfold/gathering/collected_answer.py
+++ b/hawthornfold/gathering/collected_answer.py
@@ -68,6 +68,11 @@
         """The services of the parts without an answer."""
         return [p.service for p in self._parts if p.answer is None]
 
+    @property
+    def answered_services(self):
+        """The services of the answered parts."""
+        return [p.service for p in self._parts if p.answer is not None]
+
     @property
     def sufficient_ms(self):
         """When the minimum share of the parts was answered.
@@ -177,6 +182,9 @@
                 for part in self._parts
             )
             return Verdict.TIMED_OUT if has_sent else Verdict.NOT_RUN
+        if not is_running:
+            # Nothing can be answered that a held part waits for.
+            return self._determine_failure()
         if not self._has_abandoned_parts:
             return None
         achievable = sum(1 for part in self._parts if part.is_achievable)
--- a/hawthornfold/gathering/creation.py
+++ b/hawthornfold/gathering/creation.py
@@ -15,6 +15,7 @@
     groups=(),
     is_helper=False,
     regions=None,
+    suspect_services=None,
 ):
     """Create the execution of a request, with a `ServerChoice`.
 
@@ -34,4 +35,5 @@
         latency_tracker,
         groups,
         is_helper,
+        suspect_services,
     )
--- a/hawthornfold/gathering/divided_execution.py
+++ b/hawthornfold/gathering/divided_execution.py
@@ -34,6 +34,10 @@
     def _start_part(self, index, part, now_ms):
         """Start the first attempt of a part that no node has started."""
 
+    @abc.abstractmethod
+    def _release_held(self, now_ms):
+        """Start what has waited for an answer to another part."""
+
     @abc.abstractmethod
     def _retry_part(self, index, part, kind, now_ms):
         """Start another attempt after a failure if rule and budget allow."""
@@ -52,6 +56,10 @@
         now_ms : float
             Current time on the node's clock.
 
+        Returns
+        -------
+        list of Send
+
         Raises
         ------
         ValueError
@@ -68,6 +76,7 @@
             self._collected.record_answer(
                 index, ServerResponse(200, (), b'', seal), now_ms
             )
+        return self._release_held(now_ms) if answers else []
 
     def handle_group_not_run(self, attempt, unsent, not_executed, now_ms):
         """Record parts of a group that another node will not run.
--- a/hawthornfold/gathering/execution.py
+++ b/hawthornfold/gathering/execution.py
@@ -11,11 +11,14 @@
 from hawthornfold.gathering.actions import Cancel
 from hawthornfold.gathering.actions import Send
 from hawthornfold.gathering.actions import SendGroup
+from hawthornfold.gathering.actions import Verdict
 from hawthornfold.gathering.collected_answer import CollectedAnswer
 from hawthornfold.gathering.divided_execution import DividedExecution
 from hawthornfold.gathering.hedge_schedule import HedgeSchedule
 from hawthornfold.gathering.outcomes import OutcomeKind
 from hawthornfold.gathering.parts import Part
+from hawthornfold.gathering.server_ends import EndReaction
+from hawthornfold.gathering.server_ends import ServerEnds
 
 # Delay before another try to hedge a part for which there was no repeat budget
 # or no server.
@@ -43,6 +46,10 @@
         Indexes of the parts that other nodes gather, by node.
     is_helper : bool
         As for `CollectedAnswer`.
+    suspect_services : sequence of str or None
+        If servers have ended under the same request before: their services.
+        It is then sent to one server, of these if possible, and to the others
+        once that has answered. None if none has ended.
     """
 
     def __init__(
@@ -55,6 +62,7 @@
         latency_tracker,
         groups=(),
         is_helper=False,
+        suspect_services=None,
     ):
         self._times = times
         self._server_choice = server_choice
@@ -65,6 +73,12 @@
             )
         ]
         self._groups = groups
+        self._suspect_services = suspect_services or ()
+        self._ends = ServerEnds(len(services), suspect_services is not None)
+        # The parts that wait for an answer to another one: for their first
+        # attempt, and for another one.
+        self._held_starts = []
+        self._held_retries = []
         self._part_indexes = {}
         self._attempts = itertools.count()
         typical_max_ms = latency_tracker.typical_max_ms(decision)
@@ -81,6 +95,7 @@
             CollectedAnswer(decision, parts, times, is_helper),
             typical_max_ms,
         )
+        self._has_given_up = False
         self._hedge_count = 0
         self._retry_count = 0
         self._denied_count = 0
@@ -100,6 +115,11 @@
         """Number of hedges and retries that the budget did not allow."""
         return self._denied_count
 
+    @property
+    def is_testing(self):
+        """Whether the request is sent to one server only, as a suspect."""
+        return self._ends.is_testing
+
     @property
     def collected(self):
         """The `CollectedAnswer` to the parts so far."""
@@ -144,6 +164,8 @@
             for index in grouped:
                 self._collected.abandon(self._parts[index])
             return []
+        if self._ends.is_testing:
+            return self._start_test(chosen, now_ms)
         actions = [
             self._start_group(group, parts)
             for group, parts in enumerate(self._groups)
@@ -184,15 +206,52 @@
             self._collected.add_records(outcome.response.body)
             self._hedge_schedule.record_answer(now_ms)
             self._collected.record_answer(index, outcome.response, now_ms)
-            return [Cancel(other) for other in part.running]
+            cancels = [Cancel(other) for other in part.running]
+            return cancels + self._release_held(now_ms)
         if outcome.kind is OutcomeKind.FAILED:
             self._collected.record_failure(index, outcome.response)
-        return self._retry_part(index, part, outcome.kind, now_ms)
+        sends = self._retry_part(index, part, outcome.kind, now_ms)
+        if not sends and self._ends.is_testing:
+            sends = self._start_next_test(now_ms)
+        return sends
+
+    def handle_server_end(self, attempt, now_ms):
+        """Record that the server of an attempt has ended while it ran.
+
+        Parameters
+        ----------
+        attempt : int
+            Number of the attempt, from its `Send`.
+        now_ms : float
+            Current time on the node's clock.
+
+        Returns
+        -------
+        list of Send
+        """
+        index = self._part_indexes.pop(attempt)
+        part = self._parts[index]
+        self._ends.record_end(part.running.pop(attempt))
+        part.may_have_run = True
+        reaction = self._ends.choose_reaction()
+        if reaction is EndReaction.GIVE_UP:
+            self._has_given_up = True
+        elif part.answer is None and not part.running:
+            if reaction is EndReaction.RETRY:
+                return self._retry_part(index, part, OutcomeKind.LOST, now_ms)
+            part.is_held = True
+            self._held_retries.append(index)
+        return []
 
     def start_due_hedges(self, now_ms):
         """Start the hedges that are due and return them as `Send`."""
         schedule = self._hedge_schedule
-        if not self._decision.hedge or now_ms < schedule.next_check_ms:
+        if (
+            not self._decision.hedge
+            or now_ms < schedule.next_check_ms
+            or self._ends.is_testing
+            or self._ends.is_unexplained
+        ):
             return []
         schedule.begin_check(now_ms)
         sends = []
@@ -207,7 +266,7 @@
     def next_wakeup_ms(self, now_ms):
         """Return when hedges or the verdict must be checked next."""
         due = [self._times.deadline_ms]
-        if self._decision.hedge:
+        if self._decision.hedge and not self._ends.is_testing:
             due.append(max(self._hedge_schedule.next_check_ms, now_ms))
         if self._times.answer_ms > now_ms:
             due.append(self._times.answer_ms)
@@ -238,6 +297,8 @@
 
     def determine_verdict(self, now_ms):
         """Return the `Verdict`, or None while the request is in progress."""
+        if self._has_given_up:
+            return Verdict.UNKNOWN
         is_running = (
             bool(self._part_indexes) or self._group_attempts.is_any_running
         )
@@ -271,6 +332,59 @@
             self._parts[index].group_attempt = attempt
         return SendGroup(attempt, group, tuple(indexes))
 
+    def _start_test(self, chosen, now_ms):
+        """Start one part only; the others wait for its answer.
+
+        Parameters
+        ----------
+        chosen : list of (int, ServerRecord or None)
+            The parts and the servers that would be used.
+        now_ms : float
+            Current time on the node's clock.
+        """
+        available = [entry for entry in chosen if entry[1] is not None]
+        if not available:
+            return []
+        index, record = min(
+            available,
+            key=lambda entry: (
+                self._parts[entry[0]].service not in self._suspect_services
+            ),
+        )
+        for other, _ in available:
+            if other != index:
+                self._parts[other].is_held = True
+                self._held_starts.append(other)
+        return [self._start_attempt(index, record, now_ms)]
+
+    def _start_next_test(self, now_ms):
+        """Start another part alone, since the one before has no server."""
+        sends = []
+        while self._held_starts and not sends and not self._part_indexes:
+            index = self._held_starts.pop(0)
+            part = self._parts[index]
+            part.is_held = False
+            sends = self._start_part(index, part, now_ms)
+        return sends
+
+    def _release_held(self, now_ms):
+        """Start what has waited for an answer to another part."""
+        self._ends.record_answer()
+        starts, self._held_starts = self._held_starts, []
+        retries, self._held_retries = self._held_retries, []
+        sends = []
+        for index in starts:
+            part = self._parts[index]
+            part.is_held = False
+            sends += self._start_part(index, part, now_ms)
+        for index in retries:
+            part = self._parts[index]
+            part.is_held = False
+            sends += self._retry_part(index, part, OutcomeKind.LOST, now_ms)
+        if starts:
+            self._hedge_schedule.record_sent(now_ms)
+        return sends
+
     def _start_part(self, index, part, now_ms):
         """Start the first attempt of a part that no node has started."""
         part.repeat_budget.record_request(now_ms)
--- a/hawthornfold/gathering/parts.py
+++ b/hawthornfold/gathering/parts.py
@@ -22,6 +22,7 @@
         'failure',
         'group_attempt',
         'is_abandoned',
+        'is_held',
         'may_have_run',
         'next_hedge_ms',
         'not_executed_count',
@@ -46,13 +47,16 @@
         self.failure = None
         self.may_have_run = False
         self.is_abandoned = False
+        # Whether an attempt waits until another part has been answered.
+        self.is_held = False
         self.next_hedge_ms = 0.0
 
     @property
     def is_achievable(self):
-        """Whether the part is answered or an attempt is running."""
+        """Whether the part is answered, or an attempt is running or held."""
         return (
             self.answer is not None
+            or self.is_held
             or bool(self.running)
             or self.group_attempt is not None
         )
--- a/hawthornfold/gathering/tests/test_execution.py
+++ b/hawthornfold/gathering/tests/test_execution.py
@@ -51,6 +51,7 @@
         slack=100.0,
         groups=(),
         is_helper=False,
+        suspect_services=None,
         **fields,
     ):
         """Return an execution over `shards` shards of `servers` servers."""
@@ -81,6 +82,7 @@
             latency_tracker,
             groups,
             is_helper,
+            suspect_services=suspect_services,
         )
         return self.execution
 
--- a/hawthornfold/platform/tests/test_deadly_requests.py
+++ b/hawthornfold/platform/tests/test_deadly_requests.py
@@ -1,5 +1,6 @@
 """Requests that end servers, at the processes of several nodes."""
 
+import json
 import time
 
 from hawthornfold.gateway.tests import crash_support
@@ -91,4 +92,24 @@
             for number, node in enumerate(self.nodes)
         ]
         self.assertEqual({answer.status for answer in answers}, {200})
-        self.assertIsNone(answers[0].headers['Retry-After'])
+        self.check_operators_view()
+
+    def check_operators_view(self):
+        """Check that operators see the evidence and can lift the entry."""
+        first, last = self.nodes[0], self.nodes[-1]
+        (entry,) = self.list_suspects(last)
+        self.assertEqual(entry['state'], 'quarantined')
+        self.assertGreaterEqual(len(entry['ends']), 3)
+        self.assertGreaterEqual(len(entry['proofs']), 2)
+        self.assertIn('state=quarantined', first.read_log())
+        for name, status in ((32 * '0', 404), (entry['fingerprint'], 204)):
+            answer = last.send_request(
+                f'/quarantine/{name}', method='DELETE', port='ready'
+            )
+            self.assertEqual(answer.status, status)
+        for node in self.nodes:
+            node.wait_until(lambda node=node: not self.list_suspects(node))
+
+    def list_suspects(self, node):
+        status = node.send_request('/status', port='ready').data
+        return json.loads(status)['suspect_requests']
