Review case 1 and 2: a node that restarts takes answers of its predecessor

The new case 1 is the graver form: a node without links to servers hands a non-idempotent request over, is killed and started again, and answers a new client's request with the whole answer to the request of before.

--- a/review/standins.py
+++ b/review/standins.py
@@ -173,20 +173,34 @@
         self._items = {}
         self._events = []
         self._changed = asyncio.Event()
-        self._server = None
+        self._servers = []
 
     async def start(self):
         """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, limit=1 << 20
+        self.address = await self.open_view({})
+
+    async def open_view(self, addresses):
+        """Listen on a further port, for one node; return ``ip:port``.
+
+        The node's connections to servers pass a proxy. Entries that it reads
+        have the addresses of the proxy, from `addresses`, for those of the
+        servers.
+        """
+
+        async def serve(reader, writer):
+            await self._serve(reader, writer, addresses)
+
+        server = await asyncio.start_server(
+            serve, '127.0.0.1', 0, limit=1 << 20
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        self._servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        return f'127.0.0.1:{port}'
 
     def close(self):
         """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(self, key, value):
         """Write an item as JSON; the acknowledgement is immediate."""
@@ -214,7 +228,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, addresses):
         try:
             while (request := await read_message(reader)) is not None:
                 url = urllib.parse.urlsplit(request.start.split()[1])
@@ -229,7 +243,7 @@
                             ('Content-Type', 'application/json'),
                             ('Store-Era', self.era),
                         ],
-                        json.dumps(document).encode(),
+                        _translate(document, addresses),
                     )
                 )
                 await writer.drain()
@@ -257,7 +271,7 @@
             k for k in self._items if k.startswith(prefix) and k > after
         )
         return 200, {
-            'items': [self._items[key] for key in keys[:500]],
+            'items': [dict(self._items[key]) for key in keys[:500]],
             'HasMore': len(keys) > 500,
             'CurrentRev': self._revision,
         }
@@ -269,7 +283,7 @@
             return 410, {}
         while True:
             events = [
-                event
+                dict(event)
                 for event in self._events
                 if event['Revision'] > after
                 and event['Key'].startswith(prefix)
@@ -282,6 +296,86 @@
                 await asyncio.wait_for(changed.wait(), min(left_s, 0.5))
 
 
+def _translate(document, addresses):
+    """Return a reply of the store with the addresses that a node uses."""
+    for item in document.get('items', document.get('events', [])):
+        if not addresses or not item['Key'].startswith('servers/'):
+            continue
+        if 'Value' in item:
+            entry = json.loads(base64.b64decode(item['Value']))
+            entry['Address'] = addresses[entry['Address']]
+            item['Value'] = base64.b64encode(
+                json.dumps(entry).encode()
+            ).decode()
+    return json.dumps(document).encode()
+
+
+class Links:
+    """A proxy between one node and all servers, which can be cut.
+
+    While it is cut, connections break and new ones are refused.
+    """
+
+    def __init__(self):
+        # The address of the proxy, by that of the server.
+        self.addresses = {}
+        self.is_cut = False
+        self._listeners = []
+        self._writers = set()
+
+    async def open(self, address):
+        """Forward a further address."""
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        self.addresses[address] = f'127.0.0.1:{port}'
+        await self._listen(address)
+
+    async def _listen(self, address):
+        host, _, port = address.rpartition(':')
+
+        async def forward(reader, writer):
+            far_reader, far_writer = await asyncio.open_connection(host, port)
+            self._writers |= {writer, far_writer}
+            await asyncio.gather(
+                _copy(reader, far_writer), _copy(far_reader, writer)
+            )
+            self._writers -= {writer, far_writer}
+
+        own_host, _, own_port = self.addresses[address].rpartition(':')
+        self._listeners.append(
+            await asyncio.start_server(forward, own_host, int(own_port))
+        )
+
+    def cut(self):
+        """Break all connections, and refuse new ones."""
+        self.is_cut = True
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
+        for writer in tuple(self._writers):
+            reset(writer)
+
+    async def restore(self):
+        """Accept connections again."""
+        self.is_cut = False
+        for address in self.addresses:
+            await self._listen(address)
+
+    def close(self):
+        """Stop forwarding."""
+        self.cut()
+
+
+async def _copy(reader, writer):
+    """Forward bytes until one side closes."""
+    with contextlib.suppress(OSError):
+        while data := await reader.read(1 << 16):
+            writer.write(data)
+            await writer.drain()
+    writer.close()
+
+
 class Ledger:
     """What the servers have run: each seal, its request and its part."""
 
