--- a/review/1/case.py
+++ b/review/1/case.py
@@ -77,7 +77,7 @@
             'op/config',
             standins.create_configuration(17, [route], [SERVICE], 110),
         )
-        view = await store.open_view(links.addresses)
+        view = await store.open_view(standins.View(links.addresses))
         addresses = (store.address, store.address, view)
         nodes = [
             standins.Node(
--- a/review/standins.py
+++ b/review/standins.py
@@ -30,6 +30,8 @@
 _METRICS_PORT = 9100
 # A case may run for 120 s; the rest is for its clean-up.
 RUN_LIMIT_S = 100.0
+# How long the store keeps its history.
+HISTORY_S = 20.0
 _SETTINGS = """
 NodeName = "{name}"
 Role = "gateway"
@@ -162,33 +164,46 @@
     writer.transport.abort()
 
 
+class View:
+    """How the store treats the nodes that reach it by one address.
+
+    Parameters
+    ----------
+    addresses : dict of str to str
+        If their connections to servers pass a proxy: the addresses of the
+        proxy, by those of the servers.
+    """
+
+    def __init__(self, addresses=None):
+        self.addresses = addresses or {}
+        # Whether the store turns them away.
+        self.is_refused = False
+
+
 class Store:
     """The platform's metadata store: items, watches, and an era."""
 
     def __init__(self):
         self.era = 1
-        self.is_down = False
         self.address = ''
         self._revision = 100
+        self._oldest = 0
         self._items = {}
         self._events = []
+        # When each event was written.
+        self._written_s = []
         self._changed = asyncio.Event()
         self._servers = []
 
     async def start(self):
         """Listen on a free port."""
-        self.address = await self.open_view({})
-
-    async def open_view(self, addresses):
-        """Listen on a further port, for one node; return ``ip:port``.
+        self.address = await self.open_view(View())
 
-        The node's connections to servers pass a proxy. Entries that it reads
-        have the addresses of the proxy, from `addresses`, for those of the
-        servers.
-        """
+    async def open_view(self, view):
+        """Listen on a further port, for some nodes; return ``ip:port``."""
 
         async def serve(reader, writer):
-            await self._serve(reader, writer, addresses)
+            await self._serve(reader, writer, view)
 
         server = await asyncio.start_server(
             serve, '127.0.0.1', 0, limit=1 << 20
@@ -225,17 +240,29 @@
 
     def _publish(self, event):
         self._events.append(event)
+        self._written_s.append(time.monotonic())
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, reader, writer, addresses):
+    def _expire_history(self):
+        """Forget old events; return the oldest revision to watch from."""
+        while self._written_s and (
+            time.monotonic() - self._written_s[0] > HISTORY_S
+        ):
+            self._written_s.pop(0)
+            self._oldest = self._events.pop(0)['Revision']
+        return self._oldest
+
+    async def _serve(self, reader, writer, view):
         try:
             while (request := await read_message(reader)) is not None:
                 url = urllib.parse.urlsplit(request.start.split()[1])
                 query = dict(urllib.parse.parse_qsl(url.query, True))
-                if self.is_down:
+                if view.is_refused:
+                    break
+                status, document = await self._answer(url.path, query, view)
+                if view.is_refused:
                     break
-                status, document = await self._answer(url.path, query)
                 writer.write(
                     format_message(
                         f'HTTP/1.1 {status} Status',
@@ -243,7 +270,7 @@
                             ('Content-Type', 'application/json'),
                             ('Store-Era', self.era),
                         ],
-                        _translate(document, addresses),
+                        _translate(document, view.addresses),
                     )
                 )
                 await writer.drain()
@@ -252,7 +279,7 @@
         finally:
             reset(writer)
 
-    async def _answer(self, path, query):
+    async def _answer(self, path, query, view):
         await asyncio.sleep(0.004)
         if path == '/api/kv-key':
             item = self._items.get(query.get('Key'))
@@ -262,7 +289,7 @@
         if path == '/api/kv-range':
             return self._read_range(query)
         if path == '/api/kv-watch':
-            return await self._watch(query)
+            return await self._watch(query, view)
         return 404, {}
 
     def _read_range(self, query):
@@ -276,12 +303,12 @@
             'CurrentRev': self._revision,
         }
 
-    async def _watch(self, query):
+    async def _watch(self, query, view):
         prefix, after = query.get('Prefix', ''), int(query['after'])
         end_s = time.monotonic() + int(query.get('WaitMs', 0)) / 1000.0
-        if after > self._revision:
-            return 410, {}
         while True:
+            if not self._expire_history() <= after <= self._revision:
+                return 410, {}
             events = [
                 dict(event)
                 for event in self._events
@@ -289,7 +316,7 @@
                 and event['Key'].startswith(prefix)
             ]
             left_s = end_s - time.monotonic()
-            if events or left_s <= 0 or self.is_down:
+            if events or left_s <= 0 or view.is_refused:
                 return 200, {'events': events, 'CurrentRev': self._revision}
             changed = self._changed
             with contextlib.suppress(TimeoutError):
