--- a/review/standins.py
+++ b/review/standins.py
@@ -809,6 +809,8 @@
 async def _run(case, record, temporary, has_trouble):
     """Run a case within the time limit; end all its tasks."""
     own = asyncio.current_task()
+    # Ends the nodes also if the script is stopped from outside.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
     try:
         return await asyncio.wait_for(
             case(record, temporary, has_trouble), RUN_LIMIT_S
@@ -833,7 +835,7 @@
     try:
         with open_folder() as temporary:
             faults = asyncio.run(_run(case, record, temporary, has_trouble))
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         # Whatever fails in the script itself shows nothing.
         record.write(f'cannot run: {type(error).__name__} {error}')
         raise SystemExit(2)
