--- a/review/standins.py
+++ b/review/standins.py
@@ -486,8 +486,11 @@
                     with contextlib.suppress(asyncio.CancelledError):
                         await work
                     break
-                writer.write(work.result())
+                answer = work.result()
+                writer.write(answer)
                 await writer.drain()
+                if b'\r\nConnection: close\r\n' in answer:
+                    break
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
