Match replies to handed-over requests with unique ids

A node hands a request over, is killed, and is started with the same name and address. Delegations numbered its calls from 0 in each process and compared nothing else, so that the new process took the answer for that to its own call, from any node. A late decline was taken as well: the node then handed its request to a second node, or refused it as not run, while the first ran it.

Nodes return the id that they were sent, so that this holds with nodes of older releases; the start time of the process would not do, because a clock that is set back can repeat it. The reply has to come from the node that was asked. The new counter unmatched_replies shows replies without a call.

--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -1,6 +1,5 @@
 """Delegates queries to nodes with spare capacity and serves delegated ones."""
 
-import itertools
 import random
 
 import eventlet
@@ -17,6 +16,7 @@
 from hawthornfold.delegation.policy import DECLINED_BACKOFF_MS
 from hawthornfold.delegation.policy import UNANSWERED_BACKOFF_MS
 from hawthornfold.gateway.cancellation import Cancellation
+from hawthornfold.peers import create_call_ids
 
 _LOG = logbook.Logger('delegation')
 
@@ -79,7 +79,8 @@
         self._metrics = metrics
         self._answer_delegated = answer_delegated
         self._is_isolated = is_isolated
-        self._call_ids = itertools.count()
+        self._call_ids = create_call_ids()
+        # By call id: the name of the node and the event of its reply.
         self._pending = {}
         self._accepted = {}
         for body_type, handler in (
@@ -103,7 +104,7 @@
 
     def end_early(self):
         """End the wait for all delegates, because the node exits."""
-        for event in self._pending.values():
+        for _, event in self._pending.values():
             _resolve(event, None)
 
     def choose_offer(self, decision, declined_count):
@@ -193,7 +194,8 @@
             may have executed the request.
         """
         call = next(self._call_ids)
-        event = self._pending[call] = eventlet.event.Event()
+        event = eventlet.event.Event()
+        self._pending[call] = (room.name, event)
         delegate = delegate._replace(call=call)
         self._policy.record_delegation_start(room.name)
         reply = None
@@ -288,9 +290,11 @@
             cancellation.cancel()
 
     def _on_delegated(self, sender, reply):
-        event = self._pending.get(reply.call)
-        if event is not None:
+        name, event = self._pending.get(reply.call, ('', None))
+        if name == sender.name:
             _resolve(event, reply)
+        else:
+            self._metrics.count('unmatched_replies', type='delegated')
 
 
 def _sample_rooms(rooms, rng=random):
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -40,13 +40,16 @@
         self.cut = set()
 
     def create(self, name):
-        return StubFleet(self, name)
+        """Create the fleet of a node; a former process of it sends no more."""
+        former = self.fleets.get(name)
+        return StubFleet(self, name, former.incarnation + 1 if former else 1)
 
 
 class StubFleet:
-    def __init__(self, network, name):
+    def __init__(self, network, name, incarnation):
         self._network = network
         self.name = name
+        self.incarnation = incarnation
         self._handlers = {}
         network.fleets[name] = self
 
@@ -57,10 +60,14 @@
         return True
 
     def send(self, name, address, body, keeps_open=False):
+        if self._network.fleets[self.name] is not self:
+            return
         if not {name, self.name} & self._network.cut:
             receiver = self._network.fleets[name]
             sender = types.SimpleNamespace(
-                name=self.name, incarnation=1, address=self.name
+                name=self.name,
+                incarnation=self.incarnation,
+                address=self.name,
             )
             eventlet.spawn_n(receiver._handlers[type(body)], sender, body)
 
@@ -70,11 +77,11 @@
     yield
 
 
-class DelegationsTest(unittest.TestCase):
+class DelegationsTestCase(unittest.TestCase):
+    """A small node that delegates to a large one."""
+
     def setUp(self):
         self.network = Network()
-        self.held_outcome = eventlet.event.Event()
-        self.seen = []
         self.small = self.create('small', SMALL, lambda *_: None)
         self.large = self.create('large', LARGE, self.answer)
         self.room = Room('large', 'large', 'dc', *LARGE, 0.0)
@@ -92,6 +99,16 @@
             answer,
         )
 
+    def answer(self, delegate, watch_caller):
+        raise NotImplementedError
+
+
+class DelegationsTest(DelegationsTestCase):
+    def setUp(self):
+        super().setUp()
+        self.held_outcome = eventlet.event.Event()
+        self.seen = []
+
     def answer(self, delegate, watch_caller):
         self.seen.append(delegate)
         if delegate.target == '/hold/':
--- a/hawthornfold/peers/__init__.py
+++ b/hawthornfold/peers/__init__.py
@@ -1,5 +1,6 @@
 """Message links between nodes over ZeroMQ."""
 
+from hawthornfold.peers.call_ids import create_call_ids
 from hawthornfold.peers.codec import Sender
 from hawthornfold.peers.codec import derive_message_type
 from hawthornfold.peers.keys import KeyPair
@@ -11,6 +12,7 @@
     'KeyPair',
     'PeerLinks',
     'Sender',
+    'create_call_ids',
     'create_key_pair',
     'derive_message_type',
     'open_peer_links',
