Match gathered parts with unique call ids

A node has another one gather parts of a query, is killed, and is started with the same name and address. GroupCaller numbered its calls from 0 in each process and compared that number and the name of the other node, so that parts for the killed process counted for a new query.

Group calls now take their ids from create_call_ids, as requests that are handed over do, and replies without a call are counted.

--- a/hawthornfold/gateway/group_calls.py
+++ b/hawthornfold/gateway/group_calls.py
@@ -4,13 +4,12 @@
 before it repeats a part, when they are due, and at the end.
 """
 
-import itertools
-
 from eventlet import hubs
 
 from hawthornfold.delegation import GatherCancel
 from hawthornfold.delegation import PartsReply
 from hawthornfold.gathering import GroupEnd
+from hawthornfold.peers import create_call_ids
 
 # A node that neither accepts nor declines for the mean time that this takes
 # plus this many deviations, within the bounds, counts as silent.
@@ -101,7 +100,7 @@
         self._policy = policy
         self._clock = clock
         self._metrics = metrics
-        self._call_ids = itertools.count()
+        self._call_ids = create_call_ids()
         self._calls = {}
         self._accept_timeout = AcceptTimeout()
         fleet.register(PartsReply, self._handle_reply)
@@ -207,6 +206,7 @@
     def _handle_reply(self, sender, reply):
         call = self._calls.get(reply.call)
         if call is None or call.node.name != sender.name:
+            self._metrics.count('unmatched_replies', type='parts')
             return
         now_ms = self._clock.now_ms()
         if reply.status == 'declined':
--- a/hawthornfold/gateway/tests/test_restarted_nodes.py
+++ b/hawthornfold/gateway/tests/test_restarted_nodes.py
@@ -4,15 +4,30 @@
 other nodes send to that one reaches its successor.
 """
 
+import types
+import unittest
+from unittest import mock
+
 import eventlet
 
+from hawthornfold.clock import create_manual_clock
+from hawthornfold.delegation import GatherParts
+from hawthornfold.delegation import PartsReply
 from hawthornfold.gateway.answers import GatewayAnswer
+from hawthornfold.gateway.group_calls import GroupCaller
 from hawthornfold.gateway.tests import test_delegations
 from hawthornfold.gateway.tests.test_delegations import LARGE
 from hawthornfold.gateway.tests.test_delegations import REQUEST
 from hawthornfold.gateway.tests.test_delegations import SMALL
+from hawthornfold.gathering import GroupEnd
+from hawthornfold.membership import Member
+from hawthornfold.metrics import create_metrics
 
 HANG_S = 10.0
+HELPER = Member('helper', 'helper', 'dc', 1, 'live')
+GROUP = GatherParts(
+    0, 'search', '', (0, 1), 'r1', 'GET', b'', b'', 1e3 * HANG_S, 1e3 * HANG_S
+)
 
 
 class DelegatedAnswerTest(test_delegations.DelegationsTestCase):
@@ -78,3 +93,58 @@
         # as not run, while the first one runs it.
         reply = self.delegate_new('large', None)
         self.assertEqual((reply.status, reply.body), (200, b'new'))
+
+
+class GatheredPartsTest(unittest.TestCase):
+    """A node has another one gather parts, is killed, and starts again."""
+
+    def setUp(self):
+        _, self.old_id = self.start(mock.Mock())
+        self.listener = mock.Mock()
+        self.call, self.new_id = self.start(self.listener)
+
+    def start(self, listener):
+        """Start a process of the node and its first call.
+
+        Returns
+        -------
+        tuple of (_Call, int)
+            The call and its id.
+        """
+        self.fleet = mock.Mock()
+        caller = GroupCaller(
+            self.fleet,
+            mock.Mock(),
+            create_manual_clock(),
+            create_metrics(),
+        )
+        self.addCleanup(lambda: caller.cancel(call))
+        call = caller.start(HELPER, GROUP, 0, listener)
+        return call, self.fleet.send.call_args.args[2].call
+
+    def deliver(self, *fields):
+        """Deliver a reply of the helper to the restarted process."""
+        _, handle = self.fleet.register.call_args.args
+        sender = types.SimpleNamespace(name=HELPER.name, incarnation=1)
+        handle(sender, PartsReply(*fields))
+
+    def test_parts_for_a_killed_process_do_not_count(self):
+        # Guards against answers with records of another caller's query, which
+        # a killed process of the same node had divided.
+        for status in (
+            'accepted',
+            'repeating',
+            'answers',
+            'not-run',
+            'declined',
+            'lost',
+            'finished',
+        ):
+            with self.subTest(status):
+                self.deliver(self.old_id, status, (0,), ('old',), b'o' * 16)
+                self.assertEqual(self.listener.method_calls, [])
+        self.assertEqual(self.call.end, '')
+        self.deliver(self.new_id, 'finished', (0, 1), ('a', 'b'), b'n' * 16)
+        (answers, end) = self.listener.method_calls
+        self.assertEqual(answers.args[1].seals, ('a', 'b'))
+        self.assertEqual(end.args, (0, GroupEnd.FINISHED))
