--- a/hawthornfold/audit/lookup.py
+++ b/hawthornfold/audit/lookup.py
@@ -9,6 +9,8 @@
 import eventlet
 import eventlet.event
 
+from hawthornfold.peers import create_call_ids
+
 TIMEOUT_MS = 1000.0
 
 
@@ -44,7 +46,7 @@
         self._links = links
         self._membership = membership
         self._waiting = {}
-        self._counter = 0
+        self._lookup_ids = create_call_ids()
         links.register(ExplainRequest, self._handle_request)
         links.register(ExplainReply, self._handle_reply)
 
@@ -68,8 +70,7 @@
         return issuer, None
 
     def _request_events(self, member, request_id):
-        self._counter += 1
-        lookup_id = self._counter
+        lookup_id = next(self._lookup_ids)
         done = eventlet.event.Event()
         self._waiting[lookup_id] = done
         reply = None
--- a/hawthornfold/audit/tests/test_lookup.py
+++ b/hawthornfold/audit/tests/test_lookup.py
@@ -1,6 +1,8 @@
 import collections
 import unittest
 
+import eventlet
+
 from hawthornfold import audit
 from hawthornfold import clock
 from hawthornfold.audit import lookup as lookups
@@ -53,3 +55,27 @@
         self.assertEqual(('a', None), lookup.find_events('a~7~q2'))
         self.assertEqual(('c', None), lookup.find_events('c~7~q1'))
         self.assertEqual(('gone', None), lookup.find_events('gone~1~q1'))
+
+    def test_reply_to_a_former_process_does_not_count(self):
+        # Guards against operators who see the journal of another request,
+        # which a killed process of the same node had looked up.
+        network = {}
+        members = Membership([Member(name, name) for name in ('a', 'b')])
+        requests = []
+        network['a'] = issuer = DirectLinks('a', network)
+        issuer.register(
+            lookups.ExplainRequest, lambda _, body: requests.append(body)
+        )
+        _, former = create_node('b', network, members)
+        threads = [eventlet.spawn(former.find_events, 'a~7~q1')]
+        _, lookup = create_node('b', network, members)
+        threads.append(eventlet.spawn(lookup.find_events, 'a~7~q2'))
+        while len(requests) < 2:
+            eventlet.sleep(0)
+        for number, request in enumerate(requests):
+            events = [(float(number), 'send', request.request_id, '')]
+            reply = lookups.ExplainReply(request.lookup_id, True, events)
+            network['b'].handlers[lookups.ExplainReply](Member('a', ''), reply)
+        _, events = threads[1].wait()
+        self.assertEqual([(1.0, 'send', 'a~7~q2', '')], events)
+        threads[0].kill()
--- a/hawthornfold/gateway/tests/test_restarted_nodes.py
+++ b/hawthornfold/gateway/tests/test_restarted_nodes.py
@@ -15,6 +15,7 @@
 from hawthornfold.delegation import PartsReply
 from hawthornfold.gateway.answers import GatewayAnswer
 from hawthornfold.gateway.group_calls import GroupCaller
+from hawthornfold.gateway.tests import support
 from hawthornfold.gateway.tests import test_delegations
 from hawthornfold.gateway.tests.test_delegations import LARGE
 from hawthornfold.gateway.tests.test_delegations import REQUEST
@@ -23,11 +24,8 @@
 from hawthornfold.membership import Member
 from hawthornfold.metrics import create_metrics
 
-HANG_S = 10.0
 HELPER = Member('helper', 'helper', 'dc', 1, 'live')
-GROUP = GatherParts(
-    0, 'search', '', (0, 1), 'r1', 'GET', b'', b'', 1e3 * HANG_S, 1e3 * HANG_S
-)
+GROUP = GatherParts(0, 'search', '', (0, 1), 'r1', 'GET', b'', b'', 1e4, 1e4)
 
 
 class DelegatedAnswerTest(test_delegations.DelegationsTestCase):
@@ -38,7 +36,7 @@
         self.answers = {}
         self.create('other', LARGE, self.answer)
         eventlet.spawn_n(self.delegate, self.small, 'large', '/old/')
-        self.wait_until(lambda: '/old/' in self.answers)
+        support.wait_until(lambda: '/old/' in self.answers)
         self.small = self.create('small', SMALL, lambda *_: None)
 
     def answer(self, delegate, watch_caller):
@@ -48,9 +46,7 @@
 
     def delegate(self, node, name, target):
         room = self.room._replace(name=name, address=name)
-        request = REQUEST._replace(
-            target=target, objective_left_ms=1_000.0 * HANG_S
-        )
+        request = REQUEST._replace(target=target, objective_left_ms=1e4)
         return node.delegate_request(
             room, request, test_delegations.ignore_caller
         )
@@ -66,17 +62,12 @@
             What the restarted node takes for the answer to its request.
         """
         thread = eventlet.spawn(self.delegate, self.small, name, '/new/')
-        self.wait_until(lambda: '/new/' in self.answers)
+        support.wait_until(lambda: '/new/' in self.answers)
         self.answers['/old/'].send(old_answer)
         eventlet.sleep(0.02)
         self.answers['/new/'].send(GatewayAnswer(200, (), b'new'))
         return thread.wait()
 
-    def wait_until(self, condition):
-        with eventlet.Timeout(HANG_S):
-            while not condition():
-                eventlet.sleep(0.001)
-
     def test_answer_to_a_killed_process_does_not_reach_another_caller(self):
         # Guards against callers that get the answer to the request of another
         # caller, which a killed process of the same node had delegated.
