Have a test answer the call that was sent

test_answer_that_arrived_during_a_pause_is_used failed since: it answered call 0, and ids of calls no longer start there. It now returns the id of the request, as a node does, and still checks that this answer is used.

--- a/hawthornfold/gateway/tests/test_pause_faults.py
+++ b/hawthornfold/gateway/tests/test_pause_faults.py
@@ -99,22 +99,21 @@
 
     def test_answer_that_arrived_during_a_pause_is_used(self):
         # Guards against 'it may have run' for a query whose answer is there.
-        reply = Delegated(0, 200, (), b'body')
+        replies = []
 
         def pause():
             # The answer is readable when the time for it has passed.
             time.sleep(0.1)
-            eventlet.spawn_after(0, self.deliver, reply)
+            replies.append(Delegated(self.sent[0].call, 200, (), b'body'))
+            eventlet.spawn_after(0, self.deliver, replies[0])
 
         eventlet.spawn_after(0, pause)
         room = Room('other', 'other', 'dc', 70.0, 2.0, 0.0)
         request = REQUEST._replace(
             objective_left_ms=1.0, deadline_left_ms=60.0
         )
-        self.assertEqual(
-            self.delegations.delegate_request(room, request, ignore_caller),
-            reply,
-        )
+        reply = self.delegations.delegate_request(room, request, ignore_caller)
+        self.assertEqual([reply], replies)
 
 
 class GroupPauseTest(unittest.TestCase):
