--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -16,7 +16,6 @@
 from hawthornfold.delegation.policy import DECLINED_BACKOFF_MS
 from hawthornfold.delegation.policy import UNANSWERED_BACKOFF_MS
 from hawthornfold.gateway.cancellation import Cancellation
-from hawthornfold.gateway.cancellation import cancel_former_runs
 from hawthornfold.peers import create_call_ids
 
 _LOG = logbook.Logger('delegation')
@@ -92,7 +91,6 @@
             (Delegated, self._on_delegated),
         ):
             fleet.register(body_type, handler)
-        fleet.subscribe_to_restarts(self._handle_restart)
 
     @property
     def policy(self):
@@ -271,11 +269,7 @@
             answer = self._answer_delegated(delegate, cancellation.watch)
         finally:
             del self._accepted[key]
-            # Nobody waits for the end of a cancelled run. Its sender may have
-            # been killed, and its successor could take a decline for that of
-            # a call of its own if it runs an older release.
-            if not cancellation.is_cancelled:
-                self._send_answer(sender, delegate.call, answer)
+            self._send_answer(sender, delegate.call, answer)
 
     def _send_answer(self, sender, call, answer):
         body = Delegated(call, 0, (), b'', is_isolated=self._is_isolated())
@@ -295,9 +289,6 @@
         if cancellation is not None:
             cancellation.cancel()
 
-    def _handle_restart(self, name, incarnation):
-        cancel_former_runs(self._accepted, name, incarnation, self._metrics)
-
     def _on_delegated(self, sender, reply):
         name, event = self._pending.get(reply.call, ('', None))
         if name == sender.name:
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -218,20 +218,6 @@
         """Call ``handler(sender, body)`` for each message of a type."""
         self._links.register(body_type, handler)
 
-    def subscribe_to_restarts(self, callback):
-        """Call ``callback(name, incarnation)`` when a node has restarted.
-
-        It may be called several times for one restart: this node may first
-        hear of it from the new process or from a third one.
-        """
-
-        def report_members():
-            for member in self._membership.members[1:]:
-                callback(member.name, member.incarnation)
-
-        self._links.subscribe_to_restarts(callback)
-        self._membership.subscribe(report_members)
-
     def send_to_readers(self, body):
         """Send a message to a few random readers of the store."""
         readers = self._roles.readers
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -8,7 +8,6 @@
 from hawthornfold.delegation import GatherParts
 from hawthornfold.delegation import PartsReply
 from hawthornfold.gateway.cancellation import Cancellation
-from hawthornfold.gateway.cancellation import cancel_former_runs
 from hawthornfold.gateway.exchange import OutgoingRequest
 from hawthornfold.gateway.observers import RelayObserver
 from hawthornfold.gateway.runner import RequestPlan
@@ -134,7 +133,6 @@
         self._running = {}
         fleet.register(GatherParts, self._handle_parts)
         fleet.register(GatherCancel, self._handle_cancel)
-        fleet.subscribe_to_restarts(self._handle_restart)
 
     @property
     def running_count(self):
@@ -228,9 +226,6 @@
         if group is not None:
             group.cancel()
 
-    def _handle_restart(self, name, incarnation):
-        cancel_former_runs(self._running, name, incarnation, self._metrics)
-
     def _serve(
         self, sender, outgoing, plan, reporter, key, suspicion, sent_count
     ):
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -98,7 +98,6 @@
         self._last_used_ms = {}
         self._key_indexes = {}
         self._incarnations = {}
-        self._restart_callbacks = []
         self._error_logged_ms = -math.inf
         self._threads = []
         # Context.term() blocks the process until every socket is closed.
@@ -171,13 +170,6 @@
         self._decoder.register(body_type)
         self._handlers[body_type] = handler
 
-    def subscribe_to_restarts(self, callback):
-        """Call ``callback(name, incarnation)`` for each restarted node.
-
-        The call comes before the first message of the new process is handled.
-        """
-        self._restart_callbacks.append(callback)
-
     def close_link(self, name):
         """Close the link to a node; queued messages are discarded."""
         link = self._links.pop(name, None)
@@ -356,9 +348,6 @@
         ):
             del self._incarnations[next(iter(self._incarnations))]
         self._incarnations[sender.name] = sender.incarnation
-        if latest_incarnation is not None:
-            for callback in self._restart_callbacks:
-                callback(sender.name, sender.incarnation)
 
     def _run_idle_check(self):
         while True:
