Withhold replies to processes that have been replaced

Its calls are numbered from 0, so only the answering node can tell the two processes apart.

Fleet.reply sends a reply only while no newer process of the asking node is known, from its own frames or from the membership. Delegations and GroupHelper use it. The counter replies_withheld shows such replies.

Two new tests over sockets: a reply after the new process has sent a message, and after a third node has reported it.

--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -281,7 +281,7 @@
                 answer.body,
                 answer.overdue_ms,
             )
-        self._fleet.send(sender.name, sender.address, body)
+        self._fleet.reply(sender, body)
 
     def _on_cancel(self, sender, cancel):
         key = (sender.name, sender.incarnation, cancel.call)
--- a/hawthornfold/gateway/fleet.py
+++ b/hawthornfold/gateway/fleet.py
@@ -116,9 +116,17 @@
     """Membership of the gateway nodes and their messages to each other."""
 
     def __init__(
-        self, membership, links, clock, counter, roster, has_seeds=False
+        self,
+        membership,
+        links,
+        clock,
+        metrics,
+        counter,
+        roster,
+        has_seeds=False,
     ):
         self._has_seeds = has_seeds
+        self._metrics = metrics
         self._membership = membership
         self._links = links
         self._clock = clock
@@ -214,6 +222,27 @@
         """
         self._links.send(name, address, body, keeps_open)
 
+    def reply(self, sender, body):
+        """Send a reply to the process that sent a message.
+
+        If the node has started another process since then, the reply is
+        dropped. That process has the same address, and one of an older
+        release takes the reply for that to a call of its own.
+
+        Parameters
+        ----------
+        sender : Sender
+            The sender in the envelope of the message.
+        body : NamedTuple
+            The reply.
+        """
+        if self._links.has_newer_process(
+            sender
+        ) or self._membership.has_newer_process(sender):
+            self._metrics.count('replies_withheld')
+            return
+        self.send(sender.name, sender.address, body)
+
     def register(self, body_type, handler):
         """Call ``handler(sender, body)`` for each message of a type."""
         self._links.register(body_type, handler)
@@ -284,6 +313,7 @@
                 membership,
                 links,
                 clock,
+                metrics,
                 NodeCounter(min_count),
                 roster,
                 bool(_list_seeds(settings)),
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -150,9 +150,8 @@
                 sender.name,
                 detail,
             )
-            self._fleet.send(
-                sender.name,
-                sender.address,
+            self._fleet.reply(
+                sender,
                 PartsReply(
                     message.call,
                     'declined',
@@ -267,6 +266,4 @@
         return plan, reporter
 
     def _reply(self, sender, call, *fields):
-        self._fleet.send(
-            sender.name, sender.address, PartsReply(call, *fields)
-        )
+        self._fleet.reply(sender, PartsReply(call, *fields))
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -56,6 +56,9 @@
     def register(self, body_type, handler):
         self._handlers[body_type] = handler
 
+    def reply(self, sender, body):
+        self.send(sender.name, sender.address, body)
+
     def is_live(self, name):
         return True
 
--- a/hawthornfold/gateway/tests/test_groups.py
+++ b/hawthornfold/gateway/tests/test_groups.py
@@ -79,6 +79,9 @@
         if self.passes(body):
             eventlet.spawn_n(self._nodes[name].fleet.deliver, self._name, body)
 
+    def reply(self, sender, body):
+        self.send(sender.name, sender.address, body)
+
     def deliver(self, name, body):
         sender = types.SimpleNamespace(name=name, incarnation=1, address=name)
         self._handlers[type(body)](sender, body)
--- a/hawthornfold/gateway/tests/test_pause_faults.py
+++ b/hawthornfold/gateway/tests/test_pause_faults.py
@@ -60,7 +60,9 @@
     def setUp(self):
         self.sent, self.handlers, self.runs = [], {}, []
         fleet = types.SimpleNamespace(
-            register=self.handlers.__setitem__, send=self.send
+            register=self.handlers.__setitem__,
+            send=self.send,
+            reply=lambda sender, body: self.sent.append(body),
         )
         settings = types.SimpleNamespace(
             node_name='n', peer_address='n', data_centre='dc'
--- a/hawthornfold/gateway/tests/test_restarted_nodes.py
+++ b/hawthornfold/gateway/tests/test_restarted_nodes.py
@@ -4,17 +4,26 @@
 other nodes send to that one reaches its successor.
 """
 
+import contextlib
 import types
 import unittest
 from unittest import mock
 
 import eventlet
+import eventlet.queue
 
+from hawthornfold.audit import create_audit_trail
 from hawthornfold.clock import create_manual_clock
+from hawthornfold.clock import create_system_clock
+from hawthornfold.delegation import Delegate
+from hawthornfold.delegation import Delegated
 from hawthornfold.delegation import GatherParts
 from hawthornfold.delegation import PartsReply
+from hawthornfold.emulator.processes import pick_ports
 from hawthornfold.gateway.answers import GatewayAnswer
+from hawthornfold.gateway.fleet import open_fleet
 from hawthornfold.gateway.group_calls import GroupCaller
+from hawthornfold.gateway.settings import GatewaySettings
 from hawthornfold.gateway.tests import support
 from hawthornfold.gateway.tests import test_delegations
 from hawthornfold.gateway.tests.test_delegations import LARGE
@@ -139,3 +148,86 @@
         (answers, end) = self.listener.method_calls
         self.assertEqual(answers.args[1].seals, ('a', 'b'))
         self.assertEqual(end.args, (0, GroupEnd.FINISHED))
+
+
+class ReplyTest(unittest.TestCase):
+    """A node is asked by another one, which then restarts."""
+
+    def setUp(self):
+        self.received = eventlet.queue.Queue()
+        self.addresses = {
+            name: f'127.0.0.1:{port}'
+            for name, port in zip(
+                ('helper', 'entry'), pick_ports(2), strict=True
+            )
+        }
+        self.metrics = create_metrics()
+        self.fleet = self.enterContext(self.open('helper', self.metrics))
+
+    @contextlib.contextmanager
+    def open(self, name, metrics):
+        """Run a process of a node with the helper as its seed."""
+        settings = GatewaySettings(
+            name,
+            'dc',
+            '',
+            '',
+            self.addresses[name],
+            (self.addresses['helper'],),
+            0,
+            '',
+            0.2,
+            1e3,
+            1e4,
+            6e3,
+        )
+        clock = create_system_clock()
+        audit = create_audit_trail(clock)
+        with open_fleet(settings, clock, metrics, audit) as fleet:
+            for body_type in (Delegate, Delegated):
+                fleet.register(
+                    body_type, lambda *message: self.received.put(message)
+                )
+            yield fleet
+
+    def ask(self, fleet, call):
+        """Have a process of the entry ask the helper; return the sender."""
+        fleet.send(
+            'helper', self.addresses['helper'], REQUEST._replace(call=call)
+        )
+        sender, _ = self.received.get(timeout=support.HANG_S)
+        return sender
+
+    def test_reply_to_a_former_process_is_withheld(self):
+        # Guards against restarted nodes of an older release, which take the
+        # reply to a former process for that to a call of their own: their
+        # callers get the answers of other callers.
+        with self.open('entry', create_metrics()) as fleet:
+            former = self.ask(fleet, 0)
+        eventlet.sleep(0.002)
+        with self.open('entry', create_metrics()) as fleet:
+            sender = self.ask(fleet, 0)
+            self.fleet.reply(former, Delegated(0, 200, (), b'old'))
+            self.fleet.reply(sender, Delegated(0, 200, (), b'new'))
+            _, reply = self.received.get(timeout=support.HANG_S)
+        self.assertEqual(reply.body, b'new')
+        self.assertEqual(self.metrics.value('replies_withheld'), 1)
+
+    def test_restart_that_a_third_node_reports(self):
+        # Guards against the same if the restarted node has sent nothing yet.
+        with self.open('entry', create_metrics()) as fleet:
+            former = self.ask(fleet, 0)
+            support.wait_until(lambda: self.fleet.list_others())
+            newer = former.incarnation + 1
+            own = self.fleet._membership._state.table.get('entry')
+            self.fleet._membership._state.merge_update(
+                own._replace(incarnation=newer), 'third'
+            )
+            self.fleet.reply(former, Delegated(0, 200, (), b'old'))
+            self.fleet.reply(
+                former._replace(incarnation=newer),
+                Delegated(0, 200, (), b'new'),
+            )
+            _, reply = self.received.get(timeout=support.HANG_S)
+        self.assertEqual(reply.body, b'new')
+        self.assertEqual(self.metrics.value('replies_withheld'), 1)
--- a/hawthornfold/membership/service.py
+++ b/hawthornfold/membership/service.py
@@ -55,6 +55,11 @@
         record = self._state.table.get(name)
         return record is not None and record.status == LEFT
 
+    def has_newer_process(self, sender):
+        """Return whether a newer process of a sender's node is known."""
+        record = self._state.table.get(sender.name)
+        return record is not None and record.incarnation > sender.incarnation
+
     def is_confirmed(self, now_ms):
         """Return whether the node may act on `members`.
 
--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -170,6 +170,13 @@
         self._decoder.register(body_type)
         self._handlers[body_type] = handler
 
+    def has_newer_process(self, sender):
+        """Return whether a newer process of a sender's node has sent a frame.
+
+        Its address is that of the newer process then.
+        """
+        return self._incarnations.get(sender.name, 0) > sender.incarnation
+
     def close_link(self, name):
         """Close the link to a node; queued messages are discarded."""
         link = self._links.pop(name, None)
