--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -243,9 +243,24 @@
 
 
 class Node:
-    """Runs a gateway node in its own process."""
+    """Runs a gateway node in its own process.
+
+    Parameters
+    ----------
+    store : MetadataStoreStub
+        The store that the node reads.
+    number : int
+        Distinguishes the nodes of a test.
+    seeds : sequence of str
+        Peer addresses of other nodes.
+    root : path
+        Folder with the sources to run.
+    """
 
-    def __init__(self, store, number=1, seeds=(), slack=54, **fields):
+    def __init__(
+        self, store, number=1, seeds=(), slack=54, root=ROOT, **fields
+    ):
+        self._root = root
         self.ip = choose_ip(number)
         self.ports = {
             name: find_free_port(self.ip)
@@ -298,7 +313,7 @@
                     '-m',
                     'hawthornfold.platform',
                 ],
-                cwd=ROOT,
+                cwd=self._root,
                 env=environment,
                 stdout=log,
                 stderr=log,
