Check all fields of servers' records, from the store and from nodes

One odd entry of another writer could keep followers from the list, or take a server out of use for good (report of other operators). But the adapter checked fields for what its code does with them. Two entries with names of 0.9 MB made messages too large for any follower; a start in the far future made all that the server wrote later count as older; Version and Seq of another type, empty names and control characters were accepted. Records of other nodes were not checked at all.

check_record now has the bounds of all fields, for the adapter and for the decoder of other nodes' updates. A record that fails names no server and is counted; the others hold. parse_endpoint moved there from the gateway.

Records of test_restore have addresses that a server can have; nothing else changed there.

--- a/hawthornfold/directory/tests/test_restore.py
+++ b/hawthornfold/directory/tests/test_restore.py
@@ -36,7 +36,8 @@
     return ServerRecord(
         server_id,
         'portal',
-        f'{server_id}:1',
+        # A port of its own; the ids of these tests have two characters.
+        f'127.0.0.1:{int.from_bytes(server_id.encode()[:2])}',
         'dc',
         2,
         is_draining,
--- a/hawthornfold/directory/update_codec.py
+++ b/hawthornfold/directory/update_codec.py
@@ -7,6 +7,8 @@
 from hawthornfold.directory.configuration_codec import encode_change
 from hawthornfold.directory.configuration_codec import encode_configuration
 from hawthornfold.directory.positions import UNKNOWN_ERA
+from hawthornfold.directory.record_checks import check_record
+from hawthornfold.directory.records import ItemFailure
 from hawthornfold.directory.records import ServerChange
 from hawthornfold.directory.records import StoreChanges
 from hawthornfold.directory.updates import StoreNews
@@ -159,12 +161,41 @@
             # itself.
             self._metrics.count('store_news', outcome='refused')
             _LOG.warning('event=news_refused detail="{}"', decoded.err_value)
+        servers, failures = _check_servers(message.servers)
         return decoded.map(
             lambda configuration: StoreChanges(
                 message.revision,
-                message.servers,
+                servers,
                 configuration,
+                failures,
                 era=message.era,
                 configuration_era=configuration_era,
             )
         )
+
+
+def _check_servers(changes):
+    """Replace records that name no server to use.
+
+    A reader of an older release accepts some of them.
+
+    Parameters
+    ----------
+    changes : tuple of ServerChange
+        What a reader has sent.
+
+    Returns
+    -------
+    tuple of (tuple of ServerChange, tuple of ItemFailure)
+        The changes, and why records are left out.
+    """
+    checked, failures = [], []
+    for change in changes:
+        try:
+            if change.record is not None:
+                check_record(change.record)
+        except ValueError as error:
+            failures.append(ItemFailure(ascii(change.server_id), str(error)))
+            change = change._replace(record=None)
+        checked.append(change)
+    return tuple(checked), tuple(failures)
--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -13,10 +13,10 @@
 from eventlet.hubs import hub
 import logbook
 
+from hawthornfold.directory.record_checks import parse_endpoint
 from hawthornfold.gateway.connection_reuse import create_connection_reuse
 from hawthornfold.gateway.endpoints import describe_error
 from hawthornfold.gateway.endpoints import describe_error_code
-from hawthornfold.gateway.endpoints import parse_endpoint
 from hawthornfold.gateway.responses import ResponseReader
 from hawthornfold.gathering import NO_SIGNALS
 from hawthornfold.gathering import ExchangeOutcome
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -12,7 +12,7 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import ServiceRecord
 from hawthornfold.directory import StoreChanges
-from hawthornfold.gateway.endpoints import parse_endpoint
+from hawthornfold.directory.record_checks import check_record
 from hawthornfold.platform.evacuations import decode_evacuation
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import EVACUATIONS_PREFIX
@@ -52,10 +52,13 @@
     Zone: str
     State: typing.Literal['ready', 'draining']
     # Number of requests that the server executes at the same time.
-    MaxConcurrency: typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)] = 1
+    MaxConcurrency: Integer = 1
     WarmupLeftMs: _Number = 0.0
     # Start of the server's process, in milliseconds since the Unix epoch.
     born: Integer = 0
+    # Not used. Of another type they show that no server wrote the entry.
+    Version: str = ''
+    Seq: Integer = 0
 
 
 class _Split(msgspec.Struct):
@@ -203,9 +206,6 @@
     server_id = item.Key[len(SERVERS_PREFIX) :]
     record = None
     if not item.Deleted:
-        if not server_id.isprintable() or not server_id:
-            # Requests carry the id in a header.
-            raise ValueError('the id is not printable text')
         record = decode_server_entry(server_id, item.Value)
     return ServerChange(server_id, record, item.Revision)
 
@@ -216,11 +216,10 @@
     Raises
     ------
     ValueError
-        If it cannot be decoded, or its address is not ``ip:port``.
+        If it cannot be decoded, or a field has a value that no server has.
     """
     entry = _ENTRY_DECODER.decode(value)
-    parse_endpoint(entry.Address)
-    return ServerRecord(
+    record = ServerRecord(
         server_id,
         entry.Backend,
         entry.Address,
@@ -230,6 +229,8 @@
         entry.WarmupLeftMs,
         entry.born,
     )
+    check_record(record)
+    return record
 
 
 class ConfigurationDecoder:
