Refuse replies whose head ends early

Other operators reported successes with an empty or short body after a server had ended within its head. On the gateway's path to servers this cannot happen: a server that ends after any byte of its head, by a close or a reset, on a new or a kept connection, with any framing, gives a lost response.

urllib3 reads heads with the standard library, which takes the end of the connection for the end of the head. A reply without a length then counts as complete, with an empty body: the store's reader takes a truncated 410 for lost history, and connections of the product's own path to servers are kept. An empty 200 was refused in both, as it is no JSON. Replies with limits now raise ConnectionError if their stream ends within the head.

--- a/hawthornfold/sockets/limited_pool.py
+++ b/hawthornfold/sockets/limited_pool.py
@@ -42,6 +42,8 @@
         self._limits = limits
         self._clock = clock
         self._left_bytes = limits.total_bytes
+        self._has_received = False
+        self._is_head_complete = False
         self._deadline_ms = None
         if limits.transfer_ms is None and self._timeout_s is not None:
             self._deadline_ms = clock.now_ms() + self._timeout_s * 1000.0
@@ -49,6 +51,10 @@
     def readable(self):
         return True
 
+    def end_head(self):
+        """Record that the head is complete; the body may end the stream."""
+        self._is_head_complete = True
+
     def readinto(self, buffer):
         """Read into `buffer`; return the number of bytes read.
 
@@ -56,11 +62,16 @@
         ------
         OSError
             If the reply exceeds a limit; TimeoutError for the time.
+            ConnectionError if the stream ends within the head.
         """
         self._limit_wait()
         count = self._stream.readinto(buffer)
         if count and self._deadline_ms is None and self._limits.transfer_ms:
             self._deadline_ms = self._clock.now_ms() + self._limits.transfer_ms
+        if count:
+            self._has_received = True
+        elif self._has_received and not self._is_head_complete:
+            raise ConnectionError('the head of the reply ends early')
         self._left_bytes -= count or 0
         if self._left_bytes < 0:
             raise OSError(
@@ -107,7 +118,15 @@
         def __init__(self, sock, *arguments, **fields):
             super().__init__(sock, *arguments, **fields)
             self.fp.close()
-            self.fp = io.BufferedReader(_LimitedStream(sock, limits, clock))
+            self._stream = _LimitedStream(sock, limits, clock)
+            self.fp = io.BufferedReader(self._stream)
+
+        def begin(self):
+            # The standard library takes the end of the connection for the
+            # end of the head: without a length the reply then counts as
+            # complete, with an empty body.
+            super().begin()
+            self._stream.end_head()
 
     return LimitedResponse
 
--- a/hawthornfold/sockets/tests/test_limited_pool.py
+++ b/hawthornfold/sockets/tests/test_limited_pool.py
@@ -6,6 +6,8 @@
 
 from hawthornfold.backends.connection import open_connection
 from hawthornfold.clock import create_manual_clock
+from hawthornfold.gateway.tests.support import HANG_S
+from hawthornfold.gateway.tests.support import ScriptedServer
 from hawthornfold.platform.tests.test_endless_store import ENDLESS
 from hawthornfold.platform.tests.test_endless_store import TRICKLE_INTERVAL_MS
 from hawthornfold.platform.tests.test_endless_store import RawServer
@@ -76,3 +78,45 @@
             else:
                 with self.assertRaises(urllib3.exceptions.HTTPError):
                     pool.request('GET', url)
+
+
+class TruncatedHeadTest(unittest.TestCase):
+    """Guards against replies that end within their head.
+
+    They must not count as complete, with the status that they begin with and
+    an empty body.
+    """
+
+    def start(self, reply):
+        """Start a server that sends a reply and closes the connection."""
+        server = ScriptedServer(
+            lambda connection, request, number: connection.sendall(reply)
+        )
+        self.addCleanup(server.close)
+        return server.address
+
+    def test_reply_of_a_pool(self):
+        head = b'HTTP/1.1 410 Gone\r\nStore-Era: 12\r\n\r\n'
+        pool = create_limited_pool(ReplyLimits(1e3, 1 << 20), retries=False)
+        for size in range(len(head)):
+            with self.subTest(size):
+                address = self.start(head[:size])
+                with self.assertRaises(urllib3.exceptions.HTTPError):
+                    pool.request(
+                        'GET',
+                        f'http://{address}/',
+                        timeout=HANG_S,
+                    )
+        reply = pool.request(
+            'GET', f'http://{self.start(head)}/', timeout=HANG_S
+        )
+        self.assertEqual((reply.status, reply.data), (410, b''))
+
+    def test_exchange_with_a_backend(self):
+        head = b'HTTP/1.1 503 Busy\r\nX-Other: 12\r\n\r\n'
+        for size in range(len(head)):
+            with self.subTest(size):
+                connection = open_connection(self.start(head[:size]), 0.0)
+                outcome = connection._exchange('GET', '/', b'', 1e3 * HANG_S)
+                self.assertTrue(outcome.is_err())
+                self.assertFalse(connection.is_reusable)
