Refuse requests that a stopping node cannot finish

The state of the node knows when the stop ends its requests. After that end nothing is handed over. A request without an objective is taken until then.

Two tests without processes cover the refusal and the hand-over.

--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -13,6 +13,8 @@
 # server restarts or a probe succeeds.
 RETRY_AFTER_MS = {
     ResultCode.NOT_READY: 500.0,
+    # Other nodes serve the request at once.
+    ResultCode.STOPPING: 0.0,
     ResultCode.BELIEFS_STALE: 1_000.0,
     ResultCode.BACKEND_UNREACHABLE: 300.0,
     ResultCode.DEADLINE_EXCEEDED: 300.0,
--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -83,6 +83,7 @@
         # By call id: the name of the node and the event of its reply.
         self._pending = {}
         self._accepted = {}
+        self._has_ended = False
         for body_type, handler in (
             (RoomQuery, self._on_room_query),
             (RoomReply, self._on_room_reply),
@@ -103,7 +104,11 @@
         return len(self._accepted)
 
     def end_early(self):
-        """End the wait for all delegates, because the node exits."""
+        """End the wait for all delegates, because the node exits.
+
+        From then on no request is sent to another node.
+        """
+        self._has_ended = True
         for _, event in self._pending.values():
             _resolve(event, None)
 
@@ -194,6 +199,8 @@
             may have executed the request.
         """
         call = next(self._call_ids)
+        if self._has_ended:
+            return Delegated(call, 0, (), b'')
         event = eventlet.event.Event()
         self._pending[call] = (room.name, event)
         delegate = delegate._replace(call=call)
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -87,6 +87,14 @@
                 ResultCode.REQUEST_MALFORMED,
                 f'the header {self._names.request_id} is missing',
             )
+        # Without an objective nothing tells how long the request takes.
+        if not self._state.can_finish(decision.objective_ms or 0.0):
+            return self._refuse(
+                incoming,
+                request_id,
+                ResultCode.STOPPING,
+                'the node is about to exit',
+            )
         plan = RequestPlan(
             request_id,
             decision,
--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -290,14 +290,15 @@
         """
         started_ms = self._clock.now_ms()
         limit_ms = self._settings.stop_grace_ms - KILL_MARGIN_MS
-        self._state.begin_stop()
+        ends_ms = started_ms + limit_ms - LAST_ANSWERS_MS
+        self._state.begin_stop(ends_ms)
         _LOG.notice(
             'event=stopping in_progress={}', self._application.in_progress
         )
         self._clock.sleep_ms(min(STOP_LINGER_MS, limit_ms / 2.0))
         stop_accepting()
         quiet_since_ms = self._clock.now_ms()
-        while self._clock.now_ms() - started_ms < limit_ms - LAST_ANSWERS_MS:
+        while self._clock.now_ms() < ends_ms:
             now_ms = self._clock.now_ms()
             if self._count_in_progress():
                 quiet_since_ms = now_ms
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -1,5 +1,7 @@
 """The state of a gateway node: configuration, servers, repeat budgets."""
 
+import math
+
 import logbook
 
 from hawthornfold.audit import create_audit_trail
@@ -72,7 +74,7 @@
         self._repeat_budgets = {}
         self._started_ms = clock.now_ms()
         self._is_settled = False
-        self._is_stopping = False
+        self._stop_ends_ms = None
         self.audit = create_audit_trail(clock)
         self._warmup = create_warmup_limiter(
             settings.node_name,
@@ -140,20 +142,38 @@
     @property
     def is_stopping(self):
         """Whether the node is stopping."""
-        return self._is_stopping
+        return self._stop_ends_ms is not None
+
+    def can_finish(self, duration_ms):
+        """Return whether a request of this duration ends before a stop does.
+
+        Parameters
+        ----------
+        duration_ms : float
+            How long it takes from now on.
+        """
+        return (
+            self._stop_ends_ms is None
+            or self._clock.now_ms() + duration_ms <= self._stop_ends_ms
+        )
 
     @property
     def node_count(self):
         """Number of nodes that share the servers' limits, with this one."""
         return self._node_counts.total
 
-    def begin_stop(self):
+    def begin_stop(self, ends_ms=math.inf):
         """Mark the node as stopping.
 
         The readiness check fails from now on, and callers' connections are
         closed after their next answer.
+
+        Parameters
+        ----------
+        ends_ms : float
+            When the requests that still run are ended.
         """
-        self._is_stopping = True
+        self._stop_ends_ms = ends_ms
 
     def set_settings(self, settings):
         """Apply settings that were read again."""
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -155,6 +155,13 @@
         self.assertEqual(reply, CALLER_LEFT)
         self.assertEqual(self.held_outcome.wait(), 'cancelled')
 
+    def test_nothing_is_delegated_after_the_end_of_a_stop(self):
+        # Guards against requests that another node runs when this one is
+        # about to exit, so that their callers get no answer.
+        self.small.end_early()
+        self.assertEqual(self.delegate_one().status, 0)
+        self.assertEqual(self.seen, [])
+
     def test_node_at_its_limit_declines(self):
         for number in range(MAX_ACCEPTED):
             self.large._accepted[number] = []
--- a/hawthornfold/gateway/tests/test_groups.py
+++ b/hawthornfold/gateway/tests/test_groups.py
@@ -284,6 +284,19 @@
             self.entry.metrics.value('group_calls', outcome='declined'), 1
         )
 
+    def test_request_that_outlasts_the_stop_is_refused_at_once(self):
+        # Guards against requests that are read late in the grace period, and
+        # are passed on although the node exits before they can end.
+        self.wait_for_nodes()
+        now_ms = self.clock.now_ms()
+        self.entry.state.begin_stop(now_ms + OBJECTIVE_MS)
+        self.assert_complete(self.entry.query())
+        self.entry.state.begin_stop(now_ms + OBJECTIVE_MS - 1.0)
+        answer = self.entry.query()
+        self.assertEqual(answer.status, 503)
+        self.assertIn(('Retry-After', '0.00'), answer.headers)
+        self.assert_each_server_received(1)
+
     def test_node_with_another_version_of_the_rule_declines(self):
         # Guards against an answer with shards of two versions.
         self.wait_for_nodes()
--- a/hawthornfold/platform/tests/test_stop_faults.py
+++ b/hawthornfold/platform/tests/test_stop_faults.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import http.client
 import itertools
 import re
@@ -173,6 +174,61 @@
         self.assertIn('event=requests_ended_early count=1', log)
 
 
+class LateRequestTest(HeldServerTestCase):
+    """Requests that a stopping node has read late in its grace period."""
+
+    def open_slow_caller(self, node):
+        """Send a request but the last byte of its body; return its socket."""
+        caller = socket.create_connection(
+            (node.ip, node.ports['front']), gateway_support.HANG_S
+        )
+        self.addCleanup(caller.close)
+        caller.sendall(
+            b'POST /p/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\n'
+            b'X-Deadline-Ms: 20000\r\nContent-Length: 3\r\n\r\nab'
+        )
+        return caller
+
+    def test_request_read_after_the_last_answers_is_not_passed_on(self):
+        # Guards against requests, also ones that may run once only, that are
+        # passed on to a server when the process is about to exit, and end
+        # without an answer.
+        for route in self.routes:
+            route['TimeoutMs'] = 20_000
+        self.publish_configuration()
+        # The node may block one of them for silence.
+        servers = [
+            self.add_server(f'i-z{n}', 'z', self.answer_when_released)
+            for n in range(3)
+        ]
+        node = self.start_node()
+        node.wait_until(lambda: 'after=2' in node.read_log())
+        self.open_caller(node, 'held')
+        caller = self.open_slow_caller(node)
+        node.wait_until(lambda: any(server.requests for server in servers))
+        node.terminate()
+        node.wait_until(
+            lambda: 'event=requests_ended_early' in node.read_log()
+        )
+        caller.sendall(b'c')
+        answer = b''
+        with contextlib.suppress(OSError):
+            while received := caller.recv(4096):
+                answer += received
+        node.wait_for_exit()
+        ids = {
+            request.headers.get('x-request-id', 'held')
+            for server in servers
+            for request in server.requests
+        }
+        self.assertEqual(ids, {'held'}, answer)
+        if answer:
+            # It comes unless the node exits before it reads the last byte.
+            self.assertIn(b' 503 ', answer)
+            self.assertIn(b'Retry-After', answer)
+        self.assertIn('cut_requests=0', node.read_log())
+
+
 class DelegateStopTest(DelegationTestCase):
     def test_delegated_query_outlives_the_stop_of_its_delegate(self):
         # Guards against a query that the stopping node gives up, or that runs
