Drop duplicates of calls that other nodes have in progress

The second Delegate with the id of a running one took its place in the table, was run as well, and the end of the later one failed: its sender got no answer. A request that may run once only ran twice. Groups of parts had the same fault.

A call whose key (name, incarnation, id) is in progress is dropped now and counted as duplicate_calls. Two new tests fail before and pass now.

--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -263,6 +263,10 @@
 
     def _on_delegate(self, sender, delegate):
         key = (sender.name, sender.incarnation, delegate.call)
+        if key in self._accepted:
+            # The request may be one that may run once only.
+            self._metrics.count('duplicate_calls', type='delegate')
+            return
         if len(self._accepted) >= MAX_ACCEPTED:
             self._send_answer(sender, delegate.call, None)
             return
--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -141,6 +141,9 @@
 
     def _handle_parts(self, sender, message):
         key = (sender.name, sender.incarnation, message.call)
+        if key in self._running:
+            self._metrics.count('duplicate_calls', type='parts')
+            return
         decision, detail = self._find_decision(message)
         if decision is None:
             self._metrics.count('groups_declined')
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -8,6 +8,7 @@
 from hawthornfold.clock import create_system_clock
 from hawthornfold.delegation import Capacity
 from hawthornfold.delegation import Delegate
+from hawthornfold.delegation import DelegateCancel
 from hawthornfold.delegation import Delegated
 from hawthornfold.delegation import Room
 from hawthornfold.delegation import RoomQuery
@@ -21,6 +22,7 @@
 from hawthornfold.gateway.handler import GatewayHandler
 from hawthornfold.gateway.incoming import IncomingRequest
 from hawthornfold.gateway.runner import RequestPlan
+from hawthornfold.gateway.tests import support
 from hawthornfold.gathering import ExecutionTimes
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.metrics import create_metrics
@@ -162,6 +164,19 @@
         self.assertEqual(self.delegate_one().status, 0)
         self.assertEqual(self.seen, [])
 
+    def test_duplicate_of_a_running_request_is_dropped(self):
+        # Guards against a request that runs twice, and against the error of
+        # the second one's end, after which its sender got no answer.
+        request = REQUEST._replace(target='/hold/', call=7)
+        fleet = self.network.fleets['small']
+        for _ in range(3):
+            fleet.send('large', 'large', request)
+        support.wait_until(lambda: self.seen)
+        eventlet.sleep(0.01)
+        self.assertEqual(len(self.seen), 1)
+        fleet.send('large', 'large', DelegateCancel(7))
+        support.wait_until(lambda: not self.large.accepted_count)
+
     def test_node_at_its_limit_declines(self):
         for number in range(MAX_ACCEPTED):
             self.large._accepted[number] = []
--- a/hawthornfold/gateway/tests/test_groups.py
+++ b/hawthornfold/gateway/tests/test_groups.py
@@ -284,6 +284,29 @@
             self.entry.metrics.value('group_calls', outcome='declined'), 1
         )
 
+    def test_duplicate_of_a_running_group_is_dropped(self):
+        # Guards against parts that are sent to servers twice, and against the
+        # error of the second group's end.
+        self.wait_for_nodes()
+        sent = self.entry.fleet.sent
+        for number in (0, 2, 4):
+            self.block_server(number)
+        eventlet.spawn_n(self.entry.query)
+        helper = self.left.helper
+        support.wait_until(lambda: helper.running_count)
+        (message,) = (
+            body
+            for body in sent
+            if isinstance(body, GatherParts) and body.parts == (0, 2, 4)
+        )
+        self.left.fleet.deliver('entry', message)
+        self.assertEqual(
+            self.left.metrics.value('duplicate_calls', type='parts'), 1
+        )
+        for event in self.blocked.values():
+            event.set()
+        support.wait_until(lambda: not helper.running_count)
+
     def test_request_that_outlasts_the_stop_is_refused_at_once(self):
         # Guards against requests that are read late in the grace period, and
         # are passed on although the node exits before they can end.
