Read everything if a watch's reply is too large

It had been turned away during a storm of large configurations, and its next watch had 9 MB of missed versions in one reply. The reply was refused as too large and taken for an outage, so that the node asked for the same again every 400 ms. A watch has no pages; a complete read has.

Such a watch now counts as lost history. The new test needs neither a storm nor a node that was turned away: five entries of 0.9 MB written at once.

--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -196,8 +196,8 @@
     detail : str
         Description of the error, for the log.
     is_history_lost : bool
-        Whether the store no longer holds the requested changes, so that
-        everything must be read again.
+        Whether the requested changes cannot be had any more, or not in one
+        reply, so that everything must be read again.
     era : int or None
         Era of the store; None if there was no answer or it reports none.
     """
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -373,7 +373,11 @@
         position = self._view.position
         if failure.is_history_lost:
             self._metrics.count('store_reads', outcome='history_lost')
-            _LOG.notice('event=store_history_lost position={}', position)
+            _LOG.notice(
+                'event=store_history_lost position={} detail="{}"',
+                position,
+                failure.detail,
+            )
             self._needs_reload = True
             return 0.0
         self._is_era_uncertain = True
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -78,12 +78,15 @@
         HTTP status if it is the cause; 0 otherwise.
     era : int or None
         Era of the store, if it answered and reports one.
+    is_too_large : bool
+        Whether the reply exceeds `MAX_REPLY_BYTES`.
     """
 
-    def __init__(self, detail, status=0, era=None):
+    def __init__(self, detail, status=0, era=None, is_too_large=False):
         super().__init__(detail)
         self.status = status
         self.era = era
+        self.is_too_large = is_too_large
 
 
 class MetadataStore(PublishedStore):
@@ -141,7 +144,9 @@
                 'kv-watch', query, wait_ms, _EVENTS_DECODER
             )
         except _ReadError as error:
-            is_history_lost = error.status == 410
+            # A watch has no pages: the reply to the next one from the same
+            # revision is as large. The pages of a complete read are not.
+            is_history_lost = error.status == 410 or error.is_too_large
             return result.Err(
                 ReadFailure(str(error), is_history_lost, error.era)
             )
@@ -223,7 +228,9 @@
                 response.close()
         era = self._read_era(response)
         if data is None:
-            raise _ReadError('the reply is too large', era=era)
+            raise _ReadError(
+                'the reply is too large', era=era, is_too_large=True
+            )
         self._reply_bytes = len(data)
         if response.status != 200:
             raise _ReadError(f'status {response.status}', response.status, era)
--- a/hawthornfold/platform/tests/test_store.py
+++ b/hawthornfold/platform/tests/test_store.py
@@ -64,6 +64,18 @@
         self.assertTrue(failure.is_history_lost)
         self.assertEqual(failure.era, 3)
 
+    def test_changes_that_exceed_one_reply_are_read_in_pages(self):
+        # Guards against a node that asks for the same changes again and again,
+        # and serves by an old version until the history expires.
+        value = b'{"Backend": "%s"}' % (b'x' * 900_000)
+        for number in range(5):
+            self.stub.put(f'servers/large-{number}', value)
+        failure = self.store.wait_for_changes(108, 0.0).err_value
+        self.assertTrue(failure.is_history_lost)
+        changes = self.store.read_all().ok_value
+        self.assertEqual(changes.revision, 113)
+        self.assertEqual(len(changes.servers), 13)
+
     def test_first_read_may_be_stale(self):
         # Guards against a fleet that starts and exceeds the store's rate.
         self.store.read_all(may_be_stale=True)
