Tell nodes what the answers they pass on say about servers

Only the node that receives a response applied what it says about its server.

A ServerNotice now precedes the answer. It names the server, the start of its process, whether it leaves and its rate limit; the node applies it as if it had received the response. It is a message of its own, because a node of an older release refuses an answer with more fields than it knows; it counts the notice as invalid and goes on. Nothing is sent while servers announce nothing.

New tests: the notice precedes the answer, a leaving server gets no further request, a limit applies, and a notice about another process of the server is ignored. They need messages that did not exist before.

--- a/hawthornfold/delegation/__init__.py
+++ b/hawthornfold/delegation/__init__.py
@@ -16,6 +16,7 @@
 from hawthornfold.delegation.messages import Room
 from hawthornfold.delegation.messages import RoomQuery
 from hawthornfold.delegation.messages import RoomReply
+from hawthornfold.delegation.messages import ServerNotice
 from hawthornfold.delegation.policy import DelegationPolicy
 from hawthornfold.delegation.policy import create_delegation_policy
 
@@ -35,6 +36,7 @@
     'Room',
     'RoomQuery',
     'RoomReply',
+    'ServerNotice',
     'create_delegation_policy',
     'create_division_policy',
     'create_failover_policy',
--- a/hawthornfold/delegation/messages.py
+++ b/hawthornfold/delegation/messages.py
@@ -130,6 +130,30 @@
     is_isolated: bool = False
 
 
+class ServerNotice(typing.NamedTuple):
+    """What the answer that follows says about its server.
+
+    A separate message, as nodes of an older release refuse a `Delegated` with
+    more fields than they know.
+
+    Parameters
+    ----------
+    server_id : str
+        The server.
+    born_ms : int
+        Start of its process, milliseconds since the Unix epoch; 0 if unknown.
+    is_leaving : bool
+        Whether it announces that it leaves.
+    rate_limit : str or None
+        Requests a second that it takes from all nodes together.
+    """
+
+    server_id: str
+    born_ms: int
+    is_leaving: bool
+    rate_limit: str | None = None
+
+
 class GatherParts(typing.NamedTuple):
     """Asks the receiver to gather some parts of a query.
 
--- a/hawthornfold/gateway/answers.py
+++ b/hawthornfold/gateway/answers.py
@@ -42,6 +42,8 @@
     is_final : bool
         Whether no other node is to try the request: a server has answered it,
         or a refusal holds for the whole fleet.
+    signals : tuple of (ServerRecord, ServerSignals)
+        What servers said that concerns each node that passes the answer on.
     """
 
     status: int
@@ -50,6 +52,7 @@
     overdue_ms: float = 0.0
     due_ms: float | None = None
     is_final: bool = False
+    signals: tuple = ()
 
     @property
     def status_line(self):
--- a/hawthornfold/gateway/cooperation.py
+++ b/hawthornfold/gateway/cooperation.py
@@ -67,6 +67,7 @@
         metrics,
         handler.handle_delegated,
         lambda: state.placement.is_isolated,
+        state.handle_server_notice,
     )
     handler.set_delegations(delegations)
     division_policy = create_division_policy(
--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -13,6 +13,7 @@
 from hawthornfold.delegation import Room
 from hawthornfold.delegation import RoomQuery
 from hawthornfold.delegation import RoomReply
+from hawthornfold.delegation import ServerNotice
 from hawthornfold.delegation.policy import DECLINED_BACKOFF_MS
 from hawthornfold.delegation.policy import UNANSWERED_BACKOFF_MS
 from hawthornfold.gateway.cancellation import Cancellation
@@ -60,6 +61,8 @@
         or None to decline.
     is_isolated : callable
         Returns whether the node has lost its links to all servers.
+    handle_notice : callable
+        Takes each `ServerNotice` that comes with the answer to a request.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         metrics,
         answer_delegated,
         is_isolated=lambda: False,
+        handle_notice=lambda notice: None,
     ):
         self._policy = policy
         self._fleet = fleet
@@ -79,6 +83,7 @@
         self._metrics = metrics
         self._answer_delegated = answer_delegated
         self._is_isolated = is_isolated
+        self._handle_notice = handle_notice
         self._call_ids = create_call_ids()
         # By call id: the name of the node and the event of its reply.
         self._pending = {}
@@ -90,6 +95,7 @@
             (Delegate, self._on_delegate),
             (DelegateCancel, self._on_cancel),
             (Delegated, self._on_delegated),
+            (ServerNotice, self._on_notice),
         ):
             fleet.register(body_type, handler)
 
@@ -285,6 +291,17 @@
     def _send_answer(self, sender, call, answer):
         body = Delegated(call, 0, (), b'', is_isolated=self._is_isolated())
         if answer is not None:
+            # Before the answer, which the other node passes on at once.
+            for record, signals in answer.signals:
+                self._fleet.reply(
+                    sender,
+                    ServerNotice(
+                        record.server_id,
+                        record.born_ms,
+                        signals.is_leaving,
+                        signals.rate_limit,
+                    ),
+                )
             body = Delegated(
                 call,
                 answer.status,
@@ -300,6 +317,9 @@
         if cancellation is not None:
             cancellation.cancel()
 
+    def _on_notice(self, sender, notice):
+        self._handle_notice(notice)
+
     def _on_delegated(self, sender, reply):
         name, event = self._pending.get(reply.call, ('', None))
         if name == sender.name:
--- a/hawthornfold/gateway/handler.py
+++ b/hawthornfold/gateway/handler.py
@@ -273,7 +273,7 @@
                 overdue_ms=due_ms - plan.times.answer_ms, due_ms=due_ms
             )
         self._runner.report_end(plan, run, answer and answer.status)
-        return answer
+        return answer and answer._replace(signals=run.result.signals)
 
     def _create_answer(self, decision, outgoing, run):
         """Return the `GatewayAnswer` to a request that has ended."""
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -71,6 +71,7 @@
         self._observer = observer
         self._running = {}
         self._faults = []
+        self._signals = []
         self._started_ms = 0.0
         self._sent_parts = 0
         self._send_ms = 0.0
@@ -124,6 +125,7 @@
             self._sent_parts,
             self._send_ms,
             pending,
+            tuple(self._signals),
         )
 
     def _describe_pending(self):
@@ -334,6 +336,8 @@
                 self._state.signals.handle_no_limit(
                     record, exchange.connection.sent_ms, self._clock.now_ms()
                 )
+            if signals.is_leaving or signals.rate_limit is not None:
+                self._signals.append((record, signals))
             if signals is not NO_SIGNALS:
                 self._state.handle_signals(
                     record, signals, self._clock.now_ms()
--- a/hawthornfold/gateway/relay_result.py
+++ b/hawthornfold/gateway/relay_result.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from hawthornfold.directory import ServerRecord
+from hawthornfold.gathering import ServerSignals
 from hawthornfold.gathering import Verdict
 
 
@@ -25,6 +27,9 @@
     pending : tuple of str
         Attempts without an outcome at the end, as service/server/state/time.
         The state is ``sent``, or ``waiting`` for a connection.
+    signals : tuple of (ServerRecord, ServerSignals)
+        What responses said that concerns each node that passes them on:
+        that a server leaves, or its rate limit.
     """
 
     verdict: Verdict | None
@@ -34,3 +39,4 @@
     sent_parts: int
     send_ms: float
     pending: tuple[str, ...] = ()
+    signals: tuple[tuple[ServerRecord, ServerSignals], ...] = ()
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -22,6 +22,7 @@
 from hawthornfold.gateway.response_bounds import create_response_bounds
 from hawthornfold.gateway.server_signals import create_server_signal_handler
 from hawthornfold.gateway.suspects import create_suspect_handler
+from hawthornfold.gathering import ServerSignals
 from hawthornfold.gathering import UnservedServices
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.gathering import create_regions
@@ -293,6 +294,24 @@
         if signals.warmup:
             self._warmup.record_header(record, signals.warmup, now_ms)
 
+    def handle_server_notice(self, notice):
+        """Apply what a `ServerNotice` says about a server.
+
+        Parameters
+        ----------
+        notice : ServerNotice
+            From the node that has received the response.
+        """
+        record = self.directory.get(notice.server_id)
+        if record is not None and record.born_ms == notice.born_ms:
+            self.handle_signals(
+                record,
+                ServerSignals(
+                    is_leaving=notice.is_leaving, rate_limit=notice.rate_limit
+                ),
+                self._clock.now_ms(),
+            )
+
     def may_send(self, record, now_ms):
         """Return whether a request may be sent to a server now."""
         return self.directory.is_available(
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -12,9 +12,11 @@
 from hawthornfold.delegation import Delegated
 from hawthornfold.delegation import Room
 from hawthornfold.delegation import RoomQuery
+from hawthornfold.delegation import ServerNotice
 from hawthornfold.delegation import create_delegation_policy
 from hawthornfold.delegation.policy import DelegationOffer
 from hawthornfold.delegation.tests.support import create_decision
+from hawthornfold.directory import ServerRecord
 from hawthornfold.gateway.answers import GatewayAnswer
 from hawthornfold.gateway.delegations import CALLER_LEFT
 from hawthornfold.gateway.delegations import MAX_ACCEPTED
@@ -24,6 +26,7 @@
 from hawthornfold.gateway.runner import RequestPlan
 from hawthornfold.gateway.tests import support
 from hawthornfold.gathering import ExecutionTimes
+from hawthornfold.gathering import ServerSignals
 from hawthornfold.gathering import create_answer_margin
 from hawthornfold.metrics import create_metrics
 
@@ -87,6 +90,7 @@
 
     def setUp(self):
         self.network = Network()
+        self.notices = []
         self.small = self.create('small', SMALL, lambda *_: None)
         self.large = self.create('large', LARGE, self.answer)
         self.room = Room('large', 'large', 'dc', *LARGE, 0.0)
@@ -102,6 +106,7 @@
             create_system_clock(),
             create_metrics(),
             answer,
+            handle_notice=self.notices.append,
         )
 
     def answer(self, delegate, watch_caller):
@@ -111,6 +116,7 @@
 class DelegationsTest(DelegationsTestCase):
     def setUp(self):
         super().setUp()
+        self.signals = ()
         self.held_outcome = eventlet.event.Event()
         self.seen = []
 
@@ -122,7 +128,9 @@
                 left.wait()
             self.held_outcome.send('cancelled')
             return None
-        return GatewayAnswer(200, (('X-A', 'b'),), b'body', 25.0)
+        return GatewayAnswer(
+            200, (('X-A', 'b'),), b'body', 25.0, signals=self.signals
+        )
 
     def delegate_one(self, request=REQUEST, watch=ignore_caller):
         return self.small.delegate_request(self.room, request, watch)
@@ -164,6 +172,25 @@
         self.assertEqual(self.delegate_one().status, 0)
         self.assertEqual(self.seen, [])
 
+    def test_answer_comes_after_what_it_says_about_its_server(self):
+        # Guards against requests that reach a leaving server later than is
+        # allowed, from a node that has passed its announcement on but has not
+        # received it from the server itself.
+        leaving = ServerRecord('s1', 'a', '127.0.0.1:1', 'dc', 2, born_ms=5)
+        limited = ServerRecord('s2', 'a', '127.0.0.1:2', 'dc', 2)
+        self.signals = (
+            (leaving, ServerSignals(is_leaving=True)),
+            (limited, ServerSignals(rate_limit='2.5')),
+        )
+        self.assertEqual(self.delegate_one().status, 200)
+        self.assertEqual(
+            self.notices,
+            [
+                ServerNotice('s1', 5, True),
+                ServerNotice('s2', 0, False, '2.5'),
+            ],
+        )
+
     def test_duplicate_of_a_running_request_is_dropped(self):
         # Guards against a request that runs twice, and against the error of
         # the second one's end, after which its sender got no answer.
--- a/hawthornfold/gateway/tests/test_state.py
+++ b/hawthornfold/gateway/tests/test_state.py
@@ -3,6 +3,7 @@
 import unittest
 
 from hawthornfold.clock import create_manual_clock
+from hawthornfold.delegation import ServerNotice
 from hawthornfold.directory import CallerLimits
 from hawthornfold.directory import EvacuationChange
 from hawthornfold.directory import RoutingConfiguration
@@ -25,6 +26,42 @@
 WARM = ServerRecord('s1', 'portal', '127.0.0.1:1', 'dc', 2, born_ms=5)
 
 
+class ServerNoticeTest(unittest.TestCase):
+    """Signals of responses that another node has received."""
+
+    def setUp(self):
+        self.state = GatewayState(
+            SETTINGS,
+            HeaderNames(),
+            create_manual_clock(1_000),
+            create_metrics(),
+        )
+        self.state.directory.apply([ServerChange('s1', WARM)], 1_000.0)
+
+    def is_used(self):
+        return bool(self.state.directory.available_servers('portal', 9e9))
+
+    def test_server_that_leaves_gets_no_further_request(self):
+        # Guards against a node that passes on that a server leaves, and sends
+        # requests to it while the store does not answer.
+        self.state.handle_server_notice(ServerNotice('s1', 5, True))
+        self.assertFalse(self.is_used())
+
+    def test_limit_of_a_server_applies(self):
+        self.state.handle_server_notice(ServerNotice('s1', 5, False, '2.5'))
+        self.assertEqual(self.state.rate_limits.get('s1').per_s, 2.5)
+        self.assertTrue(self.is_used())
+
+    def test_notice_about_another_process_of_the_server_is_ignored(self):
+        for notice in (
+            ServerNotice('s1', 4, True, '2.5'),
+            ServerNotice('s2', 5, True),
+        ):
+            self.state.handle_server_notice(notice)
+        self.assertTrue(self.is_used())
+        self.assertIsNone(self.state.rate_limits.get('s1'))
+
+
 class ColdServerStateTest(unittest.TestCase):
     def setUp(self):
         self.clock = create_manual_clock(1_000)
--- a/hawthornfold/platform/tests/test_malformed_input.py
+++ b/hawthornfold/platform/tests/test_malformed_input.py
@@ -34,6 +34,7 @@
     delegation.PartsReply,
     delegation.RoomQuery,
     delegation.RoomReply,
+    delegation.ServerNotice,
     directory.SnapshotQuery,
     messages.Ping,
     messages.PingReq,
