--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -81,6 +81,8 @@
     outcome = unittest.TextTestRunner(verbosity=1).run(suite)
     for test in skipped:
         print(f'known red, not run: {test.id()}')
+    for test, reason in outcome.skipped:
+        print(f'skipped: {test.id()}: {reason}')
     failed = len(outcome.failures) + len(outcome.errors)
     passed = outcome.testsRun - failed
     print(f'{passed} passed, {failed} failed')
