--- a/hawthornfold/directory/record_checks.py
+++ b/hawthornfold/directory/record_checks.py
@@ -60,6 +60,7 @@
     ValueError: '127.0.0.1:70000' is not ip:port
     """
     parse_endpoint(record.address)
+    # Requests carry the id in a header.
     for name in (record.server_id, record.service, record.data_centre):
         if not 0 < len(name) <= MAX_NAME_LENGTH or not name.isprintable():
             raise ValueError(f'{name[:80]!r} is not a name')
