--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -42,6 +42,7 @@
 [Zones]
 hall-a = "sk-central"
 hall-b = "sk-central"
+hall-c = "sk-central"
 [Listen]
 Front = "{ip}:{front}"
 ReadyAddr = "{ip}:{ready}"
@@ -271,6 +272,8 @@
         self.service = service
         self.runs = []
         self.health_path = '/health'
+        # A case with many requests may leave them out of the record.
+        self.has_record_of_runs = True
         self._record = record
         self._answer = answer
         self._lock = threading.Lock()
@@ -351,10 +354,11 @@
             )
         with self._lock:
             self.runs.append(request)
-        self._record.add(
-            f'server {self.name} ({self.service}) runs {request.method} '
-            f'{request.target} id={request.request_id}'
-        )
+        if self.has_record_of_runs:
+            self._record.add(
+                f'server {self.name} ({self.service}) runs {request.method} '
+                f'{request.target} id={request.request_id}'
+            )
         return self._answer(self, request)
 
 
