--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -167,7 +167,7 @@
                         # nothing further.
                         time.sleep(120)
                         return
-                    status, document = self._handle(request.target)
+                    status, document = self.handle(request.target)
                     if self.is_silent_for(ip):
                         time.sleep(120)
                         return
@@ -180,7 +180,8 @@
                         )
                     )
 
-    def _handle(self, target):
+    def handle(self, target):
+        """Return status and document of a call."""
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, True))
         if url.path == '/api/kv-range':
