Take the status of a response at the end of its head

Cause: ResponseReader.status asked the parser when the response was classified. All received bytes are fed to the parser at once, so it had read the status line of the bytes behind the response by then. Headers, body and the decision on reuse are taken when their part ends.

Change: the status is stored at the end of the head, and the end of another head changes nothing once the response is complete.

--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -72,6 +72,7 @@
         # times the size of a body in short chunks.
         self._body = b''
         self._size = 0
+        self._status = 0
         self._has_head = False
         self._has_final_head = False
         self._is_complete = False
@@ -126,8 +127,8 @@
 
     @property
     def status(self):
-        """The HTTP status code."""
-        return self._parser.get_status_code()
+        """The HTTP status code; 0 before the head is complete."""
+        return self._status
 
     @property
     def body(self):
@@ -310,12 +311,17 @@
                 raise _BoundError('head')
 
     def on_headers_complete(self):
-        """Record the end of the head."""
-        if len(self.raw_headers) > MAX_HEADERS and not self._is_complete:
+        """Record the status and the end of the head."""
+        if self._is_complete:
+            return
+        if len(self.raw_headers) > MAX_HEADERS:
             raise _BoundError('head')
+        # The parser may have read the next message of the same bytes by the
+        # time that the response is classified, and then has its status.
+        self._status = self._parser.get_status_code()
         self._has_head = True
         if not self._has_final_head:
-            self._has_final_head = self._parser.get_status_code() >= 200
+            self._has_final_head = self._status >= 200
         if self._has_no_body and self._has_final_head:
             # The parser still expects the body, so that it cannot parse
             # another response.
--- a/hawthornfold/gateway/tests/test_response_faults.py
+++ b/hawthornfold/gateway/tests/test_response_faults.py
@@ -130,6 +130,30 @@
                 support.wait_until(lambda: not self.connection.is_reusable)
                 self.assertEqual(len(self.server.requests), 1)
 
+    def test_copy_in_the_same_read_does_not_change_the_outcome(self):
+        # A failure reached the caller as a success (review/7); a complete
+        # answer counted as a refusal, so that a non-idempotent request ran at
+        # a second server (review/6).
+        for status, copied, kind in (
+            (500, 200, OutcomeKind.FAILED),
+            (200, 421, OutcomeKind.ANSWERED),
+            (200, 500, OutcomeKind.ANSWERED),
+            (421, 200, OutcomeKind.WRONG_SERVER),
+        ):
+            with self.subTest(status=status, copied=copied):
+                self.open(
+                    lambda connection, request, number, s=status, c=copied: (
+                        connection.sendall(
+                            support.create_answer(request, status=s)
+                            + create_copy(request, status=c)
+                        )
+                    )
+                )
+                outcome = self.send()
+                self.assertIs(outcome.kind, kind)
+                if outcome.response is not None:
+                    self.assertEqual(outcome.response.status, status)
+
     def test_copy_between_the_check_and_the_write_is_refused(self):
         # The copy arrives when the idle connection has been checked.
         proceed, is_sent = threading.Event(), threading.Event()
--- a/hawthornfold/gateway/tests/test_responses.py
+++ b/hawthornfold/gateway/tests/test_responses.py
@@ -207,6 +207,79 @@
                 self.assertEqual(reader.body, b'')
 
 
+class FollowingBytesTest(ReaderTestCase):
+    """Bytes after a response that belong to no response."""
+
+    BODY = b'abc'
+    # Complete responses, and the method of the requests.
+    RESPONSES = {
+        'with a length': (
+            b'HTTP/1.1 500 E\r\nContent-Length: 3\r\nA: b\r\n\r\nabc',
+            'GET',
+        ),
+        'chunked': (
+            b'HTTP/1.1 500 E\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'3\r\nabc\r\n0\r\nC: d\r\n\r\n',
+            'GET',
+        ),
+        'without a body': (b'HTTP/1.1 204 N\r\nA: b\r\n\r\n', 'GET'),
+        'after an interim response': (
+            b'HTTP/1.1 103 H\r\nE: f\r\n\r\n'
+            b'HTTP/1.1 500 E\r\nContent-Length: 3\r\nA: b\r\n\r\nabc',
+            'GET',
+        ),
+        'to HEAD': (b'HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n', 'HEAD'),
+        'to HEAD, with a length': (
+            b'HTTP/1.1 500 E\r\nContent-Length: 3\r\n\r\n',
+            'HEAD',
+        ),
+        'that ends its connection': (
+            b'HTTP/1.1 500 E\r\nConnection: close\r\n'
+            b'Content-Length: 3\r\n\r\nabc',
+            'GET',
+        ),
+    }
+    FOLLOWING = {
+        'a success': b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: x\r\n\r\nxy',
+        'a refusal': b'HTTP/1.1 421 M\r\nX-Not: 1\r\n\r\n',
+        'an interim response': b'HTTP/1.1 103 H\r\nG: h\r\n\r\n',
+        'many interim responses': b'HTTP/1.1 102 P\r\n\r\n' * 64,
+        'many headers': HEAD + b'a: b\r\n' * 600 + b'\r\n',
+        'a head that does not end': HEAD + b'X-Not: 1\r\n',
+        'bytes that are no response': b'\x00\xff\r\n\r\n',
+    }
+
+    def read(self, data, method):
+        """Return what a reader reports after it has read some bytes."""
+        reader = responses.ResponseReader(self.bounds)
+        reader.begin(method)
+        reader.feed(data)
+        state = (
+            reader.is_complete,
+            reader.status,
+            reader.read_fields(),
+            reader.body,
+        )
+        return state, reader.keeps_open and not reader.has_extra_bytes
+
+    def check_following(self, following):
+        for name, (response, method) in self.RESPONSES.items():
+            with self.subTest(name):
+                alone, _ = self.read(response, method)
+                self.assertTrue(alone[0])
+                together, is_reusable = self.read(response + following, method)
+                self.assertEqual(together, alone)
+                self.assertFalse(is_reusable)
+
+    def test_following_bytes_do_not_change_a_response(self):
+        # Guards against a status that is taken from the next message: a
+        # failure reached the caller as a success, and a complete answer to a
+        # non-idempotent request counted as a refusal, so that it ran twice.
+        for name, following in self.FOLLOWING.items():
+            with self.subTest(name):
+                self.check_following(following)
+
+
 class ValidTest(ReaderTestCase):
     def test_responses_within_the_bounds_are_read(self):
         # Guards against bounds that refuse what servers do send.
