Keep a complete response whatever bytes follow it

A caller got 502 for a request that a server had answered in full, and a request that may be repeated ran again, if the bytes behind the response were the head of a 101 (change of protocol), or if they exceeded, with the framing of the response, the bound of its framing.

Cause: the reader refused the received bytes as a whole, although the response in them was complete.

Change: a change of protocol behind a complete response only prevents the reuse of the connection, and the bound of the framing is checked while the response is not complete. What is held stays bounded by one read of 64 KB.

--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -181,7 +181,9 @@
                 raise ValueError(f'{type(error).__name__}: {error}')
             self._has_extra_bytes = True
         except httptools.HttpParserUpgrade:
-            raise ValueError('the server switches to another protocol')
+            if not self._is_complete:
+                raise ValueError('the server switches to another protocol')
+            self._has_extra_bytes = True
         if not self._is_complete or len(data) + self._size > FREE_BYTES:
             self._check_bounds(len(data), self._size - size_before)
 
@@ -237,7 +239,8 @@
             self._is_head_checked = True
             if self._head_bytes + received_bytes > MAX_HEAD_BYTES:
                 self._check_head_size()
-        else:
+        elif not self._is_complete:
+            # Bytes behind a complete response are not its framing.
             self._check_framing(received_bytes - body_bytes, body_bytes)
         if not self._is_complete:
             self._reserve(
--- a/hawthornfold/gateway/tests/test_responses.py
+++ b/hawthornfold/gateway/tests/test_responses.py
@@ -243,6 +243,9 @@
         'a success': b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: x\r\n\r\nxy',
         'a refusal': b'HTTP/1.1 421 M\r\nX-Not: 1\r\n\r\n',
         'an interim response': b'HTTP/1.1 103 H\r\nG: h\r\n\r\n',
+        'a change of protocol': (
+            b'HTTP/1.1 101 S\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nxy'
+        ),
         'many interim responses': b'HTTP/1.1 102 P\r\n\r\n' * 64,
         'many headers': HEAD + b'a: b\r\n' * 600 + b'\r\n',
         'a head that does not end': HEAD + b'X-Not: 1\r\n',
@@ -279,6 +282,19 @@
             with self.subTest(name):
                 self.check_following(following)
 
+    def test_following_bytes_do_not_count_as_framing(self):
+        # Guards against a complete response that is lost because the bytes
+        # behind it, with its own framing, exceed the bound of the framing.
+        chunk = b'1;' + b'a' * 5_000 + b'\r\nx\r\n'
+        reader = self.create_reader()
+        reader.feed(CHUNKED)
+        for _ in range(10):
+            reader.feed(chunk)
+        reader.feed(b'0\r\n\r\n' + bytes(60_000))
+        self.assertTrue(reader.is_complete)
+        self.assertTrue(reader.has_extra_bytes)
+        self.assertEqual(reader.body, b'x' * 10)
+
 
 class ValidTest(ReaderTestCase):
     def test_responses_within_the_bounds_are_read(self):
