Treat a response with an invalid status code as lost

A server's response with status 000 or 099 made its request wait for the deadline (504). With another response behind it the caller got 200 with the seal of the second one and both bodies (MIXED). 600 and 999 reached callers as answers.

Cause: the parser accepts any three digits, and the reader took each status below 200 for that of an interim response.

Change: a status outside 100 to 599 (RFC 9110, section 15) ends the exchange as lost. A request that may be repeated goes to another server; any other gets 502, as it may have run. The response says nothing about its server.

--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -34,10 +34,20 @@
 FREE_BYTES = 4 << 10
 
 
+# The valid status codes, and those of responses that end an exchange
+# (RFC 9110, section 15).
+VALID_STATUSES = range(100, 600)
+FINAL_STATUSES = range(200, 600)
+
+
 class _BoundError(Exception):
     """A response exceeds a bound; the argument is its name."""
 
 
+class _InvalidResponseError(Exception):
+    """Bytes that the parser accepts are no response; says why."""
+
+
 class ResponseReader:
     """Parses the responses of one connection, one after the other.
 
@@ -175,8 +185,11 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            if isinstance(error.__context__, _BoundError):
-                self._refuse(str(error.__context__))
+            cause = error.__context__
+            if isinstance(cause, _BoundError):
+                self._refuse(str(cause))
+            if isinstance(cause, _InvalidResponseError):
+                raise ValueError(str(cause))
             if not self._is_complete:
                 raise ValueError(f'{type(error).__name__}: {error}')
             self._has_extra_bytes = True
@@ -321,10 +334,12 @@
             raise _BoundError('head')
         # The parser may have read the next message of the same bytes by the
         # time that the response is classified, and then has its status.
-        self._status = self._parser.get_status_code()
+        status = self._parser.get_status_code()
+        if status not in VALID_STATUSES:
+            raise _InvalidResponseError(f'no response has status {status:03}')
+        self._status = status
         self._has_head = True
-        if not self._has_final_head:
-            self._has_final_head = self._status >= 200
+        self._has_final_head = status in FINAL_STATUSES
         if self._has_no_body and self._has_final_head:
             # The parser still expects the body, so that it cannot parse
             # another response.
--- a/hawthornfold/gateway/tests/test_endless_servers.py
+++ b/hawthornfold/gateway/tests/test_endless_servers.py
@@ -69,7 +69,9 @@
         return False
 
 
-class EndlessServersTest(unittest.TestCase):
+class GatewayTestCase(unittest.TestCase):
+    """Sends requests through the handler of a node to scripted servers."""
+
     def setUp(self):
         self.enterContext(logbook.NullHandler().applicationbound())
         self.number = 0
@@ -150,6 +152,8 @@
     def count(self, name, **labels):
         return self.metrics.value(name, **labels)
 
+
+class EndlessServersTest(GatewayTestCase):
     def test_endless_responses_may_have_run_and_block_the_server(self):
         # Guards against a request that is lost without notice or runs twice,
         # and against a faulty server that keeps its share of the requests.
--- a/hawthornfold/gateway/tests/test_responses.py
+++ b/hawthornfold/gateway/tests/test_responses.py
@@ -242,6 +242,7 @@
     FOLLOWING = {
         'a success': b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nA: x\r\n\r\nxy',
         'a refusal': b'HTTP/1.1 421 M\r\nX-Not: 1\r\n\r\n',
+        'status 000': b'HTTP/1.1 000 S\r\nContent-Length: 2\r\n\r\nxy',
         'an interim response': b'HTTP/1.1 103 H\r\nG: h\r\n\r\n',
         'a change of protocol': (
             b'HTTP/1.1 101 S\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\nxy'
@@ -296,6 +297,41 @@
         self.assertEqual(reader.body, b'x' * 10)
 
 
+class StatusTest(ReaderTestCase):
+    """Status codes that are those of no response, or of an interim one."""
+
+    BODY = b'Content-Length: 2\r\n\r\nab'
+
+    def test_status_outside_of_the_valid_range_is_no_response(self):
+        # Guards against a response with status 000 that counts as an interim
+        # one: the request waited until its deadline, or its body was joined
+        # to that of the next response on the connection.
+        for status, size in itertools.product(
+            (b'000', b'001', b'099', b'600', b'999'), (1, 1_000)
+        ):
+            with self.subTest(status=status, size=size):
+                data = b'HTTP/1.1 %b S\r\n' % status + self.BODY
+                reader = self.create_reader()
+                self.feed_until_refused(
+                    reader,
+                    (
+                        data[offset : offset + size]
+                        for offset in range(0, len(data), size)
+                    ),
+                )
+                self.assertFalse(reader.is_complete)
+                self.assertFalse(reader.has_head)
+                self.assertEqual(reader.body, b'')
+
+    def test_valid_status_is_read(self):
+        # Guards against a range that refuses what servers do send.
+        for status in (b'200', b'299', b'399', b'421', b'599'):
+            reader = self.create_reader()
+            reader.feed(b'HTTP/1.1 %b S\r\n' % status + self.BODY)
+            self.assertTrue(reader.is_complete)
+            self.assertEqual(reader.status, int(status))
+
+
 class ValidTest(ReaderTestCase):
     def test_responses_within_the_bounds_are_read(self):
         # Guards against bounds that refuse what servers do send.
