Check the status of an answer that another node hands over

During an upgrade a node of an older release may hand over what a faulty server has sent, for example with status 600, and this node passed it on to its caller.

Cause: each status but 0 (declined) counted as an answer.

Change: a status outside 200 to 599 counts as a missing reply, logged as event=reply_refused; the request may have run.

Measured: test_answer_without_a_valid_status_may_have_run fails in all five cases before and in none after.

--- a/hawthornfold/gateway/delegations.py
+++ b/hawthornfold/gateway/delegations.py
@@ -17,6 +17,7 @@
 from hawthornfold.delegation.policy import DECLINED_BACKOFF_MS
 from hawthornfold.delegation.policy import UNANSWERED_BACKOFF_MS
 from hawthornfold.gateway.cancellation import Cancellation
+from hawthornfold.gateway.responses import FINAL_STATUSES
 from hawthornfold.peers import create_call_ids
 
 _LOG = logbook.Logger('delegation')
@@ -322,10 +323,16 @@
 
     def _on_delegated(self, sender, reply):
         name, event = self._pending.get(reply.call, ('', None))
-        if name == sender.name:
-            _resolve(event, reply)
-        else:
+        if name != sender.name:
             self._metrics.count('unmatched_replies', type='delegated')
+        elif reply.status and reply.status not in FINAL_STATUSES:
+            # A node of an older release passes on what a faulty server sent.
+            _LOG.warning(
+                'event=reply_refused node={} status={}', name, reply.status
+            )
+            _resolve(event, None)
+        else:
+            _resolve(event, reply)
 
 
 def _sample_rooms(rooms, rng=random):
--- a/hawthornfold/gateway/tests/test_delegations.py
+++ b/hawthornfold/gateway/tests/test_delegations.py
@@ -116,6 +116,7 @@
 class DelegationsTest(DelegationsTestCase):
     def setUp(self):
         super().setUp()
+        self.status = 200
         self.signals = ()
         self.held_outcome = eventlet.event.Event()
         self.seen = []
@@ -129,7 +130,7 @@
             self.held_outcome.send('cancelled')
             return None
         return GatewayAnswer(
-            200, (('X-A', 'b'),), b'body', 25.0, signals=self.signals
+            self.status, (('X-A', 'b'),), b'body', 25.0, signals=self.signals
         )
 
     def delegate_one(self, request=REQUEST, watch=ignore_caller):
@@ -142,6 +143,15 @@
         self.assertEqual(self.seen[0].version, 5)
         self.assertEqual(self.large.accepted_count, 0)
 
+    def test_answer_without_a_valid_status_may_have_run(self):
+        # Guards against bytes of a faulty server that a node of an older
+        # release takes for an answer, and which reach the caller through
+        # this node.
+        for status in (-1, 99, 101, 600, 999):
+            with self.subTest(status):
+                self.status = status
+                self.assertIsNone(self.delegate_one())
+
     def test_wait_for_silent_node_is_limited(self):
         # Guards against callers that wait for a node that has crashed.
         self.network.cut.add('large')
