Accept "not run" with the statuses of refusals only

A reply of the product's own backend servers counted as a refusal that tells that the request did not run, whatever its status, for example 600 or 500. The request could run at a second server.

Cause: each status but 200 was decoded as a refusal.

Change: only 409 and 503, which section 5.2 of docs/design.md names, are; any other status is an invalid reply, after which the request may have run.

--- a/hawthornfold/backends/codec.py
+++ b/hawthornfold/backends/codec.py
@@ -118,6 +118,8 @@
 _ANSWERS_DECODER = msgspec.json.Decoder(list[_AnswerDocument])
 _HEALTH_DECODER = msgspec.json.Decoder(BackendHealth)
 
+# Statuses with which a server refuses a request.
+REFUSAL_STATUSES = frozenset((409, 503))
 REFUSAL_CODES = {
     'draining': ResultCode.BACKEND_DRAINING,
     'overloaded': ResultCode.BACKEND_REFUSED,
@@ -191,8 +193,10 @@
     )
 
 
-def decode_refusal(request, data):
-    """Decode a 503 or 409 reply; None if it does not match `request`."""
+def decode_refusal(request, status, data):
+    """Decode a refusal; None if it is none, or does not match `request`."""
+    if status not in REFUSAL_STATUSES:
+        return None
     try:
         refusal = _REFUSAL_DECODER.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
--- a/hawthornfold/backends/connection.py
+++ b/hawthornfold/backends/connection.py
@@ -169,7 +169,7 @@
                 return reply
             detail = reply.err_value.detail
         else:
-            refusal = codec.decode_refusal(request, data)
+            refusal = codec.decode_refusal(request, status, data)
             if refusal is not None:
                 return Err(
                     ExchangeFailure(
