Refuse an interim response with a body

Cause: an interim response ends with its head, but the parser knows only 100, 102 and 103 as responses without a body, and the reader joined the bodies of all messages up to the end of the response.

Change: an interim response that announces a body ends the exchange as lost; the framing of what follows is not known. One with a length of 0 is skipped, as before.

--- a/hawthornfold/gateway/responses.py
+++ b/hawthornfold/gateway/responses.py
@@ -340,11 +340,24 @@
         self._status = status
         self._has_head = True
         self._has_final_head = status in FINAL_STATUSES
+        if not self._has_final_head:
+            self._check_interim_head()
         if self._has_no_body and self._has_final_head:
             # The parser still expects the body, so that it cannot parse
             # another response.
             self._is_complete = True
 
+    def _check_interim_head(self):
+        """Refuse an interim response with a body; it ends with its head.
+
+        The parser would read the body, and this reader would take it for a
+        part of the body of the response.
+        """
+        fields = self.read_fields()
+        length = fields.get(b'content-length', b'0')
+        if b'transfer-encoding' in fields or length.strip(b'0'):
+            raise _InvalidResponseError('an interim response has a body')
+
     def on_body(self, data):
         """Store a piece of the body."""
         if self._is_complete:
--- a/hawthornfold/gateway/tests/test_invalid_statuses.py
+++ b/hawthornfold/gateway/tests/test_invalid_statuses.py
@@ -67,7 +67,7 @@
 
     def test_next_response_is_not_joined_to_it(self):
         # The caller got the second response with the bodies of both.
-        for status in STATUSES:
+        for status in (*STATUSES, '104', '199'):
             with self.subTest(status):
                 self.start([self.create_server(status, 200)])
                 self.assertEqual(self.ask().status, 502)
--- a/hawthornfold/gateway/tests/test_responses.py
+++ b/hawthornfold/gateway/tests/test_responses.py
@@ -331,6 +331,30 @@
             self.assertTrue(reader.is_complete)
             self.assertEqual(reader.status, int(status))
 
+    def test_interim_response_with_a_body_is_refused(self):
+        # Guards against a body that is joined to that of the response: the
+        # parser reads one after most statuses below 200 if there is a length.
+        chunked = b'Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n'
+        for status, body in itertools.product(
+            (b'100', b'102', b'103', b'104', b'199'), (self.BODY, chunked)
+        ):
+            with self.subTest(status=status, body=body):
+                reader = self.create_reader()
+                with self.assertRaises(ValueError):
+                    reader.feed(b'HTTP/1.1 %b S\r\n' % status + body)
+                    reader.feed(HEAD + self.BODY)
+                self.assertFalse(reader.is_complete)
+                self.assertEqual(reader.body, b'')
+
+    def test_interim_response_with_length_zero_is_skipped(self):
+        # Guards against a check that refuses superfluous headers.
+        for status in (b'100', b'103', b'199'):
+            reader = self.create_reader()
+            reader.feed(b'HTTP/1.1 %b S\r\nContent-Length: 0\r\n\r\n' % status)
+            reader.feed(HEAD + self.BODY)
+            self.assertTrue(reader.is_complete)
+            self.assertEqual(reader.body, b'ab')
+
 
 class ValidTest(ReaderTestCase):
     def test_responses_within_the_bounds_are_read(self):
