--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -319,6 +319,11 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self):
+        """Id of the process."""
+        return self._process.pid
+
     def ensure_running(self):
         """Start the process again if it has ended."""
         with self._process_lock:
