Replace the receiving socket after a pause, before it is read

Cause: an engine whose receive queue of 32 messages is full keeps up to 8 KB that it has read. If the connection ends meanwhile (other nodes close one that is silent for 1.5 s), it waits with its end until the queue is read, then goes on with these bytes, and answers a heartbeat among them, which it must not after an error. A script with a plain socket shows that full queue, heartbeat and end are all needed.

Change: after a gap of over 1.25 s between two turns of the event loop the receiver closes its socket unread and binds a new one. A longer queue was ruled out, as the short one bounds memory.

Open: a pause of less than 1.5 s in which the sender ends.

--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -10,6 +10,7 @@
 
 from hawthornfold.peers import codec
 from hawthornfold.peers import keys
+from hawthornfold.peers.receiver import Receiver
 
 LOG = logbook.Logger('peers')
 
@@ -38,8 +39,6 @@
 # Maximum number of frames retained until the handshake succeeds. If it fails,
 # they are sent again on a connection with the next key.
 _MAX_UNCONFIRMED_FRAMES = 64
-# Maximum number of messages received without yielding to other green threads.
-_RECEIVE_BATCH = 64
 # Maximum number of senders whose incarnation is stored. It limits the memory
 # that frames with forged sender names can take.
 _MAX_SENDERS = 32_768
@@ -184,11 +183,6 @@
             self._close(link)
 
     def _start(self):
-        peers = self._settings.peers
-        router = self._create_socket(zmq.ROUTER)
-        router.rcvhwm = _RECEIVE_QUEUE_LENGTH
-        router.maxmsgsize = codec.MAX_FRAME_BYTES
-        router.handshake_ivl = _HEARTBEAT_TIMEOUT_MS
         if self._keys:
             authenticator = self._create_socket(zmq.REP)
             authenticator.bind(keys.ZAP_ENDPOINT)
@@ -198,15 +192,38 @@
                 [pair.public for pair in self._keys],
                 lambda: self._metrics.count('peer_refused'),
             )
+        receiver = Receiver(
+            self._open_router,
+            self._close_socket,
+            self._handle_frame,
+            _HEARTBEAT_TIMEOUT_MS,
+            self._clock,
+            self._metrics,
+        )
+        self._spawn(receiver.receive)
+        self._spawn(receiver.watch_pauses)
+        self._spawn(self._run_idle_check)
+
+    def _open_router(self):
+        """Return a new ROUTER socket that is bound to the node's port."""
+        peers = self._settings.peers
+        router = self._create_socket(zmq.ROUTER)
+        router.rcvhwm = _RECEIVE_QUEUE_LENGTH
+        router.maxmsgsize = codec.MAX_FRAME_BYTES
+        router.handshake_ivl = _HEARTBEAT_TIMEOUT_MS
+        if self._keys:
             router.curve_server = True
             router.curve_secretkey = self._keys[0].secret.encode()
             router.curve_publickey = self._keys[0].public.encode()
         # With a domain, libzmq refuses the protocols before ZMTP 3. The first
         # one has no greeting, so that it accepts most bytes as messages.
         router.zap_domain = keys.ZAP_DOMAIN
-        router.bind(f'tcp://{self._settings.node.host}:{peers.port}')
-        self._spawn(self._receive_frames, router)
-        self._spawn(self._run_idle_check)
+        try:
+            router.bind(f'tcp://{self._settings.node.host}:{peers.port}')
+        except zmq.ZMQError:
+            self._close_socket(router)
+            raise
+        return router
 
     def _stop(self):
         for name in tuple(self._links):
@@ -313,14 +330,6 @@
         self._sockets.discard(socket)
         socket.close(linger=0)
 
-    def _receive_frames(self, router):
-        while True:
-            self._handle_frame(router.recv_multipart())
-            with contextlib.suppress(zmq.Again):
-                for _ in range(_RECEIVE_BATCH):
-                    self._handle_frame(router.recv_multipart(zmq.NOBLOCK))
-            eventlet.sleep(0)
-
     def _handle_frame(self, parts):
         try:
             if len(parts) != 2:
