Correct the handshake in the test of messages above the limit

The test sent a READY command with a wrong length (25 in place of 28 bytes), at which the node closes the connection. So it passed whether or not a message above the limit closes it.

Change: the length is right, the test checks first that the handshake does not close the connection, and the bytes are shared with test_receiver.py. The check of the message itself is as it was.

--- a/hawthornfold/peers/tests/fakes.py
+++ b/hawthornfold/peers/tests/fakes.py
@@ -10,6 +10,13 @@
 from hawthornfold.emulator.processes import pick_ports
 from hawthornfold.peers import open_peer_links
 
+# Greeting of ZMTP 3.0 without security, and the command that ends the
+# handshake of a DEALER.
+GREETING = (
+    b'\xff' + bytes(8) + b'\x7f\x03\x00' + b'NULL'.ljust(20, b'\0') + bytes(32)
+)
+READY = b'\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER'
+
 
 class NodeSettings(typing.NamedTuple):
     name: str
--- a/hawthornfold/peers/tests/test_floods.py
+++ b/hawthornfold/peers/tests/test_floods.py
@@ -12,6 +12,8 @@
 
 from hawthornfold.peers import codec
 from hawthornfold.peers.messages import Leave
+from hawthornfold.peers.tests.fakes import GREETING
+from hawthornfold.peers.tests.fakes import READY
 from hawthornfold.peers.tests.fakes import Note
 from hawthornfold.peers.tests.fakes import open_endpoint
 
@@ -19,12 +21,6 @@
 FLOOD_BYTES = 60_000_000
 # More than the 1.5 s that a handshake may take.
 HANDSHAKE_LIMIT_S = 4.0
-# Greeting of ZMTP 3.0 without security, and the command that ends the
-# handshake of a DEALER.
-GREETING = (
-    b'\xff' + bytes(8) + b'\x7f\x03\x00' + b'NULL'.ljust(20, b'\0') + bytes(32)
-)
-READY = b'\x04\x19\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER'
 
 
 def read_resident_bytes():
@@ -91,7 +87,8 @@
         for size in (codec.MAX_FRAME_BYTES + 1, 1 << 40, (1 << 63) - 1):
             with open_endpoint('a') as a, open_endpoint('b') as b:
                 connection = self.connect(a, GREETING + READY)
-                eventlet.sleep(0.1)
+                # The end of the handshake itself must not close it.
+                self.assertFalse(self.wait_for_end(connection, 0.1))
                 connection.sendall(b'\x02' + size.to_bytes(8, 'big'))
                 self.assertTrue(
                     self.wait_for_end(connection, HANDSHAKE_LIMIT_S), size
--- a/hawthornfold/peers/tests/test_receiver.py
+++ b/hawthornfold/peers/tests/test_receiver.py
@@ -13,15 +13,12 @@
 import eventlet
 
 from hawthornfold.peers.tests import fakes
+from hawthornfold.peers.tests.fakes import GREETING
+from hawthornfold.peers.tests.fakes import READY
 from hawthornfold.peers.tests.fakes import Note
 from hawthornfold.peers.tests.fakes import open_endpoint
 
-# Greeting of ZMTP 3.0 without security, the command that ends the handshake
-# of a DEALER, a heartbeat with a time to live of 1.5 s, and a message.
-GREETING = (
-    b'\xff' + bytes(8) + b'\x7f\x03\x00' + b'NULL'.ljust(20, b'\0') + bytes(32)
-)
-READY = b'\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER'
+# A heartbeat with a time to live of 1.5 s, and a message.
 HEARTBEAT = b'\x04\x07\x04PING\x00\x0f'
 MESSAGE = b'\x00\x05hello'
 # More messages than the receive queue holds, in fewer bytes than libzmq reads
