Keep slashes at the start of a path

Rules that refuse or limit a prefix were met by other paths, and the server ran another path than the client had sent.

Cause: http.server, which parses the head, replaces several slashes at the start of a path by one, and the node took the path from there.

Change: the target is taken from the request line, which is checked before. Other spellings (dot segments, escapes) are sent and compared as they are, as before.

--- a/hawthornfold/callers/protocol.py
+++ b/hawthornfold/callers/protocol.py
@@ -251,6 +251,9 @@
         self.rfile = _HeaderBlock(block)
         if not super().parse_request():
             return False
+        # The standard library reduces several slashes at its start to one,
+        # which changes the rule of the request.
+        self.path = self.raw_requestline.split(b' ')[1].decode('ascii')
         connection = self.headers.get('Connection', '').lower()
         if 'close' in [token.strip() for token in connection.split(',')]:
             self.close_connection = True
