Accept targets in absolute form, and refuse those that are no path

A request line with http://a.example/f/1, which a server has to accept (RFC 9112, section 3.2.2), met only rules without a path and was passed on as it was; the server behind such a rule takes it for /f/1, so that rules for /f/ were bypassed. Targets such as f/1 or ?q did the same.

Cause: the target was taken for a path without a check.

Change: an absolute form is read as its path, with its host in place of the Host header.

--- a/hawthornfold/callers/protocol.py
+++ b/hawthornfold/callers/protocol.py
@@ -15,6 +15,7 @@
 
 from hawthornfold.callers import requests
 from hawthornfold.callers.streams import AnswerWriter
+from hawthornfold.callers.targets import parse_target
 from hawthornfold.codes import ResultCode
 
 # Key of the WSGI environment for a function that the application calls to
@@ -251,9 +252,8 @@
         self.rfile = _HeaderBlock(block)
         if not super().parse_request():
             return False
-        # The standard library reduces several slashes at its start to one,
-        # which changes the rule of the request.
-        self.path = self.raw_requestline.split(b' ')[1].decode('ascii')
+        if not self._apply_target():
+            return False
         connection = self.headers.get('Connection', '').lower()
         if 'close' in [token.strip() for token in connection.split(',')]:
             self.close_connection = True
@@ -263,6 +263,26 @@
         self._is_answering = self._check_framing()
         return self._is_answering
 
+    def _apply_target(self):
+        """Set path and host as the target says; return False if refused.
+
+        The standard library reduces several slashes at the start of a path to
+        one, which changes the rule of the request.
+        """
+        target = parse_target(
+            self.command, self.raw_requestline.split(b' ')[1].decode('ascii')
+        )
+        if target is None:
+            self._refuse(
+                ResultCode.REQUEST_MALFORMED, 'the target is not a path'
+            )
+            return False
+        self.path = target.path
+        if target.authority is not None:
+            del self.headers['Host']
+            self.headers['Host'] = target.authority
+        return True
+
     def _read_header_lines(self):
         lines = []
         while True:
--- a/hawthornfold/platform/tests/test_request_targets.py
+++ b/hawthornfold/platform/tests/test_request_targets.py
@@ -72,3 +72,34 @@
                 self.assertEqual(
                     self.take_requests(), [(service, target, 'a.example')]
                 )
+
+    def test_absolute_form_names_host_and_path(self):
+        # RFC 9112, section 3.2.2: the Host header does not count.
+        for target, path, service in (
+            ('http://a.example/f/1?q', '/f/1?q', 'z'),
+            ('HTTP://A.example//f/1', '//f/1', 'w'),
+            ('http://a.example', '/', 'w'),
+            ('http://a.example?q', '/?q', 'w'),
+        ):
+            with self.subTest(target):
+                self.assertEqual(self.send(target, 'other.example'), 200)
+                ((taken_service, taken, host),) = self.take_requests()
+                self.assertEqual((taken_service, taken), (service, path))
+                self.assertEqual(host.lower(), 'a.example')
+        self.assertEqual(self.send('http://other.example/f/1'), 404)
+
+    def test_other_forms_are_refused(self):
+        for target in (
+            'f/1',
+            '?q',
+            'a.example:80',
+            'http://',
+            'http:///f/1',
+            'http://user@a.example/f/1',
+            'ftp://a.example/f/1',
+            '*',
+        ):
+            with self.subTest(target):
+                self.assertEqual(self.send(target), 400)
+        self.assertEqual(self.send('*', method='OPTIONS'), 404)
+        self.assertEqual(self.take_requests(), [])
