Drop what was observed of a server's former process or address

Cause: observations are kept by server id. A 421 of the new owner of the address, to a request that was sent as a last resort after the removal, excluded the id, and the return of the server ("added") did not drop that. On a related path, the end of a request to a former process counted for the process that the entry names meanwhile.

Change: an added server starts without observations, and the end of a request counts only if the entry still names the process that it was sent to.

--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -154,7 +154,7 @@
         elif not self.is_cancelled and kind is OutcomeKind.UNREACHABLE:
             placement.isolation.record_unreachable(server_id)
         if kind is OutcomeKind.WITHHELD:
-            placement.health(server_id).record_withheld(key)
+            placement.health(server_id).discard(key)
         elif self.is_cancelled:
             placement.record_cancelled(
                 server_id, key, decision, elapsed_ms, now_ms
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -414,15 +414,22 @@
             exchange.cancel()
 
     def _record_outcome(self, exchange, outcome, waiting_count, now_ms):
-        exchange.record_outcome(
-            self._state.placement,
-            self._execution.attempt_key(exchange.send.attempt),
-            self._decision,
-            outcome,
-            waiting_count,
-            now_ms,
-            self._state.signals.requests_pause(outcome.signals),
-        )
+        key = self._execution.attempt_key(exchange.send.attempt)
+        record = exchange.send.record
+        current = self._state.directory.get(record.server_id)
+        if current is not None and record.is_replaced_by(current):
+            # It says nothing about the process that has the id now.
+            self._state.placement.health(record.server_id).discard(key)
+        else:
+            exchange.record_outcome(
+                self._state.placement,
+                key,
+                self._decision,
+                outcome,
+                waiting_count,
+                now_ms,
+                self._state.signals.requests_pause(outcome.signals),
+            )
         if exchange.is_cancelled:
             self._metrics.count('exchanges', outcome='cancelled')
             return
--- a/hawthornfold/gateway/state.py
+++ b/hawthornfold/gateway/state.py
@@ -267,6 +267,10 @@
                     self._warmup.record_entry(current, self._clock.now_ms())
             elif event.kind == 'removed':
                 self._remove_server(server_id)
+            elif event.kind == 'added':
+                # What was observed after its removal, as a last resort, may
+                # be of another server at its former address.
+                self.placement.remove_server(server_id)
             elif event.kind in ('draining', 'ready'):
                 pool = self.pools.find(server_id)
                 if pool is not None:
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -167,8 +167,8 @@
             self._is_undisturbed = False
             self._record_ratio(ratio, now_ms)
 
-    def record_withheld(self, attempt):
-        """Record that an exchange ended before anything was sent."""
+    def discard(self, attempt):
+        """Drop an exchange that says nothing about the server."""
         self._running.pop(attempt, None)
 
     def record_refusal(self, attempt, now_ms):
