End the exclusion of a server after a 421 after ten seconds

A server whose response said once, and wrongly, that another server uses its address (421) got no request of that node any more, as long as its entry stayed as it was.

Cause: only a change of the entry ended the exclusion.

Change: it ends after ten seconds; another 421 starts it again.

Measured: test_server_that_once_said_that_it_is_another_is_used_later fails before (503) and passes after; that a successful probe does not end the exclusion is still checked (test_server_whose_address_is_reused_ stays_excluded, at 10 ms).

--- a/hawthornfold/gateway/attempts.py
+++ b/hawthornfold/gateway/attempts.py
@@ -166,7 +166,7 @@
         elif requests_pause and kind is not OutcomeKind.LOST:
             placement.health(server_id).record_refusal(key, now_ms)
         elif kind is OutcomeKind.WRONG_SERVER:
-            placement.health(server_id).mark_replaced(key)
+            placement.health(server_id).record_replaced(key, now_ms)
         else:
             is_absent = kind in (OutcomeKind.UNREACHABLE, OutcomeKind.LOST)
             placement.health(server_id).record_failure(key, is_absent, now_ms)
--- a/hawthornfold/gateway/sweep.py
+++ b/hawthornfold/gateway/sweep.py
@@ -57,7 +57,9 @@
         if placement.is_isolated:
             return
         for server_id in blocked_ids:
-            if placement.health(server_id).needs_probe(now_ms):
+            health = placement.health(server_id)
+            health.expire_replaced(now_ms)
+            if health.needs_probe(now_ms):
                 self._start_probe(server_id, now_ms)
 
     def _report_blocked(self, blocked_ids, silent_ids):
--- a/hawthornfold/gateway/tests/test_replaced_servers.py
+++ b/hawthornfold/gateway/tests/test_replaced_servers.py
@@ -9,6 +9,7 @@
 from hawthornfold.gateway.tests import support
 from hawthornfold.gateway.tests.test_endless_servers import LONG_DEADLINE_MS
 from hawthornfold.gateway.tests.test_endless_servers import GatewayTestCase
+from hawthornfold.placement.health import REPLACED_MS
 
 
 def answer_for_another(connection, request, number):
@@ -65,3 +66,20 @@
         gate.set()
         asking.wait()
         self.assertEqual(self.ask().status, 200)
+
+    def test_server_that_once_said_that_it_is_another_is_used_later(self):
+        # Guards against an exclusion without an end: the entry stays, and
+        # nothing tells the node that the response was wrong.
+        scripts = [answer_for_another, support.answer_correctly]
+        server = self.create(
+            lambda connection, request, number: scripts.pop(0)(
+                connection, request, number
+            )
+        )
+        self.start([server], deadline_ms=LONG_DEADLINE_MS)
+        self.assertEqual(self.ask().status, 503)
+        self.assertEqual(self.ask().status, 503)
+        self.assertEqual(len(server.requests), 1)
+        health = self.state.placement.health('s0')
+        health.expire_replaced(self.clock.now_ms() + REPLACED_MS)
+        self.assertEqual(self.ask().status, 200)
--- a/hawthornfold/placement/health.py
+++ b/hawthornfold/placement/health.py
@@ -27,6 +27,9 @@
 # stays silent.
 PROBE_INTERVAL_MS = 350.0
 MAX_PROBE_INTERVAL_MS = 2_800.0
+# A server is excluded for this long after a response that another one uses its
+# address. Its entry usually changes or expires within a few seconds.
+REPLACED_MS = 10_000.0
 
 
 class ServerHealth:
@@ -42,7 +45,8 @@
         self._updated_ms = 0.0
         self._failures = 0
         self._is_blocked = False
-        self._is_replaced = False
+        # When the server was last reported as replaced, or None.
+        self._replaced_ms = None
         self._last_probe_ms = -math.inf
         self._probe_interval_ms = PROBE_INTERVAL_MS
         self._reported_waiting = 0
@@ -56,16 +60,13 @@
     @property
     def is_blocked(self):
         """Whether the server is excluded from selection."""
-        return self._is_blocked or self._is_replaced
+        return self._is_blocked or self._replaced_ms is not None
 
     @property
     def is_undisturbed(self):
         """Whether the server is idle and answered its last request in time."""
         return (
-            self._is_undisturbed
-            and not self._running
-            and not self._is_blocked
-            and not self._is_replaced
+            self._is_undisturbed and not self._running and not self.is_blocked
         )
 
     @property
@@ -261,10 +262,22 @@
             2.0 * self._probe_interval_ms, MAX_PROBE_INTERVAL_MS
         )
 
-    def mark_replaced(self, attempt):
-        """Exclude the server permanently: another one uses its address."""
+    def record_replaced(self, attempt, now_ms):
+        """Exclude the server for a while: another one uses its address."""
         self._running.pop(attempt, None)
-        self._is_replaced = True
+        self._replaced_ms = now_ms
+
+    def expire_replaced(self, now_ms):
+        """End the exclusion if it has lasted long enough.
+
+        The response may have been wrong, and then no change of the entry
+        would end it.
+        """
+        if (
+            self._replaced_ms is not None
+            and now_ms - self._replaced_ms >= REPLACED_MS
+        ):
+            self._replaced_ms = None
 
     def record_probe(self, has_succeeded, now_ms):
         """Record the result of a probe."""
--- a/hawthornfold/placement/tests/test_placement.py
+++ b/hawthornfold/placement/tests/test_placement.py
@@ -289,8 +289,9 @@
         # that uses the address now.
         self.placement.record_start('local', 'a', DECISION, 0.0)
         health = self.placement.health('local')
-        health.mark_replaced('a')
+        health.record_replaced('a', 0.0)
         health.record_probe(True, 10.0)
+        health.expire_replaced(10.0)
         self.assertIsNone(self.choose_server_id(10.0, [LOCAL]))
         self.placement.remove_server('local')
         self.assertEqual(self.choose_server_id(10.0, [LOCAL]), 'local')
