Tell the node that asked which servers of its parts leave

Cause: what a response says about its server was applied on the node that gathers; only whole requests that are handed over carried a notice.

Change: the node that gathers sends the same ServerNotice as soon as a response announces the departure, before the part. Limits are left out, as the other node would not learn their end.

--- a/hawthornfold/gateway/helper.py
+++ b/hawthornfold/gateway/helper.py
@@ -7,6 +7,7 @@
 from hawthornfold.delegation import GatherCancel
 from hawthornfold.delegation import GatherParts
 from hawthornfold.delegation import PartsReply
+from hawthornfold.delegation import ServerNotice
 from hawthornfold.gateway.cancellation import Cancellation
 from hawthornfold.gateway.exchange import OutgoingRequest
 from hawthornfold.gateway.observers import RelayObserver
@@ -32,14 +33,17 @@
     ----------
     send_reply : callable
         Takes the fields of a `PartsReply` from its status on.
+    send_notice : callable
+        Takes a `ServerNotice`.
     parts : tuple of int
         Indexes of the parts at the other node.
     due_ms : float
         From when on every answer is reported at once.
     """
 
-    def __init__(self, send_reply, parts, due_ms):
+    def __init__(self, send_reply, send_notice, parts, due_ms):
         self._send_reply = send_reply
+        self._send_notice = send_notice
         self._parts = parts
         self._due_ms = due_ms
         self._reported_statuses = set()
@@ -58,6 +62,14 @@
         """
         self._report(execution, 'repeating')
 
+    def handle_leaving(self, record):
+        """Tell the other node before it passes the part on.
+
+        Rate limits are not told: the other node would not learn their end
+        while this one sends the requests.
+        """
+        self._send_notice(ServerNotice(record.server_id, record.born_ms, True))
+
     def next_report_ms(self, now_ms):
         """Return when the answers are due, or None if that has passed."""
         return self._due_ms if self._due_ms > now_ms else None
@@ -263,6 +275,7 @@
         )
         reporter = GroupReporter(
             lambda *fields: self._reply(sender, message.call, *fields),
+            lambda notice: self._fleet.reply(sender, notice),
             message.parts,
             due_ms,
         )
--- a/hawthornfold/gateway/observers.py
+++ b/hawthornfold/gateway/observers.py
@@ -14,6 +14,10 @@
     def handle_repeats(self, execution):
         """Handle that parts are about to be sent a second time."""
 
+    @abc.abstractmethod
+    def handle_leaving(self, record):
+        """Handle that a response announces that its server leaves."""
+
     @abc.abstractmethod
     def next_report_ms(self, now_ms):
         """Return when a report is due, or None."""
--- a/hawthornfold/gateway/relay.py
+++ b/hawthornfold/gateway/relay.py
@@ -338,6 +338,8 @@
                 )
             if signals.is_leaving or signals.rate_limit is not None:
                 self._signals.append((record, signals))
+            if signals.is_leaving and self._observer is not None:
+                self._observer.handle_leaving(record)
             if signals is not NO_SIGNALS:
                 self._state.handle_signals(
                     record, signals, self._clock.now_ms()
--- a/hawthornfold/gateway/tests/test_groups.py
+++ b/hawthornfold/gateway/tests/test_groups.py
@@ -19,6 +19,7 @@
 from hawthornfold.delegation import PartsReply
 from hawthornfold.delegation import PlannedGroup
 from hawthornfold.delegation import QueryCostModel
+from hawthornfold.delegation import ServerNotice
 from hawthornfold.delegation import create_division_policy
 from hawthornfold.directory import CallerLimits
 from hawthornfold.directory import RoutingConfiguration
@@ -119,6 +120,11 @@
         self.helper = GroupHelper(
             self.state, runner, self.fleet, model, clock, metrics
         )
+        # `Delegations` does this on a node.
+        self.fleet.register(
+            ServerNotice,
+            lambda sender, notice: self.state.handle_server_notice(notice),
+        )
         self.clock = clock
         nodes[name] = self
 
@@ -187,6 +193,8 @@
     def setUp(self):
         self.enterContext(logbook.NullHandler().applicationbound())
         self.delays_s = {}
+        # Servers whose answers announce that they leave.
+        self.leaving = set()
         # Servers that answer only when their event is set.
         self.blocked = {}
         self.scripted = [
@@ -226,9 +234,10 @@
             if number in self.blocked:
                 self.blocked[number].wait(support.HANG_S)
             body = bytes([97 + number]) * 16
-            connection.sendall(
-                support.create_answer(request, body, X_Seal=f'seal-{number}')
-            )
+            fields = {'X_Seal': f'seal-{number}'}
+            if number in self.leaving:
+                fields['X_Leaving'] = '1'
+            connection.sendall(support.create_answer(request, body, **fields))
             return True
 
         return script
@@ -263,6 +272,24 @@
         for node in (self.left, self.right):
             self.assertEqual(node.helper.running_count, 0)
 
+    def test_node_knows_which_servers_of_its_parts_leave(self):
+        # Guards against review/10: requests to a leaving server later than is
+        # allowed, from a node that has passed on a part of its answer, which
+        # another node had gathered.
+        self.wait_for_nodes()
+        self.leaving = {0, 2, 5}
+        self.assert_complete(self.entry.query())
+        directory = self.entry.state.directory
+        now_ms = self.clock.now_ms()
+        for number in range(8):
+            record = directory.get(f's{number}')
+            self.assertEqual(
+                directory.has_announced(record), number in self.leaving
+            )
+        self.assertEqual(
+            directory.available_servers(SHARDS[0], now_ms + 1_000.0), ()
+        )
+
     def test_servers_get_the_deadline_and_id_of_the_caller(self):
         # Guards against servers that work longer than the caller waits, and
         # against responses that can't be matched with their request.
