Split the pause check of the receiver into a query and a command

House style: a method changes state or answers, not both. While another green thread replaces the socket, the reader waits for the bind interval instead of spinning. Cause: found when reading the change.

--- a/hawthornfold/peers/receiver.py
+++ b/hawthornfold/peers/receiver.py
@@ -76,6 +76,8 @@
             except zmq.ZMQError:
                 if not socket.closed:
                     raise
+                # `watch_pauses` is replacing it.
+                self._clock.sleep_ms(_BIND_INTERVAL_MS)
             eventlet.sleep(0)
 
     def watch_pauses(self):
@@ -86,35 +88,36 @@
         """
         while True:
             self._clock.sleep_ms(_CHECK_INTERVAL_MS)
-            self._check_pause()
+            if self._has_paused():
+                self._replace_socket()
             self._checked_ms = self._clock.now_ms()
 
     def _receive_batch(self, socket):
         """Wait for a message, and handle all that have arrived."""
-        if self._check_pause():
-            return
-        self._handle_message(socket.recv_multipart())
+        if not self._has_paused():
+            self._handle_message(socket.recv_multipart())
         with contextlib.suppress(zmq.Again):
             for _ in range(_RECEIVE_BATCH):
                 # The pause may have begun while messages were handled.
-                if self._check_pause():
+                if self._has_paused():
+                    self._replace_socket()
                     return
                 self._handle_message(socket.recv_multipart(zmq.NOBLOCK))
 
-    def _check_pause(self):
-        """Replace the socket if a pause has ended; return whether it has."""
+    def _has_paused(self):
+        """Return whether a pause may have ended since the last note."""
+        return self._clock.now_ms() - self._checked_ms > self._max_gap_ms
+
+    def _replace_socket(self):
         now_ms = self._clock.now_ms()
-        pause_ms = now_ms - self._checked_ms
-        if pause_ms <= self._max_gap_ms:
-            return False
-        self._checked_ms = now_ms
+        pause_ms, self._checked_ms = now_ms - self._checked_ms, now_ms
         self._close_socket(self._socket)
         self._metrics.count('peer_receiver_replaced')
         _LOG.notice('event=peer_receiver_replaced pause_ms={:.0f}', pause_ms)
         while True:
             try:
                 self._socket = self._open_socket()
-                return True
+                return
             except zmq.ZMQError as error:
                 if error.errno != zmq.EADDRINUSE:
                     raise
