Read the receiving socket without green threads

A green socket reads a message as soon as its wait ends, before the receiver can notice a pause.

Change: the receiver waits for the socket and reads it itself, and only the green thread that reads replaces it.

--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -6,6 +6,7 @@
 import eventlet
 from eventlet.green import zmq
 import logbook
+import zmq as plain_zmq
 from zmq.utils.monitor import recv_monitor_message
 
 from hawthornfold.peers import codec
@@ -207,7 +208,8 @@
     def _open_router(self):
         """Return a new ROUTER socket that is bound to the node's port."""
         peers = self._settings.peers
-        router = self._create_socket(zmq.ROUTER)
+        router = plain_zmq.Socket(self._context, zmq.ROUTER)
+        self._register(router)
         router.rcvhwm = _RECEIVE_QUEUE_LENGTH
         router.maxmsgsize = codec.MAX_FRAME_BYTES
         router.handshake_ivl = _HEARTBEAT_TIMEOUT_MS
@@ -322,9 +324,13 @@
 
     def _create_socket(self, socket_type):
         socket = self._context.socket(socket_type)
+        self._register(socket)
+        return socket
+
+    def _register(self, socket):
+        """Have a new socket closed with the links."""
         socket.linger = 0
         self._sockets.add(socket)
-        return socket
 
     def _close_socket(self, socket):
         self._sockets.discard(socket)
--- a/hawthornfold/peers/receiver.py
+++ b/hawthornfold/peers/receiver.py
@@ -11,8 +11,9 @@
 import contextlib
 
 import eventlet
-from eventlet.green import zmq
+from eventlet import hubs
 import logbook
+import zmq
 
 _LOG = logbook.Logger('peers')
 
@@ -30,8 +31,9 @@
     Parameters
     ----------
     open_socket : callable
-        Returns a new socket that is bound. Raises `zmq.ZMQError` while the
-        port is in use.
+        Returns a new socket that is bound, and that does not know green
+        threads: theirs reads a message before a pause can be noticed. Raises
+        `zmq.ZMQError` while the port is in use.
     close_socket : callable
         Takes the socket and closes it.
     handle_message : callable
@@ -64,53 +66,44 @@
         self._max_gap_ms = silence_ms - _CHECK_INTERVAL_MS
         self._clock = clock
         self._metrics = metrics
-        self._checked_ms = clock.now_ms()
+        self._noted_ms = clock.now_ms()
+        # The longest pause since the socket was opened, or 0.
+        self._pause_ms = 0.0
         self._socket = open_socket()
 
     def receive(self):
         """Receive messages; never returns, and runs in a green thread."""
         while True:
-            socket = self._socket
-            try:
-                self._receive_batch(socket)
-            except zmq.ZMQError:
-                if not socket.closed:
-                    raise
-                # `watch_pauses` is replacing it.
-                self._clock.sleep_ms(_BIND_INTERVAL_MS)
+            while not self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                hubs.trampoline(self._socket.getsockopt(zmq.FD), read=True)
+            self._receive_batch()
             eventlet.sleep(0)
 
     def watch_pauses(self):
-        """Replace the socket after each pause; runs in a green thread.
-
-        Timers that are due run in the order of their times. After a pause this
-        one therefore runs before `receive`, which its socket wakes up.
-        """
+        """Note that the event loop runs; runs in a green thread."""
         while True:
             self._clock.sleep_ms(_CHECK_INTERVAL_MS)
-            if self._has_paused():
-                self._replace_socket()
-            self._checked_ms = self._clock.now_ms()
+            self._note()
 
-    def _receive_batch(self, socket):
-        """Wait for a message, and handle all that have arrived."""
-        if not self._has_paused():
-            self._handle_message(socket.recv_multipart())
+    def _receive_batch(self):
+        """Handle the messages that have arrived, unless they are too old."""
         with contextlib.suppress(zmq.Again):
             for _ in range(_RECEIVE_BATCH):
-                # The pause may have begun while messages were handled.
-                if self._has_paused():
+                self._note()
+                if self._pause_ms:
                     self._replace_socket()
                     return
-                self._handle_message(socket.recv_multipart(zmq.NOBLOCK))
+                self._handle_message(self._socket.recv_multipart(zmq.NOBLOCK))
 
-    def _has_paused(self):
-        """Return whether a pause may have ended since the last note."""
-        return self._clock.now_ms() - self._checked_ms > self._max_gap_ms
+    def _note(self):
+        """Note that the event loop runs, and a pause that has ended."""
+        now_ms = self._clock.now_ms()
+        gap_ms, self._noted_ms = now_ms - self._noted_ms, now_ms
+        if gap_ms > self._max_gap_ms:
+            self._pause_ms = max(self._pause_ms, gap_ms)
 
     def _replace_socket(self):
-        now_ms = self._clock.now_ms()
-        pause_ms, self._checked_ms = now_ms - self._checked_ms, now_ms
+        pause_ms, self._pause_ms = self._pause_ms, 0.0
         self._close_socket(self._socket)
         self._metrics.count('peer_receiver_replaced')
         _LOG.notice('event=peer_receiver_replaced pause_ms={:.0f}', pause_ms)
