--- a/hawthornfold/commands/tests/test_commands.py
+++ b/hawthornfold/commands/tests/test_commands.py
@@ -288,9 +288,13 @@
     def test_follow_prints_each_entry_once(self):
         # Guards against printing the same entries again at every poll.
         polls = []
+        # A job that a script starts with "&" ignores SIGINT.
+        former = signal.signal(signal.SIGINT, signal.default_int_handler)
+        self.addCleanup(signal.signal, signal.SIGINT, former)
 
         def sleep(seconds):
             polls.append(seconds)
+            self.assertLessEqual(len(polls), 3)
             if len(polls) == 3:
                 signal.raise_signal(signal.SIGINT)
 
