--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 
 # Faults play for 20 s a seed; with start and recovery a seed takes about 35 s.
 soak: $(VENV)/.installed
-	$(BIN)/python -W ignore -m hawthornfold.platform.tests.soak $(if $(SEED),--seed $(SEED)) --seeds $$(( $(MINUTES) * 60 / 35 + 1 )) --seconds 20
+	$(BIN)/python -W ignore -m hawthornfold.platform.tests.soak $(if $(SEED),--seed $(SEED)) $(if $(OLD),--old-release $(OLD)) --seeds $$(( $(MINUTES) * 60 / 35 + 1 )) --seconds 20
--- a/hawthornfold/platform/tests/soak.py
+++ b/hawthornfold/platform/tests/soak.py
@@ -2,6 +2,9 @@
 
     python -m hawthornfold.platform.tests.soak --seed 1 --seeds 5 --seconds 20
 
+With ``--old-release COMMIT`` the nodes start with the sources of that commit,
+and are upgraded and returned to it one by one, beside all other faults.
+
 Callers reuse connections until they close. Faults overlap at random: links
 that delay, reset, stall, cut or lose one direction, faulty servers, a store
 that refuses, is silent or returns from an older copy, and processes that are
@@ -56,6 +59,8 @@
     'publish',
     'drain',
 )
+# Beside these, while nodes run two releases.
+RELEASE_FAULTS = ('release', 'release', 'release')
 
 
 class Soak:
@@ -65,6 +70,9 @@
         self._seed = seed
         self._rng = random.Random(seed)
         self._environment = environment
+        self._faults = FAULTS
+        if len(environment.roots) > 1:
+            self._faults += RELEASE_FAULTS
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._is_calm = False
@@ -94,7 +102,7 @@
         fault_threads = []
         while time.monotonic() < end:
             fault = threading.Thread(
-                target=self._run_fault, args=(self._rng.choice(FAULTS),)
+                target=self._run_fault, args=(self._rng.choice(self._faults),)
             )
             fault.start()
             fault_threads.append(fault)
@@ -186,6 +194,20 @@
                 self._report_violation(f'node {number} stopped too late')
             node.ensure_running()
 
+    def _inject_release(self, rng, duration_s):
+        """Upgrade a node, or return it to the earlier release."""
+        with self._mark_random_node(rng) as (number, node):
+            if rng.random() < 0.5:
+                node.terminate()
+                node.wait_for_exit()
+            else:
+                node.kill()
+            self._incarnations[number] += 1
+            first, second = self._environment.roots
+            node.set_root(second if node.root == first else first)
+            time.sleep(duration_s / 3.0)
+            node.ensure_running()
+
     def _inject_publish(self, rng, duration_s):
         self._environment.publish_configuration()
 
@@ -410,10 +432,10 @@
     )
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, old_release=None):
     """Run one seed; return its `Soak` and the nodes' logs."""
     with contextlib.ExitStack() as stack:
-        environment = soak_environment.Environment(seed, stack)
+        environment = soak_environment.Environment(seed, stack, old_release)
         soak = Soak(seed, environment)
         soak.run(seconds)
         return soak, [node.read_log() for node in environment.nodes]
@@ -425,6 +447,7 @@
     parser.add_argument('--seed', type=int, default=None)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--old-release', default=None)
     parser.add_argument('--logs', default='')
     arguments = parser.parse_args()
     first = arguments.seed
@@ -432,7 +455,7 @@
         first = random.SystemRandom().randrange(1 << 30)
     failed = 0
     for seed in range(first, first + arguments.seeds):
-        soak, logs = run_seed(seed, arguments.seconds)
+        soak, logs = run_seed(seed, arguments.seconds, arguments.old_release)
         answered = sum(n for key, n in soak.counts.items() if '/' in key)
         faults = sum(n for key, n in soak.counts.items() if '/' not in key)
         print(
--- a/hawthornfold/platform/tests/soak_environment.py
+++ b/hawthornfold/platform/tests/soak_environment.py
@@ -220,9 +220,25 @@
 
 
 class Environment:
-    """Starts the components of a soak and publishes its configuration."""
+    """Starts the components of a soak and publishes its configuration.
+
+    Parameters
+    ----------
+    seed : int
+        Determines what the servers answer.
+    stack : contextlib.ExitStack
+        Stops the components.
+    old_release : str, optional
+        Commit of the release that the nodes run at first.
+    """
 
-    def __init__(self, seed, stack):
+    def __init__(self, seed, stack, old_release=None):
+        # Folders with the sources of the releases in use.
+        self.roots = [support.ROOT]
+        if old_release is not None:
+            root = stack.enter_context(tempfile.TemporaryDirectory())
+            support.export_release(old_release, root)
+            self.roots.append(pathlib.Path(root))
         self.store = support.MetadataStoreStub()
         stack.callback(self.store.close)
         self.ledger = Ledger()
@@ -252,7 +268,9 @@
         for number in (1, 2, 3):
             seeds = [node.control for node in self.nodes[:1]]
             zone = DATA_CENTRES[number % 2]
-            node = support.Node(proxied_store, number, seeds, zone=zone)
+            node = support.Node(
+                proxied_store, number, seeds, root=self.roots[-1], zone=zone
+            )
             stack.callback(node.close)
             self.nodes.append(node)
         for node in self.nodes:
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -3,15 +3,18 @@
 import base64
 import contextlib
 import http.server
+import io
 import json
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+import tarfile
 import tempfile
 import threading
 import time
+import unittest
 import urllib.parse
 
 from hawthornfold.emulator.processes import pick_ports
@@ -242,6 +245,32 @@
     return pick_ports(1, ip)[0]
 
 
+def export_release(release, directory):
+    """Write the sources of an earlier release to a directory.
+
+    Parameters
+    ----------
+    release : str
+        Its commit.
+
+    Raises
+    ------
+    unittest.SkipTest
+        The sources come without the history of the repository.
+    """
+    try:
+        archive = subprocess.run(
+            ['git', 'archive', '--format=tar', release, 'hawthornfold'],
+            cwd=ROOT,
+            check=True,
+            capture_output=True,
+        ).stdout
+    except (OSError, subprocess.CalledProcessError):
+        raise unittest.SkipTest(f'the history of {release} is missing')
+    with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
+        tar.extractall(directory, filter='data')
+
+
 class Node:
     """Runs a gateway node in its own process.
 
@@ -290,6 +319,15 @@
         self._process = None
         self.start()
 
+    @property
+    def root(self):
+        """Folder with the sources that run from the next start on."""
+        return self._root
+
+    def set_root(self, root):
+        """Set the folder with the sources to run."""
+        self._root = root
+
     def write_settings(self, **fields):
         """Rewrite the settings file with some fields changed."""
         self._fields.update(fields)
--- a/hawthornfold/platform/tests/test_mixed_releases.py
+++ b/hawthornfold/platform/tests/test_mixed_releases.py
@@ -6,14 +6,10 @@
 
 import contextlib
 import http.client
-import io
 import socket
-import subprocess
-import tarfile
 import tempfile
 import threading
 import time
-import unittest
 
 from hawthornfold.gateway.tests import support as gateway_support
 from hawthornfold.gateway.tests.support import HANG_S
@@ -32,27 +28,6 @@
 OVERLAP_S = 0.3
 
 
-def export_release(directory):
-    """Write the sources of `OLD_RELEASE` to a directory.
-
-    Raises
-    ------
-    unittest.SkipTest
-        The sources come without the history of the repository.
-    """
-    try:
-        archive = subprocess.run(
-            ['git', 'archive', '--format=tar', OLD_RELEASE, 'hawthornfold'],
-            cwd=support.ROOT,
-            check=True,
-            capture_output=True,
-        ).stdout
-    except (OSError, subprocess.CalledProcessError):
-        raise unittest.SkipTest(f'the history of {OLD_RELEASE} is missing')
-    with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
-        tar.extractall(directory, filter='data')
-
-
 class MixedReleasesTest(NodeTestCase):
     """A node without links to servers, and one that works for it."""
 
@@ -60,7 +35,7 @@
     def setUpClass(cls):
         super().setUpClass()
         directory = cls.enterClassContext(tempfile.TemporaryDirectory())
-        export_release(directory)
+        support.export_release(OLD_RELEASE, directory)
         cls.old_root = directory
 
     def setUp(self):
--- a/hawthornfold/platform/tests/test_soak.py
+++ b/hawthornfold/platform/tests/test_soak.py
@@ -26,6 +26,10 @@
 )
 
 
+# The release before the second review's faults were corrected.
+OLD_RELEASE = '316d375'
+
+
 class FaultProxyTest(unittest.TestCase):
     def test_port_in_use_is_replaced(self):
         # Guards against a soak that waits for a proxy that has ended. In the
@@ -79,3 +83,11 @@
                 finished_soak, _ = soak.run_seed(seed, SECONDS)
                 self.assertEqual(finished_soak.violations, [])
                 self.assertGreater(finished_soak.counts.get('/g/ 200', 0), 0)
+
+    def test_guarantees_hold_while_nodes_run_two_releases(self):
+        # Guards against messages that nodes of the release before do not
+        # understand, or take for something else.
+        finished_soak, _ = soak.run_seed(700, SECONDS, OLD_RELEASE)
+        self.assertEqual(finished_soak.violations, [])
+        self.assertGreater(finished_soak.counts.get('release', 0), 0)
+        self.assertGreater(finished_soak.counts.get('/g/ 200', 0), 0)
