Report a socket that cannot be created to the pool

When the process had no descriptor left, a request that needed a new connection failed with an internal error and took a slot of the server's pool for good; with all slots taken the server got no request any more.

Cause: the error left ServerConnection.open as an exception, after the pool had counted the connection.

Change: it ends the opening like a refused connection.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -141,7 +141,14 @@
         """
         self._on_open = on_open
         self._opened_ms = self._clock.now_ms()
-        raw = self._socket = _socket.socket(_socket.AF_INET, _SOCKET_TYPE)
+        try:
+            raw = _socket.socket(_socket.AF_INET, _SOCKET_TYPE)
+        except OSError as error:
+            # The process has no descriptor left.
+            detail = describe_error(error)
+            self._schedule(0.0, lambda: self._end_open(detail))
+            return
+        self._socket = raw
         # A closed descriptor with the same number may still be registered.
         hubs.notify_opened(raw.fileno())
         raw.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
--- a/hawthornfold/gateway/tests/test_pools.py
+++ b/hawthornfold/gateway/tests/test_pools.py
@@ -1,7 +1,10 @@
+import errno
 import unittest
+from unittest import mock
 
 from hawthornfold.clock import create_system_clock
 from hawthornfold.directory import ServerRecord
+from hawthornfold.gateway import connections
 from hawthornfold.gateway.names import HeaderNames
 from hawthornfold.gateway.pools import ConnectionLimits
 from hawthornfold.gateway.pools import ConnectionUser
@@ -60,6 +63,26 @@
         self.assertIs(self.acquire(pool), first)
         self.assertEqual(self.opened_count, 1)
 
+    def test_connection_without_a_socket_costs_no_slot(self):
+        # Guards against a server that gets no request any more after the
+        # process has been short of descriptors.
+        pool = self.get_pool(2)
+        for error in (
+            OSError(errno.EMFILE, 'Too many open files'),
+            OSError(errno.ENOBUFS, 'No buffer space available'),
+        ):
+            user = RecordingUser()
+            with mock.patch.object(
+                connections._socket, 'socket', side_effect=error
+            ):
+                pool.acquire(user)
+                support.wait_until(lambda u=user: u.results)
+            ((connection, reason),) = user.results
+            self.assertIsNone(connection)
+            self.assertIn(error.strerror, reason)
+        self.acquire(pool)
+        self.acquire(pool)
+
     def test_request_waits_while_all_connections_are_busy(self):
         # Guards against more connections than the server accepts.
         pool = self.get_pool(1)
