--- a/hawthornfold/gateway/tests/test_responses.py
+++ b/hawthornfold/gateway/tests/test_responses.py
@@ -210,7 +210,6 @@
 class FollowingBytesTest(ReaderTestCase):
     """Bytes after a response that belong to no response."""
 
-    BODY = b'abc'
     # Complete responses, and the method of the requests.
     RESPONSES = {
         'with a length': (
