Have each endless server of the test be the only one

Cause: the test took a 503 for the removal of the server before. A server that is avoided gives 503 too, and may be tried again, so that the requests of the next kind reached it in place of the new one.

Change: the test waits for the removal and the addition in the node's log, in place of a status. What it checks is as it was.

--- a/hawthornfold/platform/tests/test_endless_answers.py
+++ b/hawthornfold/platform/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Servers that send without end, against a node's process."""
 
+import contextlib
 import pathlib
 import threading
 
@@ -99,28 +100,35 @@
         (line,) = (x for x in status.splitlines() if x.startswith('VmHWM:'))
         return int(line.split()[1]) << 10
 
-    def check_kind(self, node, name, start, unit):
+    @contextlib.contextmanager
+    def serve(self, node, name, start, unit):
+        """Run a faulty server, the only one of its service."""
+        server_id = f'i-{name}'
         server = self.add_server(
-            f'i-{name}',
+            server_id,
             'w',
             self.create_script(start, unit),
             MaxConcurrency=REQUEST_COUNT,
         )
-        node.wait_until(lambda: node.query('/w/1', f'{name}-').status != 503)
-        statuses = self.ask_faulty(node, name)
-        self.store.delete(f'servers/i-{name}')
-        node.wait_until(lambda: node.query('/w/1', f'{name}-e').status == 503)
-        return server, statuses
+        subject = f'subject={server_id} before= after='
+        node.wait_until(lambda: f'{subject}added' in node.read_log())
+        yield server
+        self.store.delete(f'servers/{server_id}')
+        # A server that is avoided may be tried again until it is removed.
+        node.wait_until(lambda: f'{subject}removed' in node.read_log())
 
     def test_endless_answers_end_early_and_others_are_served(self):
         # Guards against a process that runs out of memory, and with it the
         # requests of all other callers.
         node = self.start()
-        for name, (start, unit) in ENDLESS.items():
-            with self.subTest(name):
-                server, statuses = self.check_kind(
-                    node, name, lambda request, s=start: s, unit
-                )
+        for number, (name, (start, unit)) in enumerate(ENDLESS.items()):
+            with (
+                self.subTest(name),
+                self.serve(
+                    node, f'w{number}', lambda request, s=start: s, unit
+                ) as server,
+            ):
+                statuses = self.ask_faulty(node, f'w{number}')
                 # 503 while the server is avoided: sent to no server. At the
                 # deadline it would be 504.
                 self.assertLessEqual(set(statuses), {502, 503}, statuses)
@@ -134,24 +142,19 @@
         for number, unit in enumerate(
             (b'x', b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx')
         ):
-            server_id = f'i-w{number}'
-            self.add_server(
-                server_id,
-                'w',
-                self.create_script(
-                    lambda request: gateway_support.create_answer(
-                        request, X_Server_Seal='s'
-                    ),
-                    unit,
+            with self.serve(
+                node,
+                f'w{number}',
+                lambda request: gateway_support.create_answer(
+                    request, X_Server_Seal='s'
                 ),
-            )
-            node.wait_until(lambda i=server_id: i in node.read_log())
-            for n in range(REQUEST_COUNT):
-                cut_count = len(self.cut)
-                status = node.query('/w/1', f'after-{number}-{n}').status
-                self.assertEqual(status, 200, node.read_log()[-2_000:])
-                node.wait_until(lambda c=cut_count: len(self.cut) > c)
-            self.store.delete(f'servers/{server_id}')
+                unit,
+            ):
+                for n in range(REQUEST_COUNT):
+                    cut_count = len(self.cut)
+                    status = node.query('/w/1', f'after-{number}-{n}').status
+                    self.assertEqual(status, 200, node.read_log()[-2_000:])
+                    node.wait_until(lambda c=cut_count: len(self.cut) > c)
         self.check_node(node)
 
     def check_node(self, node):
