Play truncated parts on a clock that the test moves

Cause, from the log of a failed run: the query was answered at its objective of 400 ms without a second part, whose server, a thread of the test, had been silent for 374 ms (pending="shard-7/s7/sent/374ms"). The test used the system's clock.

Change: it uses the clock and the timeouts of the other tests of groups, which a busy machine does not move. Its checks are as they were.

--- a/hawthornfold/gateway/tests/test_truncated_parts.py
+++ b/hawthornfold/gateway/tests/test_truncated_parts.py
@@ -4,17 +4,18 @@
 is truncated partway counts as a complete success.
 """
 
-import unittest
-
-import logbook
-
+from hawthornfold.clock import create_manual_clock
 from hawthornfold.gateway.tests import support
 from hawthornfold.gateway.tests import test_groups
 
 TRUNCATED_PART = 2
 
 
-class TruncatedPartTest(unittest.TestCase):
+class TruncatedPartTest(test_groups.GroupsTestCase):
+    def setUp(self):
+        super().setUp()
+        self.wait_for_nodes()
+
     def query(self, create, is_divided):
         """Return the answer if one part's server sends `create(request)`."""
         nodes = {}
@@ -40,14 +41,17 @@
             server = support.ScriptedServer(create_script(number))
             self.addCleanup(server.close)
             addresses.append(server.address)
-        entry = test_groups.Node(nodes, 'entry', addresses)
-        test_groups.Node(nodes, 'left', addresses)
+        clock = create_manual_clock()
+        entry, _ = (
+            test_groups.Node(nodes, name, addresses, clock=clock)
+            for name in ('entry', 'left')
+        )
+        clock.advance(test_groups.NODE_AGE_MS)
         if is_divided:
             entry.divide(('left', (0, TRUNCATED_PART, 4)))
         return entry.query()
 
     def test_truncated_part_is_missing(self):
-        self.enterContext(logbook.NullHandler().applicationbound())
         body = b'z' * 40
         creators = {
             'length': lambda r: support.create_answer(r, body)[:-20],
@@ -78,7 +82,6 @@
         # A length is not required: the end of the connection is one. A body
         # may end with a remainder that is no record, so that the remainder
         # does not show that it was truncated.
-        self.enterContext(logbook.NullHandler().applicationbound())
         for size in (32, 40):
             answer = self.query(
                 lambda r, size=size: support.create_answer(
