Age the estimates by which an entry node ranks replicas

Callers: after one replica of a shard was cold, queries waited at the other replicas while the server, warm again, was idle.

Cause: nothing but a reply changed an estimate. The estimate of a cold server (100 ms, 10 ms when warm) kept requests away from it, and with them the replies that would have corrected it. In a traced run the warm server had no request for 3 s while both others had their slots and queues in use.

--- a/hawthornfold/nodes/measure.py
+++ b/hawthornfold/nodes/measure.py
@@ -82,7 +82,7 @@
 def _build_ranker(count):
     ranker = create_replica_ranker(1)
     for i in range(count):
-        ranker.record_reply(f'portal-{i}', 20.0, 1)
+        ranker.record_reply(f'portal-{i}', 20.0, 1, 0.0)
     return ranker
 
 
--- a/hawthornfold/queries/runner.py
+++ b/hawthornfold/queries/runner.py
@@ -241,7 +241,7 @@
         code = reply.code
         if code == 0:
             self._ranker.record_reply(
-                reply.server, reply.service_ms, reply.depth
+                reply.server, reply.service_ms, reply.depth, now_ms
             )
         elif code in _SERVER_REFUSALS:
             self._ranker.record_refusal(reply.server, now_ms)
--- a/hawthornfold/queries/targets.py
+++ b/hawthornfold/queries/targets.py
@@ -36,7 +36,7 @@
             for name in shard.replicas
             if self._selector.holds(name, snapshot, now_ms) is not False
         ]
-        servers.sort(key=self._find_score)
+        servers.sort(key=lambda name: self._find_score(name, now_ms))
         # Cached scores ignore refusals. This stable sort moves servers that
         # refused work recently to the end, also if they did so after the
         # query began.
@@ -52,10 +52,12 @@
         """
         return self._last_reply_ms.get(owner, 0.0) < since_ms
 
-    def _find_score(self, name):
+    def _find_score(self, name, now_ms):
         server_score = self._scores.get(name)
         if server_score is None:
-            server_score = self._ranker.score(name, self._group.servers[name])
+            server_score = self._ranker.score(
+                name, self._group.servers[name], now_ms
+            )
             self._scores[name] = server_score
         return server_score
 
