Check the ramp of a restarted server on its new incarnation only

Cause: the test took the requests received after a time read before the restart was ordered. Under load the order takes up to 200 ms; what the warm, former incarnation ran until then, six at a time, was judged by the ramp of the new one. find_ramp_violations says that it takes records of the new incarnation.

The ledger names the incarnation, so the check uses it. The bounds are unchanged.

--- a/hawthornfold/integration/drains.py
+++ b/hawthornfold/integration/drains.py
@@ -46,6 +46,25 @@
     ]
 
 
+def list_incarnation_records(fleet, server, after_ms):
+    """Return the ledger records of sub-requests that an incarnation ran.
+
+    Parameters
+    ----------
+    after_ms : float
+        A time in ms before the start of the last incarnation. What the former
+        one received between this time and the restart is left out.
+    """
+    records = list_received_records(fleet, server, after_ms)
+    # Names of later incarnations sort after those of earlier ones.
+    last = max((record['incarnation'] for record in records), default='')
+    return [
+        record
+        for record in records
+        if record['incarnation'] == last and record['outcome'] == 'ran'
+    ]
+
+
 def find_sending_owner(fleet, record):
     """Return the owner that sent a sub-request.
 
--- a/hawthornfold/integration/tests/test_draining.py
+++ b/hawthornfold/integration/tests/test_draining.py
@@ -194,13 +194,9 @@
                     {'cold_ms': 4000.0, 'cold_factor': 8.0},
                 )
                 self.clock.sleep_ms(7000.0)
-            records = [
-                record
-                for record in drains.list_received_records(
-                    fleet, server, restarted_ms
-                )
-                if record['outcome'] == 'ran'
-            ]
+            records = drains.list_incarnation_records(
+                fleet, server, restarted_ms
+            )
             self.assertGreater(len(records), 20)
             slots = deployments.create_small().find_group('clerk-desk').slots
             violations = drains.find_ramp_violations(
