Keep a suspected restart until a reply that was requested since

Callers: after a restart a cold server could get as many requests at once as the warm one had slots, and was the straggler of these queries.

Cause: an owner whose connections are closed gives the server one slot until a report names its incarnation. Any reply of the known incarnation ended this, also one that had been under way when the server restarted and was read after the first closed connection.

Evidence: traces of 32 runs of test_restarted_server_gets_its_slots_gradually, 16 at a time: three suspicions ended by a reply of the former incarnation within 1 to 52 ms, twice followed by two to four requests above the one slot.

Change: a report counts against the suspicion if it was requested after it began. Without a restart the server has one slot until the next reply or health report (within 1 s).

test_reply_from_before_a_cut_does_not_end_the_suspicion fails before ("1 != 6").

--- a/hawthornfold/owners/health.py
+++ b/hawthornfold/owners/health.py
@@ -145,7 +145,11 @@
         state.last_health_ms = asked_ms
         state.reported_load = report['load']
         if state.record_report(
-            report['incarnation'], report['held'], report['cold'], now_ms
+            report['incarnation'],
+            report['held'],
+            report['cold'],
+            asked_ms,
+            now_ms,
         ):
             self._audit.record(
                 'snapshot',
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -271,7 +271,9 @@
         wait_ms = started_ms - job.queued_ms
         if outcome.is_ok():
             reply = outcome.ok_value
-            state.record_report(reply.incarnation, reply.held, False, now_ms)
+            state.record_report(
+                reply.incarnation, reply.held, False, started_ms, now_ms
+            )
             # A reply carries the same state as a health report, so no health
             # check is due.
             state.last_health_ms = now_ms
@@ -291,7 +293,7 @@
         failure = outcome.err_value
         if failure.incarnation and failure.held:
             state.record_report(
-                failure.incarnation, failure.held, False, now_ms
+                failure.incarnation, failure.held, False, started_ms, now_ms
             )
         elif failure.code is ResultCode.BACKEND_SNAPSHOT:
             state.remove_snapshot(job.work.snapshot)
--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -117,12 +117,12 @@
         self.reported_load = None
         self.last_health_ms = None
         self.unowned_since_ms = None
-        self.is_restart_suspected = False
+        self._suspected_ms = None
         self.is_probing = False
         # Name and incarnation of each owner that was notified of the drain.
         self.notified_owners = set()
 
-    def record_report(self, incarnation, held, is_cold, now_ms):
+    def record_report(self, incarnation, held, is_cold, asked_ms, now_ms):
         """Record a report of the server; return whether it has restarted.
 
         Parameters
@@ -134,6 +134,8 @@
         is_cold : bool
             Whether the report says that the server is cold; False when the
             report does not say.
+        asked_ms : float
+            When the report, or the reply with it, was requested, in ms.
         now_ms : float
             Current time in ms.
         """
@@ -142,9 +144,14 @@
             return False
         is_new = incarnation != self.incarnation
         is_restarted = is_new and bool(self.incarnation)
-        if self.is_restart_suspected and not is_new:
-            self.ramp.finish()
-        self.is_restart_suspected = False
+        if self._suspected_ms is not None:
+            # A reply that was under way when the connections closed says
+            # nothing about a restart since.
+            is_newer = asked_ms >= self._suspected_ms
+            if is_newer and not is_new:
+                self.ramp.finish()
+            if is_newer or is_new:
+                self._suspected_ms = None
         if is_restarted:
             self.earlier_incarnations.append(self.incarnation)
         # The first reply of a new incarnation arrives before its health report
@@ -164,7 +171,7 @@
         server for the duration of an exchange.
         """
         if self.incarnation and not self.ramp.is_active:
-            self.is_restart_suspected = True
+            self._suspected_ms = now_ms
             self.ramp.start(now_ms)
             self.queue.set_slots(self.ramp.allowed(now_ms))
 
