Put requests back that find no slot after a restart is suspected

Callers: queries waited for a cold server that got up to six requests at once.

Cause: an owner takes as many requests from a server's queue as there are free slots and starts a green thread for each. The first one finds that the server has closed its connections, and the slots fall to one; the others were sent all the same.

Change: the closed connections are looked for before a request is sent, and a request above the slots goes back to its place in the queue. The last of those that were taken runs, and its end starts the next, so none is lost; if the server has begun to drain, they are refused as not run.

--- a/hawthornfold/backends/pool.py
+++ b/hawthornfold/backends/pool.py
@@ -17,7 +17,6 @@
         self._idle = []
         self._busy = set()
         self._oldest_usable_ms = 0.0
-        self._has_lost_connections = False
 
     @property
     def count(self):
@@ -31,8 +30,13 @@
 
     @property
     def has_lost_connections(self):
-        """Whether the last `acquire` found unusable idle connections."""
-        return self._has_lost_connections
+        """Whether the server has closed the last idle connection.
+
+        Not known of one that was idle for less than `UNCHECKED_IDLE_MS`.
+        """
+        if not self._idle:
+            return False
+        return not self._is_usable(*self._idle[-1])
 
     def set_limit(self, limit):
         """Set the limit and close surplus idle connections."""
@@ -42,20 +46,18 @@
 
     def acquire(self):
         """Return an idle or a new connection, or None at the limit."""
-        now_ms = self._clock.now_ms()
-        self._has_lost_connections = False
         while self._idle:
             connection, idle_since_ms = self._idle.pop()
-            if (
-                now_ms - idle_since_ms < UNCHECKED_IDLE_MS
-                or connection.is_idle_and_open
-            ):
+            if self._is_usable(connection, idle_since_ms):
                 self._busy.add(connection)
                 return connection
             connection.close()
-            self._has_lost_connections = True
         return self.acquire_new()
 
+    def _is_usable(self, connection, idle_since_ms):
+        idle_ms = self._clock.now_ms() - idle_since_ms
+        return idle_ms < UNCHECKED_IDLE_MS or connection.is_idle_and_open
+
     def acquire_new(self):
         """Return a new connection, or None at the limit.
 
--- a/hawthornfold/limits/queue.py
+++ b/hawthornfold/limits/queue.py
@@ -149,6 +149,12 @@
             return item, expired
         return None, expired
 
+    def put_back(self, item):
+        """Free the slot of an item that has not run; it waits again."""
+        self._running -= 1
+        self._waiting[item.sequence] = item
+        heapq.heappush(self._heap, item)
+
     def finish(self, service_ms=None):
         """Free a slot; `service_ms` is None for a cancelled exchange."""
         self._running -= 1
--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -140,12 +140,15 @@
         state = self._states.get(server)
         if state is None:
             return
+        self._refuse_waiting(state)
+        state.notified_owners.clear()
+        self._notifier.notify_owners(state)
+
+    def _refuse_waiting(self, state):
         for item in state.queue.clear():
             self._refuse(
                 item.payload, ResultCode.BACKEND_DRAINING, 'server drains'
             )
-        state.notified_owners.clear()
-        self._notifier.notify_owners(state)
 
     # Dispatch
 
@@ -214,11 +217,19 @@
                 )
             if item is None:
                 return
-            eventlet.spawn_n(self._run, state, item.payload)
+            eventlet.spawn_n(self._run, state, item)
 
-    def _run(self, state, job):
+    def _run(self, state, item):
         """Run one attempt; called in a separate green thread."""
+        job = item.payload
         started_ms = self._clock.now_ms()
+        if state.pool.has_lost_connections:
+            state.suspect_restart(started_ms)
+        if state.is_over_slots and self._states.get(job.part.server) is state:
+            # The slots were reduced after the item was taken. The last of
+            # the items that were taken too early runs, then the others.
+            self._put_back(state, item)
+            return
         service_ms = None
         try:
             outcome = self._execute(state, job, started_ms)
@@ -234,6 +245,11 @@
         self._complete_attempt(state, job, outcome, started_ms)
         self.dispatch(state)
 
+    def _put_back(self, state, item):
+        state.queue.put_back(item)
+        if self._drains.is_draining(state.server.name):
+            self._refuse_waiting(state)
+
     def _execute(self, state, job, now_ms):
         if job.is_cancelled:
             return _failure(ResultCode.CANCELLED, Ran.NO, 'cancelled')
@@ -255,8 +271,6 @@
                 Ran.NO,
                 'connection share in use',
             )
-        if state.pool.has_lost_connections:
-            state.suspect_restart(now_ms)
         job.connection = connection
         outcome = self._health.exchange(
             state, job, connection, job.create_sub_request(remaining_ms)
--- a/hawthornfold/owners/state.py
+++ b/hawthornfold/owners/state.py
@@ -122,6 +122,11 @@
         # Name and incarnation of each owner that was notified of the drain.
         self.notified_owners = set()
 
+    @property
+    def is_over_slots(self):
+        """Whether more sub-requests are in flight than the slots allow."""
+        return self.queue.running > self.queue.slots
+
     def record_report(self, incarnation, held, is_cold, asked_ms, now_ms):
         """Record a report of the server; return whether it has restarted.
 
