Connect to a restarted node as soon as it sends a message

Callers: after a restore of the store, a node that had been away for about 1 s served by the store's older copy (a dropped route, a server that had left).

Cause: a node replies on its own link. After the end of the former process the link tries to connect ever more rarely, up to every 2 s, and the restarted node serves after 1 s without replies.

Change: a message of a newer process closes the link to the former one; the reply opens a new one. A first contact is left as it is.

test_reply_to_a_restarted_peer_does_not_wait_for_a_retry fails before.

--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -364,10 +364,11 @@
             and sender.incarnation < latest_incarnation
         ):
             raise codec.FrameError('incarnation')
-        if (
-            latest_incarnation is None
-            and len(self._incarnations) >= _MAX_SENDERS
-        ):
+        if latest_incarnation is not None:
+            # The link may wait up to `_MAX_RECONNECT_INTERVAL_MS` for its
+            # next attempt. What is queued in it was for the former process.
+            self.close_link(sender.name)
+        elif len(self._incarnations) >= _MAX_SENDERS:
             del self._incarnations[next(iter(self._incarnations))]
         self._incarnations[sender.name] = sender.incarnation
 
--- a/hawthornfold/peers/tests/test_links.py
+++ b/hawthornfold/peers/tests/test_links.py
@@ -15,6 +15,8 @@
 from hawthornfold.peers.tests.fakes import open_endpoint
 
 LIMIT_S = 20
+# A restarted node waits 1 s for replies before it serves.
+REPLY_LIMIT_S = 0.5
 
 
 class LinksTest(unittest.TestCase):
@@ -70,6 +72,25 @@
                 self.wait_for_count(a, ('peer_invalid', 'incarnation'))
             self.assertTrue(a.received.empty())
 
+    def test_reply_to_a_restarted_peer_does_not_wait_for_a_retry(self):
+        # Guards against replies that wait for up to 2 s in the link to the
+        # former process, which was opened again in vain and ever more rarely.
+        port = fakes.find_free_port()
+        with open_endpoint('a') as a:
+            with open_endpoint('b', (), port, 5) as b:
+                a.send(b, 'hello')
+                b.wait_for_message()
+                b.send(a, 'reply')
+                a.wait_for_message()
+            # By then the next attempt is at least 1 s away.
+            eventlet.sleep(2.0)
+            with open_endpoint('b', (), port, 6) as b:
+                b.send(a, 'question')
+                a.wait_for_message()
+                a.send(b, 'answer')
+                with eventlet.Timeout(REPLY_LIMIT_S):
+                    self.assertEqual(b.wait_for_message()[1].text, 'answer')
+
     def test_invalid_frames_are_counted(self):
         # Guards against invalid frames from the network that stop the
         # receive loop.
