Ask the receiving socket for messages only after looking for a pause

Cause: the receiver looked for a pause before it read a message, but not before it asked libzmq whether there are any. For a ROUTER libzmq takes a message from the queue to answer that; as the sixteenth of a connection it lets libzmq go on reading, up to a heartbeat, which ends the process if the connection has ended.

Evidence: a blocked process, 0 to 17 messages read before, 36 in all, a heartbeat and a reset: ends after 15 only. With 60 messages more it never ends, since the heartbeat lies too far behind; so the earlier tests missed it.

Change: the pause is looked for first.

test_process_lives_if_it_had_read_half_a_queue_before fails before ("Assertion failed: !_io_error") and passed three times after.

--- a/hawthornfold/peers/receiver.py
+++ b/hawthornfold/peers/receiver.py
@@ -74,10 +74,13 @@
     def receive(self):
         """Receive messages; never returns, and runs in a green thread."""
         while True:
-            while not self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            self._replace_after_pause()
+            # The question for events takes a message from the queue.
+            if self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                self._receive_batch()
+                eventlet.sleep(0)
+            else:
                 hubs.trampoline(self._socket.getsockopt(zmq.FD), read=True)
-            self._receive_batch()
-            eventlet.sleep(0)
 
     def watch_pauses(self):
         """Note that the event loop runs; runs in a green thread."""
@@ -86,15 +89,19 @@
             self._note()
 
     def _receive_batch(self):
-        """Handle the messages that have arrived, unless they are too old."""
+        """Handle the messages that have arrived before a pause."""
         with contextlib.suppress(zmq.Again):
             for _ in range(_RECEIVE_BATCH):
                 self._note()
                 if self._pause_ms:
-                    self._replace_socket()
                     return
                 self._handle_message(self._socket.recv_multipart(zmq.NOBLOCK))
 
+    def _replace_after_pause(self):
+        self._note()
+        if self._pause_ms:
+            self._replace_socket()
+
     def _note(self):
         """Note that the event loop runs, and a pause that has ended."""
         now_ms = self._clock.now_ms()
--- a/hawthornfold/peers/tests/test_receiver.py
+++ b/hawthornfold/peers/tests/test_receiver.py
@@ -24,6 +24,11 @@
 # More messages than the receive queue holds, in fewer bytes than libzmq reads
 # at a time.
 MESSAGE_COUNT = 60
+# libzmq goes on reading a connection after each 16 messages that were taken
+# from it; one message is missing.
+READ_BEFORE = 15
+# So many that 16 places in the queue are enough for the rest.
+FEW_MESSAGES = 21
 # Longer than the silence after which other nodes close their connections.
 PAUSE_S = 1.8
 # Time for libzmq's thread to read what was sent to a blocked process.
@@ -74,8 +79,8 @@
             answer += connection.recv(4096)
         return connection
 
-    def send_and_close(self, connection, is_reset):
-        connection.sendall(MESSAGE * MESSAGE_COUNT + 2 * HEARTBEAT)
+    def send_and_close(self, connection, is_reset, count=MESSAGE_COUNT):
+        connection.sendall(MESSAGE * count + 2 * HEARTBEAT)
         time.sleep(READ_S)
         if is_reset:
             connection.setsockopt(
@@ -106,6 +111,19 @@
                     self.send_and_close(connection, is_reset)
                 self.check_echo('after the pause')
 
+    def test_process_lives_if_it_had_read_half_a_queue_before(self):
+        # Guards against a message that is taken before the pause is noticed:
+        # libzmq takes one when it is asked whether there are any.
+        self.start()
+        connection = self.connect()
+        for _ in range(READ_BEFORE):
+            connection.sendall(MESSAGE)
+        time.sleep(READ_S)
+        self.process.send_signal(signal.SIGUSR1)
+        self.assertEqual(self.process.stdout.readline(), 'blocked\n')
+        self.send_and_close(connection, True, FEW_MESSAGES)
+        self.check_echo('after the pause')
+
     def test_process_lives_after_it_was_stopped(self):
         self.start()
         for number in range(4):
