--- a/hawthornfold/owners/service.py
+++ b/hawthornfold/owners/service.py
@@ -17,18 +17,12 @@
 from hawthornfold.codes import ResultCode
 from hawthornfold.owners.health import HealthMonitor
 from hawthornfold.owners.notices import create_drain_notifier
+from hawthornfold.owners.ownership import Ownership
 from hawthornfold.owners.state import Job
 from hawthornfold.owners.state import JobKey
 from hawthornfold.owners.state import ServerState
 
-# How long a server's queue and connections remain after this node stopped
-# being its owner. Entry nodes apply the change of owner within this time;
-# work that they still send here is dispatched rather than refused.
-UNOWNED_GRACE_MS = 3000.0
 TICK_MS = 100.0
-# Maximum time in ms that computing ownership runs before it yields to other
-# green threads.
-MAX_SLICE_MS = 10.0
 # Number of ended non-idempotent attempts that are remembered, so that a
 # duplicate message does not run one again. The network delivers duplicates
 # within seconds; this number covers minutes of non-idempotent work.
@@ -59,6 +53,7 @@
         self._is_ownership_stale = True
         self._health = HealthMonitor(self, context)
         self._notifier = create_drain_notifier(context)
+        self._ownership = Ownership(self, self._notifier, context)
 
     @property
     def in_flight(self):
@@ -382,59 +377,11 @@
         now_ms = self._clock.now_ms()
         if self._is_ownership_stale:
             self._is_ownership_stale = False
-            self._update_ownership(now_ms)
-        self._remove_unowned(now_ms)
+            self._ownership.update(now_ms)
+        self._ownership.remove_unowned(now_ms)
         self._health.start_due_checks(now_ms)
         self._metrics.set_gauge('owned_servers', len(self._states))
 
-    def _update_ownership(self, now_ms):
-        """Add servers that this node owns now and refresh its current ones."""
-        for name, state in list(self._states.items()):
-            group = self._groups.find(state.group)
-            server = None if group is None else group.servers.get(name)
-            if server != state.server:
-                self.remove_server(name)
-                continue
-            is_owner = self._policy.is_owner(self._node, server)
-            self._refresh_server(state, is_owner, now_ms)
-        centres = self._groups.servers_by_data_centre()
-        for data_centre, servers in centres.items():
-            if self._policy.may_own(self._node, data_centre):
-                self._add_owned_servers(servers)
-
-    def _add_owned_servers(self, servers):
-        slice_start_ms = self._clock.now_ms()
-        for group_name, server in servers:
-            # The first pass over 5,273 servers and 655 members takes 3.5 s.
-            # Without yielding, that would be detected as a pause of the node.
-            if self._clock.now_ms() - slice_start_ms > MAX_SLICE_MS:
-                self._clock.sleep_ms(0)
-                slice_start_ms = self._clock.now_ms()
-            if server.name not in self._states and self._policy.is_owner(
-                self._node, server
-            ):
-                self.add_server(group_name, server)
-
-    def _refresh_server(self, state, is_owner, now_ms):
-        state.pool.set_limit(self._policy.connection_share(state.server))
-        state.ramp.set_slots(self._policy.slot_share(state.server))
-        self._notifier.notify_owners(state)
-        if is_owner:
-            state.unowned_since_ms = None
-        elif state.unowned_since_ms is None:
-            state.unowned_since_ms = now_ms
-
-    def _remove_unowned(self, now_ms):
-        """Remove servers whose grace time without ownership has passed."""
-        for name, state in list(self._states.items()):
-            state.queue.set_slots(state.ramp.allowed(now_ms))
-            since_ms = state.unowned_since_ms
-            if since_ms is None or state.queue.running:
-                # Closing the connections would end exchanges that still run.
-                continue
-            if now_ms - since_ms > UNOWNED_GRACE_MS:
-                self.remove_server(name)
-
 
 def _failure(code, ran, detail):
     return Err(ExchangeFailure(code, ran, detail))
