--- a/hawthornfold/routing/ranking.py
+++ b/hawthornfold/routing/ranking.py
@@ -15,8 +15,9 @@
 # last 10 samples.
 SMOOTHING = 0.1
 INITIAL_SERVICE_MS = 10.0
-# Time without replies in which an estimate loses half of its weight. A replica
-# ten times as slow as idle ones is tried about every 3 s by an entry node.
+# Time without replies in which an estimate loses half of its weight. After
+# 3.2 s a replica that took 100 ms is tried before one that is estimated at
+# 20 ms.
 ESTIMATE_HALF_LIFE_MS = 1000.0
 # How long a server that refused work ranks behind other replicas. When it is
 # tried again while it still drains, its owner refuses the attempt without
