Infer departures that no running node has seen from common revisions

Cause: a node holds back only servers that it has seen leave. What the copy lists and the node lacks may also have registered since the restore, and revisions are given out again, so the node believed the copy.

Ruled out by a trial on a scratch copy: holding back what is listed at a revision that the node had reached; test_changes_below_the_old_revision_are_not_missed fails once the simulated store names revisions.

Change: a node remembers the last eight revisions at which it saw the record of each server written. The highest of them that the copy lists for the same server bounds what both have in common; a server that the copy lists below it, and that the node lacks, has left.

--- a/hawthornfold/directory/departures.py
+++ b/hawthornfold/directory/departures.py
@@ -7,6 +7,8 @@
 
 import typing
 
+from hawthornfold.directory.revisions import WrittenRevisions
+
 # How long a departure is remembered: longer than the age of a copy.
 DEPARTURE_TTL_MS = 60_000.0
 # A server that the copy lists as ready although it had left is not used for
@@ -46,6 +48,7 @@
     def __init__(self):
         self._departures = {}
         self._distrusted = {}
+        self._revisions = WrittenRevisions()
 
     @property
     def distrusted_records(self):
@@ -68,11 +71,44 @@
 
         A departure of an earlier start does not replace that of a later one.
         """
+        self._revisions.discard(server_id)
         before = self._departures.get(server_id)
         if before is not None:
             born_ms = max(born_ms, before.born_ms)
         self._departures[server_id] = _Departure(born_ms, now_ms)
 
+    def record_changes(self, changes):
+        """Record at which revisions the records of servers were written."""
+        self._revisions.record_changes(changes)
+
+    def infer_departures(self, changes, known_ids, now_ms):
+        """Record servers that have left, but not while this node listed them.
+
+        All revisions up to the last common one of the copy and this node
+        belong to the changes that the node has seen. A server that the copy
+        lists at one of them, and that the node does not know, has left since.
+
+        Parameters
+        ----------
+        changes : iterable of ServerChange
+            The first complete list after a restore.
+        known_ids : container of str
+            The ids of the servers that the node listed before.
+        now_ms : float
+            Current time.
+        """
+        last_common = self._revisions.find_last_common(changes)
+        for change in changes:
+            if (
+                change.record is not None
+                and 0 < change.revision < last_common
+                and change.server_id not in known_ids
+            ):
+                self.record_departure(
+                    change.server_id, change.record.born_ms, now_ms
+                )
+        self._revisions.clear()
+
     def forget(self, server_id):
         """Forget a departure, because the server wrote its record again."""
         self._departures.pop(server_id, None)
--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -194,6 +194,7 @@
         """
         if is_restored:
             self.record_outage(now_ms)
+            self._departures.infer_departures(changes, self._records, now_ms)
         listed = {change.server_id for change in changes}
         events = []
         for server_id in set(self._records) - listed:
@@ -227,6 +228,7 @@
         list of DirectoryEvent
         """
         events = []
+        self._departures.record_changes(changes)
         for change in changes:
             if change.record is None:
                 self._departures.drop_listing(change.server_id)
--- a/hawthornfold/directory/tests/test_restore.py
+++ b/hawthornfold/directory/tests/test_restore.py
@@ -28,6 +28,7 @@
 from hawthornfold.directory.reader_tracker import ERA_SPREAD_MS
 from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
 from hawthornfold.directory.removals import REMOVAL_GRACE_MS
+from hawthornfold.directory.revisions import MAX_REVISIONS
 from hawthornfold.directory.tests.test_watcher import configuration
 from hawthornfold.metrics import create_metrics
 
@@ -100,6 +101,13 @@
         """Drop the history."""
         self.oldest_revision = self.revision
 
+    def find_revision(self, server_id):
+        return max(
+            n
+            for n, (change, _) in self.changes.items()
+            if change is not None and change.server_id == server_id
+        )
+
     def read_all(self, may_be_stale=False):
         self.reads += 1
         if self.is_down:
@@ -108,7 +116,10 @@
         return result.Ok(
             StoreChanges(
                 self.revision,
-                tuple(ServerChange(i, r) for i, r in servers.items()),
+                tuple(
+                    ServerChange(i, r, self.find_revision(i))
+                    for i, r in servers.items()
+                ),
                 published,
                 era=self.era,
             )
@@ -269,6 +280,51 @@
                 self.pass_time(node, DISTRUST_MS)
                 self.assertEqual(node.usable, {'s2'})
 
+    def test_server_that_left_before_the_node_started_is_not_used(self):
+        # Guards against requests to a server that has left, because no
+        # running node has seen that, and the copy lists it as ready.
+        self.store.write_server(create_record('s1'))
+        self.store.write_server(create_record('s2'))
+        self.store.remove_server('s1')
+        node = self.create_node()
+        node.read(2)
+        self.store.restore(102)
+        node.read(2)
+        self.assertEqual(node.usable, {'s2'})
+        # A node that starts later asks this one.
+        departed = node.watcher.create_snapshot().departed
+        self.assertEqual(departed, (DepartedServer('s1', 1),))
+        self.store.write_server(create_record('s1'))
+        node.read()
+        self.assertEqual(node.usable, {'s1', 's2'})
+
+    def test_departure_is_inferred_from_an_earlier_revision(self):
+        # Guards against a copy that has nothing in common with the node,
+        # because all servers have written their records again since.
+        directory = self.create_node().directory
+        known = [ServerChange('s2', create_record('s2'), 102)]
+        directory.replace_all(known, 0.0)
+        for revision in range(104, 104 + MAX_REVISIONS - 1):
+            later = ServerChange('s2', create_record('s2'), revision)
+            directory.apply([later], 0.0)
+        left = ServerChange('s1', create_record('s1'), 101)
+        directory.replace_all([left, *known], 0.0, True)
+        self.assertEqual(directory.distrusted_ids, ('s1',))
+
+    def test_server_that_registers_after_the_restore_is_used(self):
+        # Guards against a new server that is held back because its revision
+        # was one of the lost era's.
+        self.store.write_server(create_record('s1'))
+        node = self.create_node()
+        node.read(2)
+        for _ in range(5):
+            self.store.write_server(create_record('s1'))
+        node.read()
+        self.store.restore(101)
+        self.store.write_server(create_record('new'))
+        node.read(2)
+        self.assertEqual(node.usable, {'s1', 'new'})
+
     def test_server_that_is_alive_after_all_is_used_again(self):
         # Guards against a live server that is excluded for ever, because its
         # record had expired before the restore.
