Serve the first requests of open connections before a stop

What callers saw: a connection to a stopping node ended without an answer to its first request.

Cause: when the listener closes, a connection on which no byte has arrived counts as idle and is closed, although a caller that has just connected is about to send a request.

Change: the stop waits, 200 ms at most, until every open connection has received the start of its first request, and serves requests meanwhile. Idle connections that have carried a request are closed as before.

--- a/hawthornfold/callers/protocol.py
+++ b/hawthornfold/callers/protocol.py
@@ -121,6 +121,7 @@
         self._limits = port.settings
         self._tracking = contextlib.ExitStack()
         self._is_tracked = False
+        self._has_begun_request = False
         self._is_answering = False
         self._remaining_head_bytes = 0
         super().__init__(conn_state, server)
@@ -130,8 +131,14 @@
         """Whether the connection waits for the first byte of a request."""
         return self.conn_state[2] == wsgi.STATE_IDLE
 
+    @property
+    def awaits_first_request(self):
+        """Whether the connection waits for the start of its first request."""
+        return self.is_idle and not self._has_begun_request
+
     def begin_request(self):
         """Count a request as in progress, so that a stop waits for it."""
+        self._has_begun_request = True
         self.conn_state[2] = wsgi.STATE_REQUEST
         if not self._is_tracked:
             self._is_tracked = True
@@ -174,10 +181,8 @@
             self._port.count('caller_connections_lost')
 
     def _serve_requests(self):
-        is_first = True
         try:
-            while self._wait_for_request(is_first):
-                is_first = False
+            while self._wait_for_request():
                 self._handle_request()
                 self._end_request()
                 if self.close_connection:
@@ -204,11 +209,11 @@
         self._is_tracked = False
         self._tracking.close()
 
-    def _wait_for_request(self, is_first):
+    def _wait_for_request(self):
         """Wait for the first byte of a request; return False if none came."""
         read_timeout_ms = self._limits.read_timeout_ms
         wait_ms = read_timeout_ms
-        if not is_first:
+        if self._has_begun_request:
             wait_ms = max(self._limits.idle_timeout_ms, read_timeout_ms)
         self._stream.start_time_limit(wait_ms)
         self._stream.is_polling = self._port.is_stopping
--- a/hawthornfold/callers/server.py
+++ b/hawthornfold/callers/server.py
@@ -36,6 +36,10 @@
 # one instruction: accept 0 bytes of each packet.
 _SO_ATTACH_FILTER = 26
 _DROP_ALL = struct.pack('HBBI', 0x06, 0, 0, 0)
+# Maximum time that a stop waits for the first requests of open connections. A
+# caller that has just connected is about to send one.
+FIRST_REQUEST_WAIT_MS = 200.0
+_FIRST_REQUEST_POLL_MS = 5.0
 # Wait before accept() is called again after such an error.
 _ACCEPT_RETRY_MS = 50.0
 
@@ -141,6 +145,17 @@
             if not self._connection_counts[address]:
                 del self._connection_counts[address]
 
+    def wait_for_first_requests(self):
+        """Wait until each connection has received the start of a request.
+
+        The wait ends after `FIRST_REQUEST_WAIT_MS` at the latest.
+        """
+        ends_ms = self._clock.now_ms() + FIRST_REQUEST_WAIT_MS
+        while self._clock.now_ms() < ends_ms and any(
+            connection.awaits_first_request for connection in self._connections
+        ):
+            self._clock.sleep_ms(_FIRST_REQUEST_POLL_MS)
+
     def begin_stop(self):
         """Begin a stop; keep connections on which a request is arriving."""
         self._is_stopping = True
@@ -214,6 +229,14 @@
         debug=False,
     )
 
+    def accept_backlog():
+        for _ in range(MAX_CONNECTIONS):
+            if not is_readable(listener):
+                break
+            eventlet.sleep(0)
+        # Let the threads of the accepted connections register them.
+        eventlet.sleep(0)
+
     def stop_accepting():
         if shared.is_stopping:
             return
@@ -221,10 +244,10 @@
         # may already carry requests. Closing the listener would reset one
         # that the kernel accepts after the last check.
         _refuse_new_connections(listener)
-        for _ in range(MAX_CONNECTIONS):
-            if not is_readable(listener):
-                break
-            eventlet.sleep(0)
+        accept_backlog()
+        shared.wait_for_first_requests()
+        # Without the filter, connections have arrived in the meantime.
+        accept_backlog()
         shared.begin_stop()
         server.kill()
         listener.close()
