Probe members in shuffled rounds instead of at random

Change: routine probes go to all live members in rounds, each in a new random order; probes of the own data centre have rounds of their own, and their share is exact.

--- a/hawthornfold/membership/prober.py
+++ b/hawthornfold/membership/prober.py
@@ -4,15 +4,13 @@
 import typing
 
 from hawthornfold.membership import records
+from hawthornfold.membership.probe_order import ProbeOrder
 from hawthornfold.membership.probes import PendingProbes
 from hawthornfold.membership.probes import Probe
 from hawthornfold.membership.probes import Purpose
 from hawthornfold.peers import messages
 
 _RELAY_COUNT = 3
-# Number of random members among which one of the own data centre is looked
-# for.
-_LOCAL_CANDIDATES = 16
 # Maximum of the health penalty, which failed probes raise and answers lower.
 # It lengthens the suspicion timeout up to five times: a node that receives no
 # answers at all is probably faulty itself, so it removes others later.
@@ -50,6 +48,13 @@
         self._options = options
         self._random = random
         self._pending = PendingProbes(random.getrandbits(31))
+        self._order = ProbeOrder(state.table, random)
+        self._local_order = ProbeOrder(
+            state.table, random, state.own.data_centre
+        )
+        # Grows by `local_probe_share` per probe; from 1 on the next probe goes
+        # to the own data centre.
+        self._due_local_probes = 0.0
         self._suspicions = {}
         self._unverified_removals = collections.deque(
             maxlen=_MAX_UNVERIFIED_REMOVALS
@@ -77,8 +82,7 @@
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + self._options.probe_interval_ms
             table = self._state.table
-            for record in self._choose_routine():
-                self._probe(record, Purpose.ROUTINE, now_ms)
+            self._probe_next(now_ms)
             if self._unverified_removals:
                 record = table.get(self._unverified_removals.popleft())
                 if record is not None and table.is_live(record.name):
@@ -88,15 +92,16 @@
                 self._probe(suspicion.record, Purpose.SUSPECT, now_ms)
         self._remove_expired_suspects(now_ms)
 
-    def _choose_routine(self):
-        """Return the member of the next routine probe, as a list."""
-        table = self._state.table
-        if self._random.random() >= self._options.local_probe_share:
-            return table.choose_live(self._random, 1)
-        candidates = table.choose_live(self._random, _LOCAL_CANDIDATES)
-        data_centre = self._state.own.data_centre
-        local = [x for x in candidates if x.data_centre == data_centre]
-        return (local or candidates)[:1]
+    def _probe_next(self, now_ms):
+        """Send the next routine probe."""
+        record = None
+        self._due_local_probes += self._options.local_probe_share
+        if self._due_local_probes >= 1.0:
+            self._due_local_probes -= 1.0
+            record = self._local_order.take_next()
+        record = record or self._order.take_next()
+        if record is not None:
+            self._probe(record, Purpose.ROUTINE, now_ms)
 
     def queue_verification(self, removed):
         """Queue a probe of a member that another table lists as removed.
--- a/hawthornfold/membership/table.py
+++ b/hawthornfold/membership/table.py
@@ -12,7 +12,7 @@
     """Records of all members except the node itself.
 
     All operations take constant time, whatever the size of the fleet, except
-    `records_in`, `export_members` and `set_listed`.
+    `records_in`, `list_live_names`, `export_members` and `set_listed`.
     """
 
     def __init__(self):
@@ -67,6 +67,19 @@
         values[records.compute_bucket(own.name)] ^= records.hash_record(own)
         return b''.join(value.to_bytes(4, 'big') for value in values)
 
+    def list_live_names(self, data_centre=None):
+        """Return the names of the live members, of one data centre if given.
+
+        The list is a new one.
+        """
+        if data_centre is None:
+            return list(self._live_names)
+        return [
+            name
+            for name in self._live_names
+            if self._records[name].data_centre == data_centre
+        ]
+
     def choose_live(self, random, count, excluded=()):
         """Return up to `count` distinct live records in random order.
 
--- a/hawthornfold/membership/tests/test_fleet.py
+++ b/hawthornfold/membership/tests/test_fleet.py
@@ -74,6 +74,31 @@
         self.assertIn(('member-suspect', 'entry-3'), kinds)
         self.assertIn(('member-removed', 'entry-3'), kinds)
 
+    def test_each_member_is_probed_within_two_rounds(self):
+        # Guards against members that random choices leave out, whose failure
+        # a small fleet detects late.
+        count = 10
+        for share in (0.0, 0.8):
+            for seed in range(20):
+                options = Options(local_probe_share=share)
+                fleet = start_converged(count, seed=seed, options=options)
+                before = len(fleet.observations)
+                for number in range(1, count):
+                    fleet.kill(f'entry-{number}')
+                probes = 2 * (count - 1)
+                if share:
+                    # The rest of the probes is not counted on.
+                    probes /= share
+                # An unanswered probe takes up to one interval.
+                fleet.run_for((probes + 1) * options.probe_interval_ms)
+                suspects = {
+                    observation.change.subject
+                    for observation in fleet.observations[before:]
+                    if observation.change.kind == 'member-suspect'
+                }
+                with self.subTest(share=share, seed=seed):
+                    self.assertEqual(len(suspects), count - 1)
+
     def test_planned_leave_needs_no_timeout(self):
         # Guards against planned stops that other nodes treat as failures.
         fleet = start_converged(8)
