Try again to connect to a peer at most 0.5 s later

Cause: libzmq doubles the interval between attempts to connect, up to 2 s. A node that starts asks others and waits 1 s for their replies; a reply in a link that waits for its next attempt comes too late. For peers that have been heard from, the link is replaced already; after a start of all nodes it is not.

Change: the interval stays below 0.5 s. Retries after failed handshakes keep their interval. test_reply_to_a_restarted_peer sets the former interval, so that it still fails without the replacement of links.

--- a/hawthornfold/peers/links.py
+++ b/hawthornfold/peers/links.py
@@ -20,7 +20,11 @@
 # shorter than the 2 s after which a suspect is removed.
 _HEARTBEAT_TIMEOUT_MS = 1500
 _RECONNECT_INTERVAL_MS = 100
-_MAX_RECONNECT_INTERVAL_MS = 2000
+# libzmq doubles the interval up to this one, and adds up to the first one. A
+# node that starts waits 1 s for replies, so attempts must be less than that
+# apart. With 2 s, messages to a node that had been away for 2 s came later.
+_MAX_RECONNECT_INTERVAL_MS = 400
+_MAX_KEY_RETRY_INTERVAL_MS = 2000
 _CONNECT_TIMEOUT_MS = 1500
 _SEND_QUEUE_LENGTH = 512
 # Messages of one peer that wait while the node is busy. Messages may have 1.2
@@ -300,7 +304,7 @@
                 # wait before the next attempt.
                 delay_ms = min(
                     failures * _RECONNECT_INTERVAL_MS,
-                    _MAX_RECONNECT_INTERVAL_MS,
+                    _MAX_KEY_RETRY_INTERVAL_MS,
                 )
                 self._clock.sleep_ms(delay_ms)
             self._close_link_sockets(link)
--- a/hawthornfold/peers/tests/test_links.py
+++ b/hawthornfold/peers/tests/test_links.py
@@ -9,6 +9,7 @@
 
 from hawthornfold.peers import codec
 from hawthornfold.peers import create_key_pair
+from hawthornfold.peers import links
 from hawthornfold.peers import messages
 from hawthornfold.peers.measure import Relay
 from hawthornfold.peers.tests import fakes
@@ -17,6 +18,7 @@
 LIMIT_S = 20
 # A restarted node waits 1 s for replies before it serves.
 REPLY_LIMIT_S = 0.5
+START_LIMIT_S = 1.0
 
 
 class LinksTest(unittest.TestCase):
@@ -73,8 +75,11 @@
             self.assertTrue(a.received.empty())
 
     def test_reply_to_a_restarted_peer_does_not_wait_for_a_retry(self):
-        # Guards against replies that wait for up to 2 s in the link to the
-        # former process, which was opened again in vain and ever more rarely.
+        # Guards against replies that wait in the link to the former process,
+        # which was opened again in vain and ever more rarely.
+        self.enterContext(
+            mock.patch.object(links, '_MAX_RECONNECT_INTERVAL_MS', 2_000)
+        )
         port = fakes.find_free_port()
         with open_endpoint('a') as a:
             with open_endpoint('b', (), port, 5) as b:
@@ -91,6 +96,18 @@
                 with eventlet.Timeout(REPLY_LIMIT_S):
                     self.assertEqual(b.wait_for_message()[1].text, 'answer')
 
+    def test_message_to_a_starting_peer_does_not_wait_for_a_retry(self):
+        # Guards against attempts to connect that become so rare while a peer
+        # is away that its questions are answered too late after its start.
+        port = fakes.find_free_port()
+        with open_endpoint('a') as a:
+            a.links.send('b', f'127.0.0.1:{port}', fakes.Note('hello'))
+            # Intervals that double without a limit are over 1 s by then.
+            eventlet.sleep(2.0)
+            with open_endpoint('b', (), port) as b:
+                with eventlet.Timeout(START_LIMIT_S):
+                    self.assertEqual(b.wait_for_message()[1].text, 'hello')
+
     def test_invalid_frames_are_counted(self):
         # Guards against invalid frames from the network that stop the
         # receive loop.
