Read changes in pages if one reply takes too long

Cause: a watch whose reply does not arrive within 3 s was taken for an outage and repeated from the same revision, with a reply as large. 2.6 MB take 3 s at 7 Mbit/s; the limit on the size is 4 MB.

Change: a reply whose head has arrived, but not its body in time, counts as lost history, as one that is too large does. The node then reads everything in pages of 1 MB. A reply without a head is an outage as before.

Measured: test_changes_that_exceed_the_time_for_a_reply_are_read_in_pages fails before (False != True) and passes after.

--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -78,15 +78,15 @@
         HTTP status if it is the cause; 0 otherwise.
     era : int or None
         Era of the store, if it answered and reports one.
-    is_too_large : bool
-        Whether the reply exceeds `MAX_REPLY_BYTES`.
+    exceeds_limits : bool
+        Whether the body exceeds `MAX_REPLY_BYTES`, or the time for a reply.
     """
 
-    def __init__(self, detail, status=0, era=None, is_too_large=False):
+    def __init__(self, detail, status=0, era=None, exceeds_limits=False):
         super().__init__(detail)
         self.status = status
         self.era = era
-        self.is_too_large = is_too_large
+        self.exceeds_limits = exceeds_limits
 
 
 class MetadataStore(PublishedStore):
@@ -146,7 +146,7 @@
         except _ReadError as error:
             # A watch has no pages: the reply to the next one from the same
             # revision is as large. The pages of a complete read are not.
-            is_history_lost = error.status == 410 or error.is_too_large
+            is_history_lost = error.status == 410 or error.exceeds_limits
             return result.Err(
                 ReadFailure(str(error), is_history_lost, error.era)
             )
@@ -219,7 +219,12 @@
             is_complete = data is not None
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             # ValueError: chunks of a negative length.
-            raise _ReadError(f'{type(error).__name__}: {error}')
+            raise _ReadError(
+                f'{type(error).__name__}: {error}',
+                exceeds_limits=isinstance(
+                    error, urllib3.exceptions.ReadTimeoutError
+                ),
+            )
         finally:
             # A connection with an unread body cannot be reused.
             if is_complete:
@@ -229,7 +234,7 @@
         era = self._read_era(response)
         if data is None:
             raise _ReadError(
-                'the reply is too large', era=era, is_too_large=True
+                'the reply is too large', era=era, exceeds_limits=True
             )
         self._reply_bytes = len(data)
         if response.status != 200:
--- a/hawthornfold/platform/tests/test_endless_store.py
+++ b/hawthornfold/platform/tests/test_endless_store.py
@@ -8,6 +8,7 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 from hawthornfold.clock import create_system_clock
 from hawthornfold.platform import store as stores
@@ -118,6 +119,25 @@
                 )
                 self.assertLess(elapsed_ms, RECOVERY_MS)
 
+    def test_changes_that_exceed_the_time_for_a_reply_are_read_in_pages(self):
+        # Guards against a node on a slow link that asks for the same changes
+        # again and again, and serves by an old version meanwhile.
+        limits = stores.ReplyLimits(transfer_ms=200.0, total_bytes=5 << 20)
+        self.enterContext(mock.patch.object(stores, '_LIMITS', limits))
+        head = HEAD + b'Content-Length: 3000000\r\n\r\n'
+        for pieces, is_history_lost in (
+            ([head, *[b' ' * 100_000] * 30], True),
+            # Without a head it is an outage.
+            ([head[:9], *head[9:].split(b'e')], False),
+        ):
+            server = RawServer(lambda p=pieces: p, interval_ms=100.0)
+            self.addCleanup(server.close)
+            store = stores.open_store(
+                lambda s=server: s.address, create_system_clock()
+            )
+            failure = store.wait_for_changes(1, 0.0).err_value
+            self.assertEqual(failure.is_history_lost, is_history_lost)
+
     def test_endless_pages_are_a_failed_read(self):
         # Guards against a list of servers that grows until the node is
         # killed, from a store that always has more pages.
