Review: show that SIGHUP ends a node that is starting

A node that gets SIGHUP before its handlers are installed ends with the signal. Three changes of the settings soon after the start ended the processes of both machines three times (Fault).

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -548,6 +548,13 @@
             while not await self.is_ready():
                 await asyncio.sleep(0.1)
 
+    def change_settings(self):
+        """Write the settings file again, with a field that is not known."""
+        text = self._settings.read_text()
+        new = self._settings.with_suffix('.new')
+        new.write_text(f'NewField{len(text)} = 1\n{text}')
+        new.replace(self._settings)
+
     async def kill(self):
         """End the process with SIGKILL."""
         if self.process is not None and self.process.returncode is None:
