--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -135,9 +135,11 @@
     """Close a connection with a reset."""
     raw = writer.get_extra_info('socket')
     if raw is not None:
-        raw.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-        )
+        # It may be closed already.
+        with contextlib.suppress(OSError):
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
     writer.transport.abort()
 
 
