--- a/review/14/case.py
+++ b/review/14/case.py
@@ -51,6 +51,8 @@
     await asyncio.wait({ready, ended}, return_when=asyncio.FIRST_COMPLETED)
     if ended.done():
         ready.cancel()
+        if node.process.returncode != -signal.SIGHUP:
+            raise RuntimeError(f'{node.name} ended for another reason')
         return True
     ended.cancel()
     # Raises TimeoutError if the process runs and doesn't become ready.
--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import struct
 import sys
@@ -611,9 +612,17 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(pathlib.Path(path).with_name('record.txt'))
     status = 2
+
+    async def run():
+        # The case ends its processes also if it is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
+        return await asyncio.wait_for(play(record, has_trouble), 110)
+
     try:
-        status = asyncio.run(asyncio.wait_for(play(record, has_trouble), 110))
-    except Exception as error:  # noqa: BLE001
+        status = asyncio.run(run())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # noqa: BLE001
         record.write(f'the case could not run: {error!r}')
     record.write(f'exit status {status}')
     record.close()
