--- a/review/14/case.py
+++ b/review/14/case.py
@@ -75,9 +75,12 @@
     nodes = [stand_ins.Node(1, store.address)]
     nodes.append(stand_ins.Node(2, store.address, [nodes[0].control]))
     try:
-        ends = await asyncio.gather(
-            *(run_machine(node, record, has_trouble) for node in nodes)
-        )
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(run_machine(node, record, has_trouble))
+                for node in nodes
+            ]
+        ends = [task.result() for task in tasks]
     finally:
         for node in nodes:
             await node.close()
