Receive signals from the first statement of a gateway process

Cause: run_gateway installed the handlers after all modules were imported and the node's state was created, 0.6 s and more after the start. Until then signals have their default actions.

The entry point now installs the handlers before any other import, and what is received is kept until the node can act on it. SIGHUP during a start is a reload after it. SIGTERM or SIGINT before the ports are open ends the process with 0 and the line "event=stopped cut_requests=0 phase=start"; later it is a graceful stop as before. A stop prevails over a reload in any order, and several SIGHUP that arrive together are one reload.

--- a/hawthornfold/gateway/process.py
+++ b/hawthornfold/gateway/process.py
@@ -2,7 +2,6 @@
 
 import gc
 import os
-import signal
 
 import logbook
 
@@ -17,27 +16,32 @@
 _SETTINGS_POLL_INTERVAL_MS = 1_000.0
 
 
-def run_gateway(load_settings, open_store, names, ready_path, settings_path):
-    """Run a gateway node until SIGTERM or SIGINT.
+def run_gateway(
+    load_settings, open_store, names, ready_path, settings_path, signals
+):
+    """Run a gateway node until a stop is requested.
 
     Parameters
     ----------
     settings_path : str
         Path of the settings file, which is read again when it changes.
+    signals : ReceivedSignals
+        The signals that the process has received and will receive.
 
     Returns
     -------
     int
         Exit status: 0 after a graceful stop, 1 if requests were aborted.
     """
-    signals = []
     node = GatewayNode(load_settings, open_store, names, ready_path)
     # Modules and their objects stay until the process ends. Without this, each
     # full collection examines all of them, which takes 10 ms and more.
     gc.freeze()
     with setup_logs(node.settings.node_name):
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda number, _: signals.append(number))
+        if signals.is_stop_requested:
+            # No port is open and no other node knows of this one.
+            _LOG.notice('event=stopped cut_requests=0 phase=start')
+            return 0
         with node.open() as stop_accepting:
             _LOG.notice(
                 'event=started callers={}', node.settings.caller_address
@@ -54,9 +58,10 @@
     next_check_ms = clock.now_ms() + _SETTINGS_POLL_INTERVAL_MS
     while True:
         clock.sleep_ms(_SIGNAL_POLL_INTERVAL_MS)
-        while signals:
-            if signals.pop(0) != signal.SIGHUP:
-                return
+        if signals.is_stop_requested:
+            return
+        if signals.is_reload_requested:
+            signals.begin_reload()
             node.reload('SIGHUP')
             file_state = _read_file_state(settings_path)
         if clock.now_ms() >= next_check_ms:
--- a/hawthornfold/platform/__main__.py
+++ b/hawthornfold/platform/__main__.py
@@ -1,29 +1,22 @@
-"""Runs a gateway node on the users' platform."""
+"""Entry point of a gateway node on the users' platform."""
 
-import functools
-import os
 import sys
 
-import eventlet
-
-from hawthornfold.gateway.process import run_gateway
-from hawthornfold.platform import names
-from hawthornfold.platform.settings import load_settings
-from hawthornfold.platform.store import open_store
+from hawthornfold.process_signals import receive_signals
 
 
 def main():
     """Run a node until a stop signal; return the exit status."""
-    path = os.environ[names.SETTINGS_VARIABLE]
-    return run_gateway(
-        functools.partial(load_settings, path),
-        open_store,
-        names.HEADERS,
-        names.READY_PATH,
-        path,
-    )
+    with receive_signals(can_reload=True) as signals:
+        # Importing takes most of the start. A signal that arrives meanwhile
+        # must not end the process.
+        import eventlet
+
+        from hawthornfold.platform.process import run_node
+
+        eventlet.monkey_patch()
+        return run_node(signals)
 
 
 if __name__ == '__main__':
-    eventlet.monkey_patch()
     sys.exit(main())
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -31,7 +31,7 @@
 ReadyAddr = "{ip}:{ready}"
 Control = "{ip}:{control}"
 [Bounds]
-GraceS = 6
+GraceS = {grace_s}
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
 BudgetSlack = {slack}
@@ -284,12 +284,22 @@
         Peer addresses of other nodes.
     root : path
         Folder with the sources to run.
+    program : sequence of str
+        The module that the process runs, and its arguments.
     """
 
     def __init__(
-        self, store, number=1, seeds=(), slack=54, root=ROOT, **fields
+        self,
+        store,
+        number=1,
+        seeds=(),
+        slack=54,
+        root=ROOT,
+        program=('hawthornfold.platform',),
+        **fields,
     ):
         self._root = root
+        self._program = program
         self.ip = choose_ip(number)
         self.ports = {
             name: find_free_port(self.ip)
@@ -303,6 +313,7 @@
             'ip': self.ip,
             'store': store.address,
             'slack': slack,
+            'grace_s': 6,
             'seeds': ', '.join(f'"{seed}"' for seed in seeds),
             'cores': 1.0,
             'link_mbps': 1000.0,
@@ -349,7 +360,7 @@
                     '-W',
                     'ignore',
                     '-m',
-                    'hawthornfold.platform',
+                    *self._program,
                 ],
                 cwd=self._root,
                 env=environment,
