Ignore signals while the process of a gateway ends

Cause: the interpreter restores the default actions of handled signals while it ends, before it tears down the modules. A signal after that ends the process. A signal that the interpreter ignores stays ignored, so the entry point ignores them once the run is over.

Test: test_signals_while_the_process_ends sends the signals from a function that the interpreter calls at its end, and from an object that it deletes after restoring the actions.

--- a/hawthornfold/platform/tests/test_process_signals.py
+++ b/hawthornfold/platform/tests/test_process_signals.py
@@ -21,6 +21,8 @@
 )
 # Points at which the node is open, and other nodes may know of it.
 POINTS_AFTER_PORTS = ('socket.bind:127.', 'socket.connect:127.')
+# Points after the stop.
+LAST_POINTS = ('exit', 'teardown')
 # Each node waits half of this for late callers when it stops.
 GRACE_S = 2
 
@@ -102,3 +104,13 @@
 
         for point in POINTS_AFTER_PORTS:
             self.run_series(point, play)
+
+    def test_signals_while_the_process_ends(self):
+        # Guards against a signal that replaces the exit status of a stop,
+        # because the interpreter restores the default actions of signals.
+        def play(node, series):
+            node.wait_until(node.is_ready)
+            self.stop(node)
+
+        for point in LAST_POINTS:
+            self.run_series(point, play)
--- a/hawthornfold/process_signals/received.py
+++ b/hawthornfold/process_signals/received.py
@@ -71,7 +71,7 @@
 
 @contextlib.contextmanager
 def receive_signals(can_reload):
-    """Record signals from the start of the context on.
+    """Record signals while the context is active; ignore them afterwards.
 
     The context has to surround the whole run of a process, with the imports
     of its modules.
@@ -88,4 +88,11 @@
     signals = ReceivedSignals(can_reload)
     for number in HANDLED_SIGNALS:
         signal.signal(number, lambda number, _: signals.record(number))
-    yield signals
+    try:
+        yield signals
+    finally:
+        # The interpreter restores the default actions of handled signals
+        # while it ends, but not of ignored ones. A signal in this time would
+        # replace the exit status.
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
--- a/hawthornfold/process_signals/tests/test_received.py
+++ b/hawthornfold/process_signals/tests/test_received.py
@@ -4,6 +4,8 @@
 import unittest
 
 from hawthornfold.process_signals import ReceivedSignals
+from hawthornfold.process_signals import receive_signals
+from hawthornfold.process_signals.received import HANDLED_SIGNALS
 
 
 def receive(can_reload, *numbers):
@@ -43,3 +45,19 @@
             self.assertEqual(receive(False, *numbers).stop_count, 1)
         signals = receive(False, signal.SIGTERM, signal.SIGINT)
         self.assertEqual(signals.stop_count, 2)
+
+
+class ReceiveSignalsTest(unittest.TestCase):
+    def test_signals_are_ignored_after_the_context(self):
+        # Guards against signals that take their default action while the
+        # process ends.
+        for number in HANDLED_SIGNALS:
+            former = signal.getsignal(number)
+            self.addCleanup(signal.signal, number, former)
+        with receive_signals(can_reload=True) as signals:
+            for number in HANDLED_SIGNALS:
+                signal.raise_signal(number)
+        self.assertEqual(signals.stop_count, 2)
+        for number in HANDLED_SIGNALS:
+            signal.raise_signal(number)
+        self.assertEqual(signals.stop_count, 2)
