Receive signals during the whole run of "hawthornfold serve"

The node of the own interface had the same two faults as the gateway: until its services were created SIGTERM ended it with -15 and SIGINT with a traceback, and a signal at the end of the interpreter replaced the status 0. SIGHUP ended it at any time, with all requests in progress, as it had no handler.

The command now uses the same handlers as the gateway. The node does not read its settings again, so SIGHUP stops it gracefully. It never counts as the second request that cuts requests off, since supervisors send SIGHUP together with SIGTERM.

--- a/hawthornfold/commands/line.py
+++ b/hawthornfold/commands/line.py
@@ -14,6 +14,7 @@
 from hawthornfold.commands import output
 from hawthornfold.commands import references
 from hawthornfold.commands import serving
+from hawthornfold.process_signals import ReceivedSignals
 from hawthornfold.rules import RequestFacts
 
 _MAX_AUDIT_ENTRIES = 4_096
@@ -92,10 +93,18 @@
 ]
 
 
+def create_signals():
+    """Create the signals of a command that the process does not receive."""
+    return ReceivedSignals(can_reload=False)
+
+
+_Signals = typing.Annotated[ReceivedSignals, cappa.Dep(create_signals)]
+
+
 @cappa.command(name='serve')
 @dataclasses.dataclass(frozen=True)
 class Serve:
-    """Run a node until SIGTERM or SIGINT.
+    """Run a node until SIGTERM, SIGINT or SIGHUP.
 
     The node stops gracefully: it fails its readiness check, finishes the
     requests in progress, and then exits.
@@ -107,9 +116,9 @@
         str, cappa.Arg(long=True, value_name='FILE', help='Settings file.')
     ]
 
-    def __call__(self):
+    def __call__(self, signals: _Signals):
         """Run the command; return the exit status."""
-        return serving.serve(self.settings)
+        return serving.serve(self.settings, signals)
 
 
 @cappa.command(name='check')
@@ -375,7 +384,7 @@
     ]
 
 
-def main(arguments=None):
+def main(arguments=None, signals=None):
     """Run the command line; return the exit status.
 
     Parameters
@@ -383,6 +392,8 @@
     arguments : list of str, optional
         The arguments without the program name; by default those of the
         process.
+    signals : ReceivedSignals, optional
+        The signals that the process receives, for a command that runs a node.
     """
     # File names and values may contain characters that the terminal's
     # encoding cannot represent.
@@ -391,7 +402,12 @@
             stream.reconfigure(errors='backslashreplace')
     try:
         status = cappa.invoke(
-            CommandLine, argv=arguments, version=hawthornfold.__version__
+            CommandLine,
+            argv=arguments,
+            version=hawthornfold.__version__,
+            deps={create_signals: cappa.Dep(lambda: signals)}
+            if signals
+            else None,
         )
         sys.stdout.flush()
     except KeyboardInterrupt:
--- a/hawthornfold/commands/serving.py
+++ b/hawthornfold/commands/serving.py
@@ -12,13 +12,15 @@
 _BIND_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 
 
-def serve(path):
+def serve(path, signals):
     """Run a node until it stops; return the exit status.
 
     Parameters
     ----------
     path : str
         Path of the settings file.
+    signals : ReceivedSignals
+        The signals that the process has received and will receive.
     """
     loaded = load_settings(path)
     if loaded.is_err():
@@ -30,7 +32,7 @@
     from hawthornfold import nodes
 
     try:
-        status = nodes.run_node(loaded.ok_value)
+        status = nodes.run_node(loaded.ok_value, signals)
     except (OSError, zmq.error.ZMQError) as error:
         if error.errno not in _BIND_ERRORS:
             raise
--- a/hawthornfold/commands/tests/test_serving.py
+++ b/hawthornfold/commands/tests/test_serving.py
@@ -7,6 +7,7 @@
 import unittest.mock
 
 from hawthornfold.commands import serving
+from hawthornfold.process_signals import ReceivedSignals
 
 
 class ServeTest(unittest.TestCase):
@@ -30,6 +31,8 @@
                 path = pathlib.Path(directory) / 'settings.json'
                 path.write_text(json.dumps(document))
                 with unittest.mock.patch('sys.stderr', io.StringIO()) as out:
-                    status = serving.serve(str(path))
+                    status = serving.serve(
+                        str(path), ReceivedSignals(can_reload=False)
+                    )
         self.assertEqual(2, status)
         self.assertIn('209 ADDRESS_UNAVAILABLE', out.getvalue())
--- a/hawthornfold/nodes/node.py
+++ b/hawthornfold/nodes/node.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import os
-import signal
 
 import eventlet
 import eventlet.event
@@ -202,15 +201,15 @@
     )
 
 
-def stop_gracefully(context, stop_accepting, stop):
+def stop_gracefully(context, stop_accepting, signals):
     """Stop a node and return the number of requests that were cut off.
 
     Waits for requests in flight up to the drain limit.
 
     Parameters
     ----------
-    stop : list
-        Gets one item for each stop signal; the second one ends the wait.
+    signals : ReceivedSignals
+        The second request to stop ends the wait.
     """
     settings = context.settings.shutdown
     clock = context.clock
@@ -219,12 +218,15 @@
     context.handover.release_ownership()
     # The load balancer notices late that the node is not ready. Until the
     # linger time is over, the node accepts new requests and serves them.
-    while clock.now_ms() - started_ms < settings.linger_ms and len(stop) < 2:
+    while (
+        clock.now_ms() - started_ms < settings.linger_ms
+        and signals.stop_count < 2
+    ):
         clock.sleep_ms(_POLL_MS)
     stop_accepting()
     drain_started_ms = clock.now_ms()
     idle_polls = 0
-    while len(stop) < 2:
+    while signals.stop_count < 2:
         if clock.now_ms() - drain_started_ms > settings.drain_limit_ms:
             break
         # Peers need a moment to receive the stop notice. A single reading of
@@ -241,22 +243,28 @@
     return cut
 
 
-def run_node(settings):
-    """Run a node until SIGTERM or SIGINT.
+def run_node(settings, signals):
+    """Run a node until a stop is requested.
+
+    Parameters
+    ----------
+    signals : ReceivedSignals
+        The signals that the process has received and will receive.
 
     Returns
     -------
     int
         Exit status: 0 after a graceful stop, 1 if requests were cut off.
     """
-    stop = []
     with setup_logs(settings.node.name, settings.logs.level):
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: stop.append(True))
+        if signals.is_stop_requested:
+            # No port is open and no other node knows of this one.
+            _LOG.info('event=stopped cut_requests=0 phase=start')
+            return 0
         with open_node(settings) as (context, stop_accepting):
-            while not stop:
+            while not signals.is_stop_requested:
                 context.clock.sleep_ms(_IDLE_POLL_MS)
                 context.lifecycle.record_state_change()
-            cut = stop_gracefully(context, stop_accepting, stop)
+            cut = stop_gracefully(context, stop_accepting, signals)
         _LOG.info('event=stopped cut_requests={}', cut)
     return 1 if cut else 0
