Remember the content of the settings file that was read

Cause: the state of the file (time, inode, size) was remembered once the node was open, and after each reload, but the content was read earlier. A change in between counted as known. Reading the state first would leave changes within the resolution of file times.

SettingsFile remembers the content itself and compares it once a second, so that what was read and what counts as read cannot differ.

--- a/hawthornfold/gateway/process.py
+++ b/hawthornfold/gateway/process.py
@@ -1,7 +1,6 @@
 """Runs a gateway node as a process until a stop signal."""
 
 import gc
-import os
 
 import logbook
 
@@ -16,15 +15,13 @@
 _SETTINGS_POLL_INTERVAL_MS = 1_000.0
 
 
-def run_gateway(
-    load_settings, open_store, names, ready_path, settings_path, signals
-):
+def run_gateway(settings_file, open_store, names, ready_path, signals):
     """Run a gateway node until a stop is requested.
 
     Parameters
     ----------
-    settings_path : str
-        Path of the settings file, which is read again when it changes.
+    settings_file : SettingsFile
+        Read again when it changes.
     signals : ReceivedSignals
         The signals that the process has received and will receive.
 
@@ -33,7 +30,7 @@
     int
         Exit status: 0 after a graceful stop, 1 if requests were aborted.
     """
-    node = GatewayNode(load_settings, open_store, names, ready_path)
+    node = GatewayNode(settings_file.load, open_store, names, ready_path)
     # Modules and their objects stay until the process ends. Without this, each
     # full collection examines all of them, which takes 10 ms and more.
     gc.freeze()
@@ -46,15 +43,14 @@
             _LOG.notice(
                 'event=started callers={}', node.settings.caller_address
             )
-            _wait_for_stop_signal(node, signals, settings_path)
+            _wait_for_stop_request(node, signals, settings_file)
             cut = node.stop(stop_accepting)
         _LOG.notice('event=stopped cut_requests={}', cut)
     return 1 if cut else 0
 
 
-def _wait_for_stop_signal(node, signals, settings_path):
+def _wait_for_stop_request(node, signals, settings_file):
     clock = create_system_clock()
-    file_state = _read_file_state(settings_path)
     next_check_ms = clock.now_ms() + _SETTINGS_POLL_INTERVAL_MS
     while True:
         clock.sleep_ms(_SIGNAL_POLL_INTERVAL_MS)
@@ -63,22 +59,7 @@
         if signals.is_reload_requested:
             signals.begin_reload()
             node.reload('SIGHUP')
-            file_state = _read_file_state(settings_path)
         if clock.now_ms() >= next_check_ms:
             next_check_ms = clock.now_ms() + _SETTINGS_POLL_INTERVAL_MS
-            current = _read_file_state(settings_path)
-            if current != file_state:
-                file_state = current
+            if settings_file.has_changed():
                 node.reload('file')
-
-
-def _read_file_state(path):
-    """Return modification time, inode and size of a file, None if missing.
-
-    At least one of them changes when the file is written.
-    """
-    try:
-        status = os.stat(path)
-    except OSError:
-        return None
-    return status.st_mtime_ns, status.st_ino, status.st_size
--- a/hawthornfold/platform/process.py
+++ b/hawthornfold/platform/process.py
@@ -1,11 +1,11 @@
 """Runs a gateway node on the users' platform."""
 
-import functools
 import os
 
 from hawthornfold.gateway.process import run_gateway
+from hawthornfold.gateway.settings_file import SettingsFile
 from hawthornfold.platform import names
-from hawthornfold.platform.settings import load_settings
+from hawthornfold.platform.settings import parse_settings
 from hawthornfold.platform.store import open_store
 
 
@@ -17,12 +17,10 @@
     signals : ReceivedSignals
         The signals that the process has received and will receive.
     """
-    path = os.environ[names.SETTINGS_VARIABLE]
     return run_gateway(
-        functools.partial(load_settings, path),
+        SettingsFile(os.environ[names.SETTINGS_VARIABLE], parse_settings),
         open_store,
         names.HEADERS,
         names.READY_PATH,
-        path,
         signals,
     )
--- a/hawthornfold/platform/settings.py
+++ b/hawthornfold/platform/settings.py
@@ -64,25 +64,6 @@
     Zones: dict[str, str] = {}
 
 
-def load_settings(path):
-    """Read a settings file.
-
-    Returns
-    -------
-    GatewaySettings
-
-    Raises
-    ------
-    OSError
-        If the file cannot be read.
-    ValueError
-        If it is not TOML, or a field is missing or of the wrong type.
-    """
-    with open(path, 'rb') as file:
-        data = file.read()
-    return parse_settings(data)
-
-
 def parse_settings(data):
     """Decode the bytes of a settings file to `GatewaySettings`.
 
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -285,7 +285,8 @@
     root : path
         Folder with the sources to run.
     program : sequence of str
-        The module that the process runs, and its arguments.
+        The module that the process runs, and its arguments, in which
+        ``{settings}`` is the path of the settings file.
     """
 
     def __init__(
@@ -360,7 +361,10 @@
                     '-W',
                     'ignore',
                     '-m',
-                    *self._program,
+                    *(
+                        argument.format(settings=self.settings_path)
+                        for argument in self._program
+                    ),
                 ],
                 cwd=self._root,
                 env=environment,
--- a/hawthornfold/platform/tests/test_process_signals.py
+++ b/hawthornfold/platform/tests/test_process_signals.py
@@ -66,6 +66,20 @@
             with self.subTest(point=point, series=series):
                 result.result()
 
+    def test_settings_that_change_while_the_node_opens_are_read(self):
+        # Guards against a change without a signal that is lost because the
+        # state of the file is remembered when the node is open.
+        for number, point in enumerate(POINTS_AFTER_PORTS, 1):
+            with self.subTest(point):
+                node = self.start_signalled_node(
+                    number, point, 'append:{settings}'
+                )
+                node.wait_until(
+                    lambda node=node: (
+                        'event=settings_loaded cause=file' in node.read_log()
+                    )
+                )
+
     def stop(self, node):
         """Stop a running node; check that it ends gracefully."""
         node.terminate()
--- a/hawthornfold/process_signals/tests/signal_points.py
+++ b/hawthornfold/process_signals/tests/signal_points.py
@@ -1,9 +1,10 @@
 """Runs a program that signals itself at a chosen point.
 
     python -m hawthornfold.process_signals.tests.signal_points \
-        MODULE POINT SIGNALS [ARGUMENT...]
+        MODULE POINT ACTIONS [ARGUMENT...]
 
-`SIGNALS` are names separated by commas. `POINT` is one of
+`ACTIONS` are separated by commas: names of signals, or ``append:PATH``, which
+appends a comment to a file. `POINT` is one of
 
 * ``EVENT:TEXT``: the first audit event of this name with the text in one of
   its arguments, such as ``import:eventlet`` or ``socket.bind:``,
@@ -32,42 +33,54 @@
         self._function()
 
 
-def _send_signals(numbers, kill=os.kill, pid=os.getpid):
-    for number in numbers:
-        kill(pid(), number)
+def append_comment(path):
+    """Append a comment of a settings file in TOML."""
+    with open(path, 'a') as file:
+        file.write('# changed\n')
 
 
-def send_at(point, numbers):
-    """Have the process send itself signals at a point."""
-    send = functools.partial(_send_signals, numbers)
+def create_action(text):
+    """Return a function that does what an element of `ACTIONS` says."""
+    kind, _, path = text.partition(':')
+    if kind == 'append':
+        return functools.partial(append_comment, path)
+    return functools.partial(os.kill, os.getpid(), signal.Signals[text])
+
+
+def act_at(point, actions):
+    """Have the process call functions at a point."""
+
+    def act():
+        for action in actions:
+            action()
+
     if point == 'exit':
-        atexit.register(send)
+        atexit.register(act)
     elif point == 'teardown':
         # The interpreter deletes the attributes of this module at its end
         # even if the program has excluded its objects from collection.
-        sys.teardown_hook = _TeardownHook(send)
+        sys.teardown_hook = _TeardownHook(act)
     else:
-        _send_at_event(point, send)
+        _act_at_event(point, act)
 
 
-def _send_at_event(point, send):
+def _act_at_event(point, act):
     event, _, text = point.partition(':')
-    unsent = [send]
+    pending = [act]
 
     def check_event(name, arguments):
-        if name != event or not unsent:
+        if name != event or not pending:
             return
         if any(text in str(argument) for argument in arguments):
-            unsent.pop()()
+            pending.pop()()
 
     sys.addaudithook(check_event)
 
 
 def main():
     """Run the program that the arguments name."""
-    module, point, names, *arguments = sys.argv[1:]
-    numbers = [signal.Signals[name] for name in names.split(',')]
-    send_at(point, numbers)
+    module, point, actions, *arguments = sys.argv[1:]
+    act_at(point, [create_action(text) for text in actions.split(',')])
     sys.argv[1:] = arguments
     runpy.run_module(module, run_name='__main__', alter_sys=True)
 
