Report invalid settings at the start of a gateway without a traceback

A gateway that started with a settings file that it could not read ended with a traceback and status 1, while one that runs writes one line. It now writes "event=settings_refused cause=start" with the reason, and ends with status 2, as "hawthornfold serve" does.

--- a/hawthornfold/gateway/node.py
+++ b/hawthornfold/gateway/node.py
@@ -60,9 +60,11 @@
 
     Parameters
     ----------
+    settings : GatewaySettings
+        The settings to start with.
     load_settings : callable
-        Returns the `GatewaySettings`; raises ValueError or OSError with a
-        reason if they cannot be read.
+        Reads the settings again; raises ValueError or OSError with a reason
+        if they cannot be read.
     open_store : callable
         Takes a function that returns the store's address, and the clock;
         returns a `PublishedStore`.
@@ -72,10 +74,10 @@
         Path of the readiness check.
     """
 
-    def __init__(self, load_settings, open_store, names, ready_path):
+    def __init__(self, settings, load_settings, open_store, names, ready_path):
         self._load_settings = load_settings
         self._ready_path = ready_path
-        self._settings = load_settings()
+        self._settings = settings
         self._clock = create_system_clock()
         self._metrics = create_metrics()
         self._state = GatewayState(
--- a/hawthornfold/gateway/process.py
+++ b/hawthornfold/gateway/process.py
@@ -13,6 +13,10 @@
 # Intervals at which signals and the settings file are checked.
 _SIGNAL_POLL_INTERVAL_MS = 100.0
 _SETTINGS_POLL_INTERVAL_MS = 1_000.0
+# Exit status if the node cannot start with its settings.
+EXIT_INVALID = 2
+# Written on log lines in place of the node's name, which the settings have.
+_UNKNOWN_NODE = '-'
 
 
 def run_gateway(settings_file, open_store, names, ready_path, signals):
@@ -28,13 +32,22 @@
     Returns
     -------
     int
-        Exit status: 0 after a graceful stop, 1 if requests were aborted.
+        Exit status: 0 after a graceful stop, 1 if requests were aborted, 2 if
+        the settings are not valid.
     """
-    node = GatewayNode(settings_file.load, open_store, names, ready_path)
+    try:
+        settings = settings_file.load()
+    except (ValueError, OSError) as error:
+        with setup_logs(_UNKNOWN_NODE):
+            _LOG.error('event=settings_refused cause=start {}', error)
+        return EXIT_INVALID
+    node = GatewayNode(
+        settings, settings_file.load, open_store, names, ready_path
+    )
     # Modules and their objects stay until the process ends. Without this, each
     # full collection examines all of them, which takes 10 ms and more.
     gc.freeze()
-    with setup_logs(node.settings.node_name):
+    with setup_logs(settings.node_name):
         if signals.is_stop_requested:
             # No port is open and no other node knows of this one.
             _LOG.notice('event=stopped cut_requests=0 phase=start')
--- a/hawthornfold/gateway/tests/link_support.py
+++ b/hawthornfold/gateway/tests/link_support.py
@@ -227,7 +227,11 @@
     )
     links = ServerLinks()
     node = GatewayNode(
-        lambda: settings, lambda *_: store, HeaderNames(), '/ready'
+        settings,
+        lambda: settings,
+        lambda *_: store,
+        HeaderNames(),
+        '/ready',
     )
     pools = node._state.pools
     create_connection = pools.create_connection
--- a/hawthornfold/platform/tests/test_node.py
+++ b/hawthornfold/platform/tests/test_node.py
@@ -387,6 +387,19 @@
         node.wait_until(lambda: 'settings_refused' in node.read_log())
         self.assertEqual(node.query('/s/', 'r1').status, 200)
 
+    def test_invalid_settings_at_the_start_are_reported(self):
+        # Guards against a traceback in place of the reason.
+        # Each closes the quotation of the name and goes on behind it.
+        names = ('n"\na = [', 'n"\nNodeName = "m', 'n"\n[Listen]\nx="', '\0')
+        for number, name in enumerate(names, 1):
+            with self.subTest(name):
+                node = support.Node(self.store, number, name=name)
+                self.addCleanup(node.close)
+                self.assertEqual(node.wait_for_exit(), 2)
+                log = node.read_log()
+                self.assertIn('event=settings_refused cause=start ', log)
+                self.assertEqual(log.count('\n'), 1, log)
+
 
 class StopTest(NodeTestCase):
     def test_stop_answers_requests_on_open_connections(self):
