End the processes of the demo when a signal stops it

SIGHUP ended "make demo" and "make bench" without clean-up, so that the emulated platform, servers and nodes went on running. A second SIGTERM interrupted the clean-up, with the same result.

Both signals now raise SystemExit once and are ignored afterwards. The other programs of the emulator are children that their parent ends; a signal that ends them early harms nobody.

--- a/hawthornfold/emulator/bench.py
+++ b/hawthornfold/emulator/bench.py
@@ -383,7 +383,7 @@
 
     def __call__(self):
         """Run the experiments."""
-        demo.raise_on_sigterm()
+        demo.raise_on_stop_signals()
         try:
             plan = plan_bench(
                 self.seconds,
--- a/hawthornfold/emulator/demo.py
+++ b/hawthornfold/emulator/demo.py
@@ -18,6 +18,7 @@
 
 NODES = 3
 _ROUNDS = 2
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
 
 def create_demo_deployments():
@@ -110,9 +111,20 @@
             clock.sleep_ms(500)
 
 
-def raise_on_sigterm():
-    """Raise `SystemExit` on SIGTERM, so that contexts end their processes."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+def raise_on_stop_signals():
+    """Raise `SystemExit` on SIGTERM or SIGHUP, so that contexts clean up.
+
+    The exit status is that of a process that the signal has ended. Further
+    ones are ignored, so that they do not interrupt the clean-up.
+    """
+
+    def stop(number, _frame):
+        for each in _STOP_SIGNALS:
+            signal.signal(each, signal.SIG_IGN)
+        sys.exit(128 + number)
+
+    for number in _STOP_SIGNALS:
+        signal.signal(number, stop)
 
 
 def write_line(text):
@@ -135,7 +147,7 @@
     int
         Exit status: 0 when every answer was complete.
     """
-    raise_on_sigterm()
+    raise_on_stop_signals()
     failed = 0
     try:
         with contextlib.ExitStack() as stack:
