Refuse entries of servers that lack a field or have an odd one

Cause: the decoder had defaults for the fields that only the server itself knows. Ruled out: a reused address, since X-Target-Instance had the server's id. Nothing remembered the start of the server either, so that an entry without it was not older than the one that had left.

Version, MaxConcurrency, WarmupLeftMs and Seq now have to be there; Seq and WarmupLeftMs below 0, a Version that is not printable, and fields that occur twice are refused.

--- a/hawthornfold/directory/departures.py
+++ b/hawthornfold/directory/departures.py
@@ -114,6 +114,19 @@
         self._departures.pop(server_id, None)
         self._distrusted.pop(server_id, None)
 
+    def is_of_earlier_start(self, record, now_ms):
+        """Return whether a later start of a record's server has left.
+
+        The record then is not the server's: what a server writes is of its
+        latest start.
+        """
+        departure = self._departures.get(record.server_id)
+        return (
+            departure is not None
+            and record.born_ms < departure.born_ms
+            and now_ms - departure.departed_ms <= DEPARTURE_TTL_MS
+        )
+
     def drop_listing(self, server_id):
         """Drop a distrusted record that the store no longer lists."""
         self._distrusted.pop(server_id, None)
--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -230,7 +230,9 @@
         events = []
         self._departures.record_changes(changes)
         for change in changes:
-            if change.record is None:
+            if change.record is None or self._is_outdated(
+                change.record, now_ms
+            ):
                 self._departures.drop_listing(change.server_id)
                 events += self._remove_or_defer(change.server_id, now_ms)
             else:
@@ -284,6 +286,13 @@
             events += self._update_record(record, now_ms)
         return events + self._expire_announced(now_ms)
 
+    def _is_outdated(self, record, now_ms):
+        """Return whether a later start of an unknown server has left."""
+        return (
+            record.server_id not in self._records
+            and self._departures.is_of_earlier_start(record, now_ms)
+        )
+
     def _update_record(self, record, now_ms, is_repeated=False):
         server_id = record.server_id
         self._removals.discard(server_id)
--- a/hawthornfold/directory/record_checks.py
+++ b/hawthornfold/directory/record_checks.py
@@ -1,7 +1,6 @@
 """Checks the records of servers, which may have been written by anyone."""
 
 import ipaddress
-import math
 
 _MAX_PORT = 65_535
 # Names are sent to other nodes with each record, and logged. Two names of
@@ -67,7 +66,7 @@
     if not 0 <= record.slots <= MAX_SLOTS:
         raise ValueError(f'{record.slots} is not a number of slots')
     warmup_ms = record.warmup_ms
-    if not math.isfinite(warmup_ms) or abs(warmup_ms) > MAX_WARMUP_MS:
+    if not 0 <= warmup_ms <= MAX_WARMUP_MS:
         raise ValueError(f'{warmup_ms} ms is not a time to warm up')
     if not 0 <= record.born_ms <= MAX_BORN_MS:
         raise ValueError(f'{record.born_ms} ms is not a start time')
--- a/hawthornfold/directory/tests/test_directory.py
+++ b/hawthornfold/directory/tests/test_directory.py
@@ -159,6 +159,20 @@
         self.assertEqual(write(directory, late), [])
         self.assertEqual(directory.get('s1').address, '127.0.0.1:80')
 
+    def test_record_of_an_earlier_start_than_one_that_left_is_not_used(self):
+        # Guards against an entry that another writer leaves under the key of
+        # a server that has left, without its start.
+        for born_ms, is_used in ((0, False), (199, False), (200, True)):
+            directory = create_server_directory()
+            write(directory, create_record(born_ms=200))
+            remove(directory, 's1', 5.0)
+            # A server that has just left may be used as the last resort.
+            now_ms = 5.0 + LAST_RESORT_MS
+            late = create_record(born_ms=born_ms, address='127.0.0.1:81')
+            write(directory, late, now_ms)
+            with self.subTest(born_ms):
+                self.assertEqual(find_ids(directory, now_ms), is_used * ['s1'])
+
     def test_unchanged_record_causes_no_event(self):
         # Guards against a log line for each write of an unchanged record.
         directory = create_server_directory()
--- a/hawthornfold/platform/documents.py
+++ b/hawthornfold/platform/documents.py
@@ -12,8 +12,10 @@
 from hawthornfold.directory import ServerRecord
 from hawthornfold.directory import ServiceRecord
 from hawthornfold.directory import StoreChanges
+from hawthornfold.directory.record_checks import MAX_NAME_LENGTH
 from hawthornfold.directory.record_checks import check_record
 from hawthornfold.platform.evacuations import decode_evacuation
+from hawthornfold.platform.json_fields import check_unique_fields
 from hawthornfold.platform.names import CONFIGURATION_KEY
 from hawthornfold.platform.names import EVACUATIONS_PREFIX
 from hawthornfold.platform.names import SERVERS_PREFIX
@@ -45,6 +47,13 @@
 
 
 class _Entry(msgspec.Struct):
+    """What a server writes about itself.
+
+    Only `born` may be missing: the servers of some deployments do not write
+    it. The other fields have no defaults, as an entry that lacks one is not
+    that of a server.
+    """
+
     # Name of the server's service.
     Backend: str
     Address: str
@@ -52,13 +61,14 @@
     Zone: str
     State: typing.Literal['ready', 'draining']
     # Number of requests that the server executes at the same time.
-    MaxConcurrency: Integer = 1
-    WarmupLeftMs: _Number = 0.0
+    MaxConcurrency: Integer
+    WarmupLeftMs: _Number
+    # Version of the server's software, and a number that each write raises.
+    # Not used, but they show whether a server wrote the entry.
+    Version: str
+    Seq: Integer
     # Start of the server's process, in milliseconds since the Unix epoch.
     born: Integer = 0
-    # Not used. Of another type they show that no server wrote the entry.
-    Version: str = ''
-    Seq: Integer = 0
 
 
 class _Split(msgspec.Struct):
@@ -219,6 +229,13 @@
         If it cannot be decoded, or a field has a value that no server has.
     """
     entry = _ENTRY_DECODER.decode(value)
+    check_unique_fields(value, _Entry.__struct_fields__)
+    if len(entry.Version) > MAX_NAME_LENGTH or (
+        not entry.Version.isprintable()
+    ):
+        raise ValueError(f'{entry.Version[:80]!r} is not a version')
+    if entry.Seq < 0:
+        raise ValueError(f'{entry.Seq} is not a sequence number')
     record = ServerRecord(
         server_id,
         entry.Backend,
--- a/hawthornfold/platform/tests/soak_environment.py
+++ b/hawthornfold/platform/tests/soak_environment.py
@@ -284,8 +284,11 @@
             'Backend': server.service,
             'Address': self.proxy.get_address(name),
             'Zone': DATA_CENTRES[is_even],
+            'Version': 'v1',
             'MaxConcurrency': 4,
             'State': 'ready',
+            'WarmupLeftMs': 0,
+            'Seq': 1,
             'born': 1000,
             **fields,
         }
--- a/hawthornfold/platform/tests/test_documents.py
+++ b/hawthornfold/platform/tests/test_documents.py
@@ -109,7 +109,7 @@
         ):
             with self.subTest(fields), self.assertRaises(ValueError):
                 self.decode(**fields)
-        for name in ('Backend', 'Address', 'Zone', 'State'):
+        for name in set(ENTRY) - {'born'}:
             entry = {k: v for k, v in ENTRY.items() if k != name}
             with self.subTest(name), self.assertRaises(ValueError):
                 documents.decode_server_entry('i-1', encode(entry))
@@ -136,6 +136,95 @@
         self.assertEqual(changes.failures, ())
 
 
+TEXT = (None, 1, True, [], {}, 'x' * 201, 'a\nb', 'a\0', 'a\x7f')
+WHOLE_NUMBER = (None, '1', True, [], {}, 1.5, 2.0, -1, 1e300)
+# Values by field that a server may write, and ones that no server writes. A
+# field without a value is missing.
+FIELD_VALUES = {
+    'Backend': (('b', 'x' * 200), (*TEXT, '')),
+    'Address': (
+        ('0.0.0.0:1', '255.255.255.255:65535'),
+        (*TEXT, '', '1.2.3.4', '1.2.3.4:0', '1.2.3.4:65536', 'a:80', '::1:80'),
+    ),
+    'Zone': (('z', 'x' * 200), (*TEXT, '')),
+    'Version': (('', 'v' * 200), TEXT),
+    'MaxConcurrency': ((1, 1 << 20), (*WHOLE_NUMBER, (1 << 20) + 1)),
+    'State': (('ready', 'draining'), (*TEXT, '', 'Ready', 'resting')),
+    'WarmupLeftMs': (
+        (0, 0.5, 1_000_000_000_000),
+        (None, '1', True, [], -1, -0.5, 1e13),
+    ),
+    'Seq': ((0, 2**63 - 1), (*WHOLE_NUMBER, 2**63)),
+    'born': ((0, 10**13), (*WHOLE_NUMBER, 10**13 + 1)),
+}
+MISSING = object()
+
+
+class EntryFieldsTest(unittest.TestCase):
+    """Entries that another writer may have left; see docs/platform.md."""
+
+    def list_texts(self, name, values):
+        """Return the JSON texts of a field with each of the values."""
+        return [
+            '' if value is MISSING else f'"{name}": {json.dumps(value)}'
+            for value in values
+        ]
+
+    def decode(self, *texts):
+        value = '{' + ', '.join(filter(None, texts)) + '}'
+        return documents.decode_server_entry('i-1', value.encode())
+
+    @given(strategies.data())
+    def test_entry_with_any_odd_field_is_refused(self, data):
+        # Guards against an entry of another writer that is taken for that of
+        # a server, because a field has a default or is not checked.
+        odd_names = data.draw(
+            strategies.sets(
+                strategies.sampled_from(sorted(FIELD_VALUES)), min_size=1
+            )
+        )
+        texts = []
+        for name, (sound, odd) in FIELD_VALUES.items():
+            sound_texts = self.list_texts(name, sound)
+            if name not in odd_names:
+                texts.append(data.draw(strategies.sampled_from(sound_texts)))
+                continue
+            odd_texts = self.list_texts(name, odd)
+            if name != 'born':
+                odd_texts += self.list_texts(name, [MISSING])
+            odd_texts += [', '.join(2 * sound_texts[:1])]
+            texts.append(data.draw(strategies.sampled_from(odd_texts)))
+        with self.assertRaises(ValueError):
+            self.decode(*data.draw(strategies.permutations(texts)))
+
+    def test_every_odd_value_of_one_field_is_refused(self):
+        # As above, each value alone, so that none hides behind another.
+        for name, (_, odd) in FIELD_VALUES.items():
+            rest = [
+                self.list_texts(other, [ENTRY[other]])[0]
+                for other in ENTRY
+                if other != name
+            ]
+            for text in self.list_texts(name, odd):
+                with self.subTest(text[:60]), self.assertRaises(ValueError):
+                    self.decode(text, *rest)
+            escaped = f'"\\u{ord(name[0]):04x}{name[1:]}": 1'
+            own = self.list_texts(name, [ENTRY[name]])[0]
+            for texts in ([own, own, *rest], [escaped, own, *rest]):
+                with self.subTest(texts[:2]), self.assertRaises(ValueError):
+                    self.decode(*texts)
+
+    @given(strategies.data())
+    def test_entry_with_sound_fields_is_accepted(self, data):
+        # Guards against servers that are lost because a check is too strict.
+        texts = [
+            data.draw(strategies.sampled_from(self.list_texts(name, sound)))
+            for name, (sound, _) in FIELD_VALUES.items()
+        ]
+        texts.append('"NewField": {"Backend": "other"}')
+        self.decode(*data.draw(strategies.permutations(texts)))
+
+
 class ConfigurationTest(unittest.TestCase):
     def decode(self, **fields):
         return documents.decode_configuration(
--- a/hawthornfold/platform/tests/test_store.py
+++ b/hawthornfold/platform/tests/test_store.py
@@ -12,7 +12,11 @@
     'Backend': 'portal',
     'Address': '127.0.0.1:1',
     'Zone': 'hall-a',
+    'Version': 'v1',
+    'MaxConcurrency': 2,
     'State': 'ready',
+    'WarmupLeftMs': 0,
+    'Seq': 1,
 }
 
 
