Ignore callbacks of connections that are closed

The event loop printed "AttributeError: 'NoneType' object has no attribute 'send'" and removed a descriptor, found by a test of servers that end while a node sends them a long body.

Cause: a reset makes a descriptor readable and writable. The loop collects both callbacks before it calls them, and the first one closes the connection. After an error the loop removes all listeners of the descriptor's number, by then perhaps those of another connection, whose exchange then ends at its deadline only (by reading; not shown).

Test: BrokenConnectionTest fails before and passes.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -309,12 +309,19 @@
             self._listen(hub.WRITE, self._handle_writable)
 
     def _handle_writable(self, descriptor):
+        if self._socket is None:
+            # The loop has collected its callbacks before it called one that
+            # closed the connection.
+            return
         try:
             self._send()
         except OSError as error:
             self._fail(describe_error(error))
 
     def _handle_readable(self, descriptor):
+        if self._socket is None:
+            # As in `_handle_writable`.
+            return
         if self._on_open is not None:
             self._end_open('ConnectionResetError: reset after it was accepted')
             return
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import threading
 import time
@@ -6,6 +7,7 @@
 from unittest import mock
 
 import eventlet
+from eventlet import hubs
 
 from hawthornfold.clock import create_system_clock
 from hawthornfold.gateway import connections
@@ -369,6 +371,39 @@
         self.assertEqual(self.server.requests[0].body, body)
 
 
+class BrokenConnectionTest(ExchangeTestCase):
+    """A server resets connections while it receives a request."""
+
+    def setUp(self):
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        self.server = types.SimpleNamespace(
+            address='{}:{}'.format(*listener.getsockname())
+        )
+
+        def serve():
+            with contextlib.suppress(OSError):
+                while True:
+                    connection, _ = listener.accept()
+                    connection.recv(10)
+                    support.reset(connection)
+
+        threading.Thread(target=serve, daemon=True).start()
+
+    def test_event_loop_sees_no_error(self):
+        # Guards against a callback of the closed connection, whose error has
+        # the loop drop the next connection with the same descriptor.
+        hub = hubs.get_hub()
+        with mock.patch.object(hub, 'squelch_exception') as squelch:
+            for _ in range(20):
+                self.assertIsNone(self.connect())
+                outcome = self.send(method='POST', body=bytes(32 << 20))
+                self.assertIs(outcome.kind, OutcomeKind.LOST)
+                eventlet.sleep(0)
+        squelch.assert_not_called()
+        self.assertEqual(self.idle_ends, [])
+
+
 class OpenTest(ExchangeTestCase):
     def open_to(self, address, timeout_ms):
         self.server = types.SimpleNamespace(address=address)
