Suspect requests under which servers end while they answer

Cause: only a connection that broke before any byte of a response led to the check whether its server had ended. Ruled out: the check itself, which recognises the same server if it ends before the first byte.

Now each connection that breaks before the response is complete leads to the check, also while the request is sent.

--- a/hawthornfold/gateway/connections.py
+++ b/hawthornfold/gateway/connections.py
@@ -76,8 +76,6 @@
         self._timer = None
         self._is_reusable = True
         self._has_answered = False
-        # Whether any byte of the running exchange's response has arrived.
-        self._has_received = False
         self._reuse = create_connection_reuse()
         self._answered_ms = 0.0
         self._opened_ms = 0.0
@@ -196,7 +194,6 @@
             self._schedule(0.0, lambda: self._fail('no time left'))
             return
         self._request = request
-        self._has_received = False
         self._reader.begin(request.method)
         self._unsent = b'%b%b%d%b%b\r\n\r\n%b' % (
             request.head,
@@ -316,7 +313,8 @@
         try:
             self._send()
         except OSError as error:
-            self._fail(describe_error(error))
+            # The server may have begun with the part that it has received.
+            self._fail(describe_error(error), is_interrupted=True)
 
     def _handle_readable(self, descriptor):
         if self._socket is None:
@@ -338,15 +336,12 @@
                 _LOG.exception(
                     'event=response_failed server={}', self._address
                 )
-            self._fail(
-                describe_error(error),
-                isinstance(error, OSError) and not self._has_received,
-            )
+            self._fail(describe_error(error), isinstance(error, OSError))
             return
         if ended is not None:
             self._end_exchange(*ended)
         elif not self._is_reusable:
-            self._fail('the response ends early', not self._has_received)
+            self._fail('the response ends early', is_interrupted=True)
 
     def _receive(self, reader):
         try:
@@ -354,7 +349,6 @@
         except BlockingIOError:
             return
         if data:
-            self._has_received = True
             reader.feed(data)
         else:
             self._is_reusable = False
--- a/hawthornfold/gateway/interruptions.py
+++ b/hawthornfold/gateway/interruptions.py
@@ -1,4 +1,4 @@
-"""Handles exchanges whose connection broke before any byte of a response."""
+"""Handles exchanges whose connection broke before a response was complete."""
 
 from hawthornfold.gateway.server_ends import create_server_end_checks
 
--- a/hawthornfold/gateway/server_ends.py
+++ b/hawthornfold/gateway/server_ends.py
@@ -1,6 +1,6 @@
 """Finds out whether a server has ended while it ran a request.
 
-A connection that breaks without any byte of a response can have many causes.
+A connection that breaks before a response is complete can have many causes.
 If the server refuses a new connection right after that, its process has ended,
 unless the node's own links have failed: then servers of other services are out
 of reach at the same time.
--- a/hawthornfold/gateway/tests/crash_support.py
+++ b/hawthornfold/gateway/tests/crash_support.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -12,6 +13,8 @@
 DEADLY = 'deadly'
 # How long a server works on a request.
 WORK_S = 0.01
+# Value of SO_LINGER: on, for 0 s.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Time in which a restarted server takes part again.
 RESTART_S = 0.05
 
@@ -23,10 +26,25 @@
     ----------
     answer : callable
         Takes a request; returns the bytes of its answer.
+    begin_answer : callable, optional
+        Takes a deadly request; returns what the server sends before it ends.
+    is_reset : bool
+        Whether its connections are reset when it ends.
+    reads_body : bool
+        Whether it reads the bodies of requests.
     """
 
-    def __init__(self, answer):
+    def __init__(
+        self,
+        answer,
+        begin_answer=lambda request: b'',
+        is_reset=False,
+        reads_body=True,
+    ):
+        self._reads_body = reads_body
         self._answer = answer
+        self._begin_answer = begin_answer
+        self._is_reset = is_reset
         self._lock = threading.Lock()
         self._connections = set()
         self._listener = None
@@ -59,10 +77,18 @@
             connections, self._connections = self._connections, set()
         if listener is None:
             return
-        for opened in (listener, *connections):
+        for opened in connections:
             with contextlib.suppress(OSError):
-                opened.shutdown(socket.SHUT_RDWR)
+                if self._is_reset:
+                    opened.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    )
+                else:
+                    opened.shutdown(socket.SHUT_RDWR)
             opened.close()
+        with contextlib.suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
 
     def _accept(self, listener):
         while True:
@@ -79,11 +105,12 @@
         with contextlib.suppress(OSError, ValueError):
             connection.settimeout(HANG_S)
             stream = connection.makefile('rb')
-            while (request := read_request(stream)) is not None:
+            while request := read_request(stream, self._reads_body):
                 self.arrivals.append((time.monotonic(), request.target))
                 time.sleep(WORK_S)
                 if DEADLY in request.target and self.is_running:
                     self.end_count += 1
+                    connection.sendall(self._begin_answer(request))
                     self.close()
                     return
                 connection.sendall(self._answer(request))
--- a/hawthornfold/gateway/tests/signal_support.py
+++ b/hawthornfold/gateway/tests/signal_support.py
@@ -228,10 +228,10 @@
             directory.apply([ServerChange(server_id, record)], now_ms())
         )
 
-    def send(self, method='GET', target='/a'):
+    def send(self, method='GET', target='/a', body=b''):
         headers = (('Host', 'a.x'), ('X-Request-Id', f'r{next(self.ids)}'))
         incoming = IncomingRequest(
-            method, target, 'a.x', headers, b'', self.clock.now_ms(), 0.0
+            method, target, 'a.x', headers, body, self.clock.now_ms(), 0.0
         )
 
         @contextlib.contextmanager
--- a/hawthornfold/gateway/tests/support.py
+++ b/hawthornfold/gateway/tests/support.py
@@ -46,7 +46,7 @@
     body: bytes
 
 
-def read_request(stream):
+def read_request(stream, reads_body=True):
     """Return the next request of a connection, or None at its end."""
     line = stream.readline()
     if not line:
@@ -56,7 +56,8 @@
     while (field := stream.readline()) not in (b'\r\n', b''):
         name, _, value = field.decode('latin-1').partition(':')
         headers[name.lower()] = value.strip()
-    body = stream.read(int(headers.get('content-length', 0)))
+    length = int(headers.get('content-length', 0)) if reads_body else 0
+    body = stream.read(length)
     return Received(method, target, headers, body)
 
 
--- a/hawthornfold/gateway/tests/test_exchange.py
+++ b/hawthornfold/gateway/tests/test_exchange.py
@@ -399,6 +399,7 @@
                 self.assertIsNone(self.connect())
                 outcome = self.send(method='POST', body=bytes(32 << 20))
                 self.assertIs(outcome.kind, OutcomeKind.LOST)
+                self.assertTrue(outcome.is_interrupted)
                 eventlet.sleep(0)
         squelch.assert_not_called()
         self.assertEqual(self.idle_ends, [])
--- a/hawthornfold/gathering/outcomes.py
+++ b/hawthornfold/gathering/outcomes.py
@@ -121,8 +121,8 @@
     signals : ServerSignals
         What the response says about the server.
     is_interrupted : bool
-        Whether the connection broke before any byte of a response. The server
-        may have ended while it ran the request.
+        Whether the connection broke before the response was complete. The
+        server may have ended while it ran the request.
     """
 
     kind: OutcomeKind
