Tell cut long polls from outages, and bound the deferral of removals

Cause: a cut counted as an outage, after which removals wait until live servers have written expired entries again, and each outage put off all waiting removals anew. Ruled out: lost events; the removals were received.

A cut now leads to a read that returns at once; it is an outage only if the store does not answer within 1 s. 429 is no outage either. Three outages at most defer one removal; one that lasts counts once, so that a long outage removes no live server.

--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -171,9 +171,13 @@
         return [DirectoryEvent('draining', current)]
 
     def record_outage(self, now_ms):
-        """Record that the store did not answer; defer removals."""
+        """Record that the store did not answer until now; defer removals."""
         self._removals.record_outage(now_ms)
 
+    def record_return(self):
+        """Record that the store answers again."""
+        self._removals.record_return()
+
     def replace_all(self, changes, now_ms, is_restored=False):
         """Replace all records by a complete list of servers.
 
--- a/hawthornfold/directory/records.py
+++ b/hawthornfold/directory/records.py
@@ -200,8 +200,16 @@
         reply, so that everything must be read again.
     era : int or None
         Era of the store; None if there was no answer or it reports none.
+    is_cut : bool
+        Whether the connection broke while the store waited for changes. It
+        may cut such calls at any time, so that this says nothing about it.
+    is_rate_limited : bool
+        Whether the store refused the call because it gets too many. It then
+        is available to those who write to it.
     """
 
     detail: str
     is_history_lost: bool = False
     era: int | None = None
+    is_cut: bool = False
+    is_rate_limited: bool = False
--- a/hawthornfold/directory/removals.py
+++ b/hawthornfold/directory/removals.py
@@ -10,11 +10,16 @@
 # Removals are deferred until this long after an outage. Servers write expired
 # records again within 2 s of the store's return.
 REMOVAL_GRACE_MS = 2_300.0
+# Number of outages in a row that defer the same removal. A live server can
+# write its record again after each of them.
+MAX_OUTAGES = 3
 
 
 class _PendingRemoval(typing.NamedTuple):
     received_ms: float
     due_ms: float
+    # Number of the latest outage when the removal was received.
+    outage_number: int
 
 
 class DeferredRemovals:
@@ -23,6 +28,8 @@
     def __init__(self):
         self._pending = {}
         self._deferred_until_ms = 0.0
+        self._outage_number = 0
+        self._is_available = True
 
     @property
     def server_ids(self):
@@ -51,20 +58,32 @@
         ]
 
     def record_outage(self, now_ms):
-        """Record that the store did not answer; defer removals."""
+        """Record that the store did not answer until now; defer removals."""
+        if self._is_available:
+            self._is_available = False
+            self._outage_number += 1
         until_ms = now_ms + REMOVAL_GRACE_MS
         if until_ms <= self._deferred_until_ms:
             return
         self._deferred_until_ms = until_ms
         self._pending = {
             server_id: removal._replace(due_ms=until_ms)
+            if self._outage_number - removal.outage_number < MAX_OUTAGES
+            else removal
             for server_id, removal in self._pending.items()
         }
 
+    def record_return(self):
+        """Record that the store answers; a later outage is another one."""
+        self._is_available = True
+
     def add(self, server_id, now_ms):
         """Defer a removal; a repeated one keeps its time."""
         self._pending.setdefault(
-            server_id, _PendingRemoval(now_ms, self._deferred_until_ms)
+            server_id,
+            _PendingRemoval(
+                now_ms, self._deferred_until_ms, self._outage_number
+            ),
         )
 
     def discard(self, server_id):
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -18,10 +18,12 @@
 from hawthornfold.directory import StorePosition
 from hawthornfold.directory import create_server_directory
 from hawthornfold.directory import create_store_watcher
+from hawthornfold.directory.reachability import MAX_CUT_MS
 from hawthornfold.directory.read_intervals import LONG_POLL_MS
 from hawthornfold.directory.reader_tracker import MISSED_UPDATE_GRACE_MS
 from hawthornfold.directory.reader_tracker import READER_TIMEOUT_MS
 from hawthornfold.directory.reader_tracker import SNAPSHOT_QUERY_INTERVAL_MS
+from hawthornfold.directory.removals import MAX_OUTAGES
 from hawthornfold.directory.removals import REMOVAL_GRACE_MS
 from hawthornfold.directory.watcher import FOLLOWER_CHECK_MS
 from hawthornfold.directory.watcher import REVISION_GRACE_MS
@@ -435,6 +437,94 @@
             self.directory.available_servers('portal', late_ms), ()
         )
 
+    def count_available(self):
+        """Return the number of servers, without those of the last resort."""
+        self.directory.expire_removals(self.clock.now_ms())
+        return len(self.directory.records)
+
+    def test_cut_or_refused_calls_do_not_defer_removals(self):
+        # Guards against requests to a server for as long as the store cuts
+        # each long poll, or refuses calls above its rate.
+        for failure in (
+            ReadFailure('reset', is_cut=True),
+            ReadFailure('status 429', is_rate_limited=True),
+        ):
+            with self.subTest(failure):
+                self.watch(
+                    result.Ok(StoreChanges(10, (WRITTEN,))),
+                    result.Err(failure),
+                    result.Ok(StoreChanges(20, (REMOVED,))),
+                )
+                self.assertEqual(self.count_available(), 0)
+
+    def test_cut_before_a_long_silence_defers_removals(self):
+        # Guards against removal of servers whose records expired in an outage
+        # that began with the cut of a long poll.
+        self.watch(
+            result.Ok(StoreChanges(10, (WRITTEN,))),
+            result.Err(ReadFailure('reset', is_cut=True)),
+        )
+        self.store.replies.append(result.Ok(StoreChanges(20, (REMOVED,))))
+        self.clock.advance(MAX_CUT_MS + 1.0)
+        self.watcher.read_once()
+        self.assertEqual(self.count_available(), 1)
+        self.clock.advance(REMOVAL_GRACE_MS)
+        self.assertEqual(self.count_available(), 0)
+
+    def test_long_polls_that_are_cut_at_once_are_repeated_with_a_delay(self):
+        # Guards against a node that uses up the rate of the store.
+        cut = result.Err(ReadFailure('reset', is_cut=True))
+        delays = self.watch(result.Ok(StoreChanges(10)), cut, cut)
+        self.assertEqual([x > 0.0 for x in delays], [False, True, True])
+        self.assertEqual(self.store.waits, [0.0, 0.0])
+
+    def test_repeated_outages_do_not_defer_a_removal_for_ever(self):
+        # Guards against requests to a server that has left, for as long as
+        # the store fails again and again, here every 1.4 s.
+        self.watch(
+            result.Ok(StoreChanges(10, (WRITTEN,))),
+            result.Err(ReadFailure('status 503')),
+            result.Ok(StoreChanges(20, (REMOVED,))),
+        )
+        outages = 1
+        while self.count_available():
+            self.clock.advance(1_000.0)
+            self.store.replies += [
+                result.Err(ReadFailure('status 503')),
+                result.Ok(StoreChanges(20)),
+            ]
+            outages += 1
+            self.watcher.read_once()
+            self.clock.advance(400.0)
+            self.watcher.read_once()
+            self.assertLessEqual(outages, MAX_OUTAGES + 2)
+        self.assertGreater(outages, MAX_OUTAGES)
+
+    def test_removal_is_deferred_until_a_long_outage_has_ended(self):
+        # Guards against removal of live servers in an outage that begins soon
+        # after another one, however often its reads fail.
+        self.watch(
+            result.Ok(StoreChanges(10, (WRITTEN,))),
+            result.Err(ReadFailure('status 503')),
+            result.Ok(StoreChanges(20, (REMOVED,))),
+        )
+        for _ in range(20):
+            self.store.replies.append(result.Err(ReadFailure('refused')))
+            self.clock.advance(400.0)
+            self.watcher.read_once()
+            self.assertEqual(self.count_available(), 1)
+
+    def test_outages_that_readers_report_do_not_defer_a_removal_for_ever(self):
+        # As above, at a node that relies on its readers.
+        self.watch(result.Ok(StoreChanges(10, (WRITTEN,))))
+        self.directory.record_outage(self.clock.now_ms())
+        self.directory.record_return()
+        self.directory.apply([REMOVED], self.clock.now_ms())
+        for _ in range(2 * MAX_OUTAGES + 2):
+            self.clock.advance(1_400.0)
+            self.watcher.apply_update(StoreNews(10, 10, outage_age_ms=100.0))
+        self.assertEqual(self.count_available(), 0)
+
     def test_failed_reads_are_followed_by_a_delay(self):
         # Guards against a node that overloads a failing store with retries.
         delays = self.watch(
--- a/hawthornfold/directory/watcher.py
+++ b/hawthornfold/directory/watcher.py
@@ -147,6 +147,8 @@
             return
         if update.outage_age_ms is not None:
             self._directory.record_outage(now_ms - update.outage_age_ms)
+            # The reader reaches the store again.
+            self._directory.record_return()
         if not update.after <= own.revision <= update.revision:
             return
         if own.revision < update.revision:
@@ -302,13 +304,15 @@
             # its era; a long poll might wait until it is at the revision that
             # this node had reached before.
             wait_ms = 0.0
-        self._waiting_since_ms = self._clock.now_ms()
+        started_ms = self._waiting_since_ms = self._clock.now_ms()
         outcome = self._store.wait_for_changes(position.revision, wait_ms)
         self._waiting_since_ms = None
         changes = outcome.unwrap_or_else(lambda failure: failure)
         if self._view.resolve_era(changes.era) != position.era:
             return self._handle_other_era(changes.era)
         if outcome.is_err():
+            if changes.is_cut:
+                return self._record_cut(started_ms)
             return self._record_failure(changes, self._retry_delay_ms)
         now_ms = self._clock.now_ms()
         self._reachability.record_success(position, now_ms)
@@ -369,6 +373,18 @@
         self._reader_tracker.record_position(StorePosition(era, 0))
         return ERA_RELOAD_SPREAD_MS * self._rng.random()
 
+    def _record_cut(self, started_ms):
+        """Handle the cut of a long poll that started at a time.
+
+        The next read returns at once. It tells whether the store is available,
+        and its era. Calls that are cut early are not repeated faster than
+        failed ones.
+        """
+        now_ms = self._clock.now_ms()
+        self._is_era_uncertain = True
+        self._reachability.record_cut(now_ms)
+        return max(0.0, started_ms + self._retry_delay_ms - now_ms)
+
     def _record_failure(self, failure, delay_ms):
         position = self._view.position
         if failure.is_history_lost:
@@ -382,7 +398,10 @@
             return 0.0
         self._is_era_uncertain = True
         self._reachability.record_failure(
-            position, failure.detail, self._clock.now_ms()
+            position,
+            failure.detail,
+            not failure.is_rate_limited,
+            self._clock.now_ms(),
         )
         return delay_ms
 
--- a/hawthornfold/platform/store.py
+++ b/hawthornfold/platform/store.py
@@ -1,5 +1,6 @@
 """Reads the platform's metadata store, which is read-only, over HTTP."""
 
+import http.client
 import re
 import socket
 import urllib.parse
@@ -80,13 +81,38 @@
         Era of the store, if it answered and reports one.
     exceeds_limits : bool
         Whether the body exceeds `MAX_REPLY_BYTES`, or the time for a reply.
+    is_broken : bool
+        Whether the other end closed or reset the connection before the reply
+        was complete.
     """
 
-    def __init__(self, detail, status=0, era=None, exceeds_limits=False):
+    def __init__(
+        self,
+        detail,
+        status=0,
+        era=None,
+        exceeds_limits=False,
+        is_broken=False,
+    ):
         super().__init__(detail)
         self.status = status
         self.era = era
         self.exceeds_limits = exceeds_limits
+        self.is_broken = is_broken
+
+
+def _create_read_error(error, exceeds_limits=False):
+    """Return the `_ReadError` of an exception of the HTTP library."""
+    # A connection that timed out was out of reach for some time.
+    is_broken = isinstance(error, urllib3.exceptions.ProtocolError) and any(
+        isinstance(cause, (ConnectionError, http.client.HTTPException))
+        for cause in error.args
+    )
+    return _ReadError(
+        f'{type(error).__name__}: {error}',
+        exceeds_limits=exceeds_limits,
+        is_broken=is_broken,
+    )
 
 
 class MetadataStore(PublishedStore):
@@ -123,7 +149,13 @@
                 SERVERS_PREFIX, options, first_era
             )
         except _ReadError as error:
-            return result.Err(ReadFailure(str(error), era=error.era))
+            return result.Err(
+                ReadFailure(
+                    str(error),
+                    era=error.era,
+                    is_rate_limited=error.status == 429,
+                )
+            )
         # The pages are not one snapshot. With their lowest revision, the
         # next watch repeats the changes that were made between the reads.
         return result.Ok(
@@ -148,7 +180,13 @@
             # revision is as large. The pages of a complete read are not.
             is_history_lost = error.status == 410 or error.exceeds_limits
             return result.Err(
-                ReadFailure(str(error), is_history_lost, error.era)
+                ReadFailure(
+                    str(error),
+                    is_history_lost,
+                    error.era,
+                    is_cut=error.is_broken and wait_ms > 0.0,
+                    is_rate_limited=error.status == 429,
+                )
             )
         return result.Ok(
             decode_items(
@@ -209,7 +247,7 @@
                 ),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise _ReadError(f'{type(error).__name__}: {error}')
+            raise _create_read_error(error)
         return self._decode_response(response, decoder)
 
     def _decode_response(self, response, decoder):
@@ -219,8 +257,8 @@
             is_complete = data is not None
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             # ValueError: chunks of a negative length.
-            raise _ReadError(
-                f'{type(error).__name__}: {error}',
+            raise _create_read_error(
+                error,
                 exceeds_limits=isinstance(
                     error, urllib3.exceptions.ReadTimeoutError
                 ),
--- a/hawthornfold/platform/tests/test_store.py
+++ b/hawthornfold/platform/tests/test_store.py
@@ -1,10 +1,13 @@
 """Reads of the platform's store over HTTP."""
 
+import socket
+import threading
 import unittest
 
 import logbook
 
 from hawthornfold.clock import create_system_clock
+from hawthornfold.gateway.tests import support as gateway_support
 from hawthornfold.platform.store import open_store
 from hawthornfold.platform.tests import support
 
@@ -118,3 +121,60 @@
                 for _ in range(2):
                     self.assertIsNone(self.store.read_all().ok_value.era)
                 self.assertEqual(self.list_events(), ['store_era_refused'])
+
+
+class FailureTest(unittest.TestCase):
+    """How calls may end, and what this says about the store."""
+
+    def fail(self, answer, wait_ms):
+        """Return the failure of a call; `answer` ends its connection."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(4096)
+                answer(connection)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        self.addCleanup(thread.join)
+        address = '{}:{}'.format(*listener.getsockname())
+        store = open_store(lambda: address, create_system_clock())
+        return store.wait_for_changes(1, wait_ms).err_value
+
+    def check(self, answer, wait_ms, is_cut, is_rate_limited=False):
+        failure = self.fail(answer, wait_ms)
+        found = (failure.is_cut, failure.is_rate_limited)
+        self.assertEqual(found, (is_cut, is_rate_limited), failure)
+
+    def test_only_broken_connections_of_waiting_calls_are_cuts(self):
+        # Guards against an outage that is taken for a cut, in which records
+        # of live servers expire, and the other way round.
+        def close(connection):
+            connection.shutdown(socket.SHUT_RDWR)
+
+        def close_in_the_body(connection):
+            connection.sendall(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{'
+            )
+
+        def stay_silent(connection):
+            connection.recv(1)
+
+        def refuse(status):
+            return lambda connection: connection.sendall(
+                f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'.encode()
+            )
+
+        for answer in (close, gateway_support.reset, close_in_the_body):
+            for wait_ms in (1_000.0, 0.0):
+                with self.subTest(answer.__name__, wait_ms=wait_ms):
+                    self.check(answer, wait_ms, is_cut=wait_ms > 0.0)
+        self.check(stay_silent, 100.0, is_cut=False)
+        self.check(refuse(503), 100.0, is_cut=False)
+        self.check(refuse(429), 100.0, is_cut=False, is_rate_limited=True)
+        store = open_store(lambda: '127.0.0.1:1', create_system_clock())
+        failure = store.wait_for_changes(1, 100.0).err_value
+        self.assertFalse(failure.is_cut)
