Use a server whose clock was set back before it started again

The start is taken from the server's clock: one that starts again after its clock was set back would be lost for that time. Found by reading the change; not shown on a run.

Only an entry without any start is held back now, if the server has left with one.

--- a/hawthornfold/directory/departures.py
+++ b/hawthornfold/directory/departures.py
@@ -114,16 +114,16 @@
         self._departures.pop(server_id, None)
         self._distrusted.pop(server_id, None)
 
-    def is_of_earlier_start(self, record, now_ms):
-        """Return whether a later start of a record's server has left.
+    def lacks_start(self, record, now_ms):
+        """Return whether a record lacks the start that its server gave.
 
-        The record then is not the server's: what a server writes is of its
-        latest start.
+        Another writer has left it. A start that is earlier than that of the
+        departure may be the server's: its clock may have been set back.
         """
         departure = self._departures.get(record.server_id)
         return (
             departure is not None
-            and record.born_ms < departure.born_ms
+            and record.born_ms == 0 < departure.born_ms
             and now_ms - departure.departed_ms <= DEPARTURE_TTL_MS
         )
 
--- a/hawthornfold/directory/directory.py
+++ b/hawthornfold/directory/directory.py
@@ -234,7 +234,7 @@
         events = []
         self._departures.record_changes(changes)
         for change in changes:
-            if change.record is None or self._is_outdated(
+            if change.record is None or self._is_foreign(
                 change.record, now_ms
             ):
                 self._departures.drop_listing(change.server_id)
@@ -290,11 +290,15 @@
             events += self._update_record(record, now_ms)
         return events + self._expire_announced(now_ms)
 
-    def _is_outdated(self, record, now_ms):
-        """Return whether a later start of an unknown server has left."""
+    def _is_foreign(self, record, now_ms):
+        """Return whether another writer left the record of a departed server.
+
+        While the server's own record is known, such a one is of an earlier
+        start and ignored.
+        """
         return (
             record.server_id not in self._records
-            and self._departures.is_of_earlier_start(record, now_ms)
+            and self._departures.lacks_start(record, now_ms)
         )
 
     def _update_record(self, record, now_ms, is_repeated=False):
