Have the soak signal starting and stopping processes, and check their ends

New faults, in series and beside all others: SIGHUP and changed or invalid settings in a start and while running, signals every 2 to 300 ms while a node stops, servers that end and return under their ids, with or without their entries expired, and a store that cuts its waiting calls. A process that ends without a fault that explains it, and a stop with another status than 0, are violations. The faults are in a module of their own. The seeds that failed before play the former kinds; runs of two releases too, since an old node does not handle all signals.

--- a/hawthornfold/platform/tests/soak.py
+++ b/hawthornfold/platform/tests/soak.py
@@ -6,11 +6,12 @@
 and are upgraded and returned to it one by one, beside all other faults.
 
 Callers reuse connections until they close. Faults overlap at random: links
-that delay, reset, stall, cut or lose one direction, faulty servers, a store
-that refuses, is silent or returns from an older copy, and processes that are
-stopped, paused, killed and restarted. New configurations and drains are
-published meanwhile. The guarantees are checked from what callers and servers
-observe.
+that delay, reset, stall, cut or lose one direction, faulty servers, servers
+that end and return, a store that refuses, is silent, cuts calls or returns
+from an older copy, and processes that are stopped, paused, killed, restarted
+and signalled in series, also while they start and stop. New configurations,
+settings and drains are published meanwhile. The guarantees are checked from
+what callers and servers observe, and from the exit statuses of the processes.
 """
 
 import argparse
@@ -19,22 +20,18 @@
 import json
 import math
 import random
-import signal
 import sys
 import threading
 import time
 
 from hawthornfold.platform.tests import soak_environment
+from hawthornfold.platform.tests import soak_faults
+from hawthornfold.platform.tests.soak_faults import STABLE_S
 
 # Bounds that the platform's documentation states: time until a configuration
-# is applied, until a draining server receives no more work, until the nodes
-# have recovered from faults, and until a stopping process has ended.
+# is applied, and until the nodes have recovered from faults.
 CONFIG_APPLY_S = 3.0
-DRAIN_S = 3.0
 RECOVERY_S = 12.0
-GRACE_S = 6.0
-# A node or the store counts as stable this long after its last fault.
-STABLE_S = 4.0
 # Bounds how long after the caller's deadline of 1.5 s an answer may come.
 MAX_OVERDUE_S = 0.5
 DEADLINE_MS = 1_500
@@ -45,64 +42,69 @@
 # whether its configuration is the newest. Like status 404, they mean that it
 # has not applied the version.
 UNAPPLIED_CODES = (b'BELIEFS_STALE', b'NOT_READY')
-# Kinds of faults; one that is listed twice is chosen twice as often.
-FAULTS = (
-    'link',
-    'link',
-    'server',
-    'server',
-    'store',
-    'restore',
-    'pause',
-    'kill',
-    'terminate',
-    'publish',
-    'drain',
+# Nodes of an earlier release may not handle all signals at any moment.
+TWO_RELEASES_FAULTS = (*soak_faults.FAULTS, *soak_faults.RELEASE_FAULTS)
+ALL_FAULTS = (
+    *soak_faults.FAULTS,
+    *soak_faults.PROCESS_FAULTS,
+    *soak_faults.RETURN_FAULTS,
 )
-# Beside these, while nodes run two releases.
-RELEASE_FAULTS = 5 * ('release',)
 
 
 class Soak:
-    """Runs the faults and callers of one seed and collects violations."""
-
-    def __init__(self, seed, environment):
+    """Runs the faults and callers of one seed and collects violations.
+
+    Parameters
+    ----------
+    seed : int
+        Determines the faults and the requests.
+    environment : soak_environment.Environment
+        The components.
+    faults : tuple of str
+        Kinds of faults to choose from.
+    """
+
+    def __init__(self, seed, environment, faults):
         self._seed = seed
         self._rng = random.Random(seed)
         self._environment = environment
-        self._faults = FAULTS
-        if len(environment.roots) > 1:
-            self._faults += RELEASE_FAULTS
+        self._faults = faults
         self._lock = threading.Lock()
         self._stop = threading.Event()
-        self._is_calm = False
-        # When the last fault of each node ended, by number of the node; in
-        # the future while a fault lasts.
-        self._node_fault_times = dict.fromkeys(
-            range(len(environment.nodes)), 0.0
+        self._injector = soak_faults.FaultInjector(
+            self._rng, environment, self._report_violation
         )
-        self._store_fault_time = 0.0
-        self._incarnations = dict.fromkeys(range(len(environment.nodes)), 0)
         # Newest version that a node served, by (number, incarnation).
         self._newest_versions = {}
         # Request id and status of each non-idempotent request.
         self._non_idempotent_results = []
-        self.counts = {}
+        self._counts = {}
         self.violations = []
 
+    @property
+    def counts(self):
+        """Number of faults by kind, and of requests by kind and status."""
+        return {**self._injector.counts, **self._counts}
+
     def run(self, seconds):
         """Inject faults for some seconds, then check the recovery."""
         threads = [
             threading.Thread(target=self._run_caller, args=(n,))
             for n in range(CALLERS)
         ]
+        threads.append(
+            threading.Thread(
+                target=self._injector.supervise, args=(self._stop,)
+            )
+        )
         for thread in threads:
             thread.start()
         end = time.monotonic() + seconds
         fault_threads = []
         while time.monotonic() < end:
             fault = threading.Thread(
-                target=self._run_fault, args=(self._rng.choice(self._faults),)
+                target=self._injector.inject,
+                args=(self._rng.choice(self._faults),),
             )
             fault.start()
             fault_threads.append(fault)
@@ -119,125 +121,6 @@
         with self._lock:
             self.violations.append(text)
 
-    def _run_fault(self, kind):
-        rng = random.Random(self._rng.random())
-        with self._lock:
-            self.counts[kind] = self.counts.get(kind, 0) + 1
-        getattr(self, f'_inject_{kind}')(rng, rng.uniform(0.3, 2.5))
-
-    def _inject_link(self, rng, duration_s):
-        name = rng.choice([*self._environment.servers, 'store'])
-        fault = rng.choice(soak_environment.LINK_FAULTS)
-        self._environment.proxy.set_fault(name, **fault)
-        time.sleep(duration_s)
-        self._environment.proxy.set_fault(name)
-        if name == 'store':
-            self._store_fault_time = time.monotonic()
-
-    def _inject_server(self, rng, duration_s):
-        server = rng.choice(list(self._environment.servers.values()))
-        server.fault = rng.choice(soak_environment.SERVER_FAULTS)
-        time.sleep(duration_s)
-        server.fault = None
-
-    def _inject_store(self, rng, duration_s):
-        self._store_fault_time = time.monotonic() + duration_s
-        self._environment.store.mode = 'busy'
-        time.sleep(duration_s)
-        self._environment.store.mode = 'ok'
-        if rng.random() < 0.5:
-            self._environment.store.discard_history()
-        self._store_fault_time = time.monotonic()
-
-    def _inject_restore(self, rng, duration_s):
-        """Take the store away; return it from a copy some seconds old."""
-        self._store_fault_time = time.monotonic() + 60.0
-        store = self._environment.store
-        store.mode = 'busy'
-        time.sleep(duration_s / 3.0)
-        store.restore(rng.uniform(0.5, 5.0))
-        store.mode = 'ok'
-        time.sleep(rng.uniform(0.2, 1.5))
-        self._environment.write_again()
-        self._store_fault_time = time.monotonic()
-
-    @contextlib.contextmanager
-    def _mark_random_node(self, rng):
-        """Yield the number and node; it counts as faulty until the end."""
-        number = rng.randrange(len(self._environment.nodes))
-        self._node_fault_times[number] = time.monotonic() + 60.0
-        try:
-            yield number, self._environment.nodes[number]
-        finally:
-            self._node_fault_times[number] = time.monotonic()
-
-    def _inject_pause(self, rng, duration_s):
-        with self._mark_random_node(rng) as (_, node):
-            node.send_signal(signal.SIGSTOP)
-            time.sleep(duration_s)
-            node.send_signal(signal.SIGCONT)
-
-    def _inject_kill(self, rng, duration_s):
-        with self._mark_random_node(rng) as (number, node):
-            node.kill()
-            self._incarnations[number] += 1
-            time.sleep(duration_s / 3.0)
-            node.ensure_running()
-
-    def _inject_terminate(self, rng, duration_s):
-        with self._mark_random_node(rng) as (number, node):
-            started = time.monotonic()
-            node.terminate()
-            node.wait_for_exit()
-            self._incarnations[number] += 1
-            if time.monotonic() - started > GRACE_S + duration_s:
-                self._report_violation(f'node {number} stopped too late')
-            node.ensure_running()
-
-    def _inject_release(self, rng, duration_s):
-        """Upgrade a node, or return it to the earlier release."""
-        with self._mark_random_node(rng) as (number, node):
-            if rng.random() < 0.5:
-                node.terminate()
-                node.wait_for_exit()
-            else:
-                node.kill()
-            self._incarnations[number] += 1
-            first, second = self._environment.roots
-            node.set_root(second if node.root == first else first)
-            time.sleep(duration_s / 3.0)
-            node.ensure_running()
-
-    def _inject_publish(self, rng, duration_s):
-        self._environment.publish_configuration()
-
-    def _inject_drain(self, rng, duration_s):
-        name = rng.choice([*self._environment.servers])
-        server = self._environment.servers[name]
-        if server.drained_at is not None:
-            return
-        self._environment.register_server(name, State='draining')
-        server.drained_at = time.monotonic()
-        time.sleep(DRAIN_S + 1.0)
-        late = [s for s in server.arrivals_after_drain_s if s > DRAIN_S]
-        server.drained_at = None
-        server.arrivals_after_drain_s = []
-        was_store_stable = self._is_store_stable(DRAIN_S + 1.0 + STABLE_S)
-        if late and was_store_stable and self._are_nodes_stable():
-            self._report_violation(
-                f'{name} received work {max(late):.2f} s after its drain began'
-            )
-        self._environment.register_server(name)
-
-    def _is_store_stable(self, seconds):
-        return time.monotonic() - self._store_fault_time > seconds
-
-    def _are_nodes_stable(self):
-        now = time.monotonic()
-        return all(
-            now - at > STABLE_S for at in self._node_fault_times.values()
-        )
-
     def _run_caller(self, caller):
         rng = random.Random(f'{self._seed}-{caller}')
         connection, number, count = None, 0, 0
@@ -260,7 +143,7 @@
         kind = rng.choice(('/g/', '/g/', '/p/', '/v'))
         version = rng.randint(1, self._environment.version)
         path = f'/v{version}/' if kind == '/v' else kind
-        incarnation = self._incarnations[number]
+        incarnation = self._injector.incarnation(number)
         started = time.monotonic()
         headers = {
             'Host': 'a.example',
@@ -278,9 +161,7 @@
         elapsed = time.monotonic() - started
         self._check_answer(response, data, kind, request_id)
         self._record_result(kind, request_id, response.status)
-        was_node_stable = (
-            time.monotonic() - self._node_fault_times[number] > STABLE_S
-        )
+        was_node_stable = self._injector.node_stable_s(number) > STABLE_S
         if elapsed > DEADLINE_MS / 1000.0 + MAX_OVERDUE_S and was_node_stable:
             self._report_violation(
                 f'{request_id} was answered after {elapsed:.2f} s'
@@ -297,7 +178,7 @@
     def _record_result(self, kind, request_id, status):
         with self._lock:
             key = f'{kind} {status}'
-            self.counts[key] = self.counts.get(key, 0) + 1
+            self._counts[key] = self._counts.get(key, 0) + 1
             if kind == '/p/':
                 self._non_idempotent_results.append((request_id, status))
 
@@ -342,14 +223,19 @@
             if has_applied:
                 self._newest_versions[key] = max(newest, version)
                 return
-        if incarnation == self._incarnations[number] and newest >= version:
+        if (
+            incarnation == self._injector.incarnation(number)
+            and newest >= version
+        ):
             self._report_violation(
                 f'node {number} no longer serves v{version}'
             )
         age_s = started - self._environment.published_at[version]
-        stable_s = started - max(
-            self._node_fault_times[number], self._store_fault_time
-        )
+        # How long both had been stable when the request was sent.
+        stable_s = min(
+            self._injector.node_stable_s(number),
+            self._injector.store_stable_s(),
+        ) - (time.monotonic() - started)
         if age_s > CONFIG_APPLY_S and stable_s > STABLE_S:
             self._report_violation(
                 f'node {number} lacks v{version} after {age_s:.1f} s'
@@ -432,11 +318,13 @@
     )
 
 
-def run_seed(seed, seconds, old_release=None):
+def run_seed(seed, seconds, old_release=None, faults=None):
     """Run one seed; return its `Soak` and the nodes' logs."""
+    if faults is None:
+        faults = ALL_FAULTS if old_release is None else TWO_RELEASES_FAULTS
     with contextlib.ExitStack() as stack:
         environment = soak_environment.Environment(seed, stack, old_release)
-        soak = Soak(seed, environment)
+        soak = Soak(seed, environment, faults)
         soak.run(seconds)
         return soak, [node.read_log() for node in environment.nodes]
 
--- a/hawthornfold/platform/tests/soak_environment.py
+++ b/hawthornfold/platform/tests/soak_environment.py
@@ -60,6 +60,10 @@
         self.server_id = server_id
         self.service = service
         self.fault = None
+        # Held by a fault that changes what the store lists of the server.
+        self.lock = threading.Lock()
+        # Start of the process, as in its entry.
+        self.born = 1000
         self.drained_at = None
         self.arrivals_after_drain_s = []
         self._ledger = ledger
@@ -67,6 +71,10 @@
         self._scripted = gateway_support.ScriptedServer(self._answer)
         self.address = self._scripted.address
 
+    def restart(self):
+        """Begin a later start of the process, at the same address."""
+        self.born += 1
+
     def close(self):
         """Stop accepting connections."""
         self._scripted.close()
@@ -289,12 +297,19 @@
             'State': 'ready',
             'WarmupLeftMs': 0,
             'Seq': 1,
-            'born': 1000,
+            'born': server.born,
             **fields,
         }
         self.entries[f'servers/{name}'] = entry
         self.store.put(f'servers/{name}', entry)
 
+    def remove_server(self, name):
+        """Remove a server's entry from the store."""
+        key = f'servers/{name}'
+        del self.entries[key]
+        with contextlib.suppress(KeyError):
+            self.store.delete(key)
+
     def write_again(self):
         """Write what a restored store has lost, as its writers do."""
         for key, entry in list(self.entries.items()):
--- a/hawthornfold/platform/tests/support.py
+++ b/hawthornfold/platform/tests/support.py
@@ -44,6 +44,9 @@
 [Zones]
 {regions}
 """
+# Processor time within which a process reaches its first statement. Importing
+# the modules of a node takes several times as much.
+INTERPRETER_START_S = 0.2
 LIMITS = {
     'MaxHeaderBytes': 16384,
     'MaxBodyBytes': 262144,
@@ -69,6 +72,7 @@
         self._items = {}
         self._events = []
         self._oldest_revision = 0
+        self._cut_count = 0
         # Raised by each restore; None for a store that reports no era. May be
         # set to any text, to send an invalid header.
         self.era = 1
@@ -167,6 +171,12 @@
             self._events = []
             self._changed.notify_all()
 
+    def cut_waiting_calls(self):
+        """Close the connections of all watches that wait."""
+        with self._changed:
+            self._cut_count += 1
+            self._changed.notify_all()
+
     def _handle_request(self, handler):
         url = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(url.query, True))
@@ -182,7 +192,11 @@
                 if url.path.endswith('range')
                 else self._wait_for_events
             )
-            status, document = call(query)
+            try:
+                status, document = call(query)
+            except ConnectionAbortedError:
+                handler.close_connection = True
+                return
         body = json.dumps(document).encode()
         with contextlib.suppress(OSError):
             handler.send_response(status)
@@ -213,8 +227,10 @@
         after = int(query['after'])
         end = time.monotonic() + int(query['WaitMs']) / 1000.0
         with self._changed:
-            era = self.era
+            era, cut_count = self.era, self._cut_count
             while True:
+                if cut_count != self._cut_count:
+                    raise ConnectionAbortedError
                 if era != self.era:
                     # The restore cut the connection of this watch.
                     return 503, {}
@@ -240,6 +256,22 @@
     return f'127.{1 + process % 250}.{process // 250 % 250}.{number}'
 
 
+def has_begun(pid):
+    """Return whether a process has reached its first statement.
+
+    Until it has, signals take their default actions. Processor time tells
+    this on a busy machine too.
+    """
+    try:
+        text = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    except OSError:
+        return False
+    # The second field, the command, may contain spaces.
+    user, system = text.rpartition(')')[2].split()[11:13]
+    ticks = int(user) + int(system)
+    return ticks / os.sysconf('SC_CLK_TCK') >= INTERPRETER_START_S
+
+
 def find_free_port(ip):
     """Return a port that is currently free on an address."""
     return pick_ports(1, ip)[0]
@@ -308,6 +340,8 @@
         }
         self.control = f'{self.ip}:{self.ports["control"]}'
         self._directory = tempfile.TemporaryDirectory()
+        # Number of times that the settings file was replaced.
+        self._writes = 0
         self.settings_path = pathlib.Path(self._directory.name, 'node.toml')
         self._fields = {
             'name': f'node-{number}',
@@ -347,6 +381,18 @@
             SETTINGS.format(**self._fields, **self.ports)
         )
 
+    def rewrite_settings(self, text=None):
+        """Write the settings file again, with a new comment or another text.
+
+        The file is replaced, so that it is never read in part.
+        """
+        self._writes += 1
+        if text is None:
+            text = SETTINGS.format(**self._fields, **self.ports)
+        new_path = self.settings_path.with_suffix(f'.{self._writes}')
+        new_path.write_text(f'# {self._writes}\n{text}')
+        new_path.replace(self.settings_path)
+
     def start(self):
         """Start the process."""
         environment = {
@@ -372,6 +418,11 @@
                 stderr=log,
             )
 
+    @property
+    def process(self):
+        """The latest process, a `subprocess.Popen`."""
+        return self._process
+
     @property
     def pid(self):
         """Id of the process."""
--- a/hawthornfold/platform/tests/test_soak.py
+++ b/hawthornfold/platform/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 from hawthornfold.platform.tests import soak
 from hawthornfold.platform.tests import soak_environment
+from hawthornfold.platform.tests import soak_faults
 from hawthornfold.platform.tests import support
 
 SECONDS = 8.0
@@ -79,11 +80,39 @@
         # Guards against guarantees that fail only under combinations of
         # faults; other tests cover single faults.
         for seed in (1, *REGRESSIONS):
+            with self.subTest(seed):
+                finished_soak, _ = soak.run_seed(
+                    seed, SECONDS, faults=soak_faults.FAULTS
+                )
+                self.assertEqual(finished_soak.violations, [])
+                self.assertGreater(finished_soak.counts.get('/g/ 200', 0), 0)
+
+    def test_guarantees_hold_under_series_of_signals_and_restarts(self):
+        # Guards against processes that end by a signal while they start or
+        # stop, and against guarantees that fail when servers return or the
+        # store cuts its calls.
+        for seed in (2, 3):
             with self.subTest(seed):
                 finished_soak, _ = soak.run_seed(seed, SECONDS)
                 self.assertEqual(finished_soak.violations, [])
                 self.assertGreater(finished_soak.counts.get('/g/ 200', 0), 0)
 
+    def test_unexpected_end_of_a_process_is_a_violation(self):
+        # Guards against a soak that starts a node that has ended by itself
+        # again without a word, as it did with those that SIGHUP ended.
+        node = mock.Mock()
+        node.process.poll.return_value = -1
+        environment = mock.Mock(nodes=[node])
+        violations = []
+        injector = soak_faults.FaultInjector(
+            None, environment, violations.append
+        )
+        stop = mock.Mock()
+        stop.wait.side_effect = [False, True]
+        injector.supervise(stop)
+        self.assertEqual(violations, ['node 0 ended by itself with status -1'])
+        node.ensure_running.assert_called_once_with()
+
     def test_guarantees_hold_while_nodes_run_two_releases(self):
         # Guards against messages that nodes of the release before do not
         # understand, or take for something else.
