--- a/hawthornfold/gateway/tests/test_limited_servers.py
+++ b/hawthornfold/gateway/tests/test_limited_servers.py
@@ -38,7 +38,13 @@
             since_ms, since_ms + WINDOW_S * 1_000.0
         )
         self.assertLessEqual(arrived, MAX_ARRIVALS)
-        self.assertGreater(arrived, 0.5 * LIMIT_PER_S * WINDOW_S)
+        # A process that is not scheduled sends fewer requests in all; one that
+        # runs sends more than 800.
+        self.assertGreater(
+            arrived,
+            0.5 * LIMIT_PER_S * WINDOW_S,
+            f'of {len(statuses)} requests',
+        )
         self.assertEqual(set(statuses), {200})
         self.assertEqual(self.count_logged('server_limited'), 1)
 
