Count messages of readers about one outage as one outage

A node that relies on its readers counted each of their messages about an outage, of which there are several within two seconds. With the bound of three outages a second outage soon after would no longer have deferred the removal of live servers.

--- a/hawthornfold/directory/removals.py
+++ b/hawthornfold/directory/removals.py
@@ -5,6 +5,7 @@
 write them again soon after the store returns.
 """
 
+import math
 import typing
 
 # Removals are deferred until this long after an outage. Servers write expired
@@ -13,6 +14,9 @@
 # Number of outages in a row that defer the same removal. A live server can
 # write its record again after each of them.
 MAX_OUTAGES = 3
+# Two outages are at least so far apart, as a failed read is repeated after 400
+# ms. Messages of readers about the same outage differ by less.
+MIN_OUTAGE_INTERVAL_MS = 300.0
 
 
 class _PendingRemoval(typing.NamedTuple):
@@ -29,6 +33,8 @@
         self._pending = {}
         self._deferred_until_ms = 0.0
         self._outage_number = 0
+        # When the latest outage that has a number was recorded.
+        self._counted_ms = -math.inf
         self._is_available = True
 
     @property
@@ -59,12 +65,16 @@
 
     def record_outage(self, now_ms):
         """Record that the store did not answer until now; defer removals."""
-        if self._is_available:
-            self._is_available = False
-            self._outage_number += 1
         until_ms = now_ms + REMOVAL_GRACE_MS
         if until_ms <= self._deferred_until_ms:
             return
+        if (
+            self._is_available
+            and now_ms >= self._counted_ms + MIN_OUTAGE_INTERVAL_MS
+        ):
+            self._is_available = False
+            self._counted_ms = now_ms
+            self._outage_number += 1
         self._deferred_until_ms = until_ms
         self._pending = {
             server_id: removal._replace(due_ms=until_ms)
--- a/hawthornfold/directory/tests/test_watcher.py
+++ b/hawthornfold/directory/tests/test_watcher.py
@@ -515,14 +515,42 @@
             self.assertEqual(self.count_available(), 1)
 
     def test_outages_that_readers_report_do_not_defer_a_removal_for_ever(self):
-        # As above, at a node that relies on its readers.
+        # As above, at a node that relies on its readers. At the shorter
+        # interval several readers report outages of their own.
+        for interval_ms in (1_400.0, 200.0):
+            with self.subTest(interval_ms):
+                self.watch(result.Ok(StoreChanges(10, (WRITTEN,))))
+                self.directory.record_outage(self.clock.now_ms())
+                self.directory.record_return()
+                self.directory.apply([REMOVED], self.clock.now_ms())
+                started_ms = self.clock.now_ms()
+                while self.count_available():
+                    self.clock.advance(interval_ms)
+                    self.watcher.apply_update(
+                        StoreNews(10, 10, outage_age_ms=100.0)
+                    )
+                    self.assertLess(
+                        self.clock.now_ms() - started_ms,
+                        (MAX_OUTAGES + 2) * REMOVAL_GRACE_MS,
+                    )
+
+    def test_messages_about_one_outage_count_once(self):
+        # Guards against removal of live servers at a node that relies on its
+        # readers, because each of their messages counts as an outage.
         self.watch(result.Ok(StoreChanges(10, (WRITTEN,))))
-        self.directory.record_outage(self.clock.now_ms())
-        self.directory.record_return()
+        news = StoreNews(10, 10, outage_age_ms=0.0)
+        self.watcher.apply_update(news)
         self.directory.apply([REMOVED], self.clock.now_ms())
-        for _ in range(2 * MAX_OUTAGES + 2):
-            self.clock.advance(1_400.0)
-            self.watcher.apply_update(StoreNews(10, 10, outage_age_ms=100.0))
+        for age_ms in range(100, 1_000, 100):
+            self.clock.advance(100.0)
+            # The message took up to 9 ms longer than the first one.
+            age_ms -= age_ms / 100.0
+            self.watcher.apply_update(news._replace(outage_age_ms=age_ms))
+        self.clock.advance(1_000.0)
+        self.watcher.apply_update(news)
+        self.clock.advance(REMOVAL_GRACE_MS - 1.0)
+        self.assertEqual(self.count_available(), 1)
+        self.clock.advance(1.0)
         self.assertEqual(self.count_available(), 0)
 
     def test_failed_reads_are_followed_by_a_delay(self):
