Have the test server that ends refuse connections before any breaks

A node that checked in between found a server that accepts, and took it for alive. The former order is restored; the bounds are as they were.

--- a/hawthornfold/gateway/tests/crash_support.py
+++ b/hawthornfold/gateway/tests/crash_support.py
@@ -77,6 +77,10 @@
             connections, self._connections = self._connections, set()
         if listener is None:
             return
+        # Nobody connects any more once the first connection is seen to break.
+        with contextlib.suppress(OSError):
+            listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
         for opened in connections:
             with contextlib.suppress(OSError):
                 if self._is_reset:
@@ -86,9 +90,6 @@
                 else:
                     opened.shutdown(socket.SHUT_RDWR)
             opened.close()
-        with contextlib.suppress(OSError):
-            listener.shutdown(socket.SHUT_RDWR)
-        listener.close()
 
     def _accept(self, listener):
         while True:
