--- a/hawthornfold/gateway/tests/crash_support.py
+++ b/hawthornfold/gateway/tests/crash_support.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from hawthornfold.emulator.processes import pick_ports
 from hawthornfold.gateway.tests.support import HANG_S
 from hawthornfold.gateway.tests.support import read_request
 
@@ -48,7 +49,8 @@
         self._lock = threading.Lock()
         self._connections = set()
         self._listener = None
-        self._address = ('127.0.0.1', 0)
+        # A port that no outgoing connection takes while the server is down.
+        self._address = ('127.0.0.1', *pick_ports(1))
         # Time and target of each request that has arrived.
         self.arrivals = []
         self.end_count = 0
@@ -65,7 +67,6 @@
     def start(self):
         """Start the process, at the address that it had."""
         self._listener = socket.create_server(self._address)
-        self._address = self._listener.getsockname()
         threading.Thread(
             target=self._accept, args=(self._listener,), daemon=True
         ).start()
